--- /dev/null
+++ b/Makefile
@@ -0,0 +1,44 @@
+# Targets of bergamotbank. README.md explains the ones that users need.
+
+GOLANGCI_VERSION := v2.15.0
+PROTOC_GEN_GO_VERSION := v1.36.11
+PROTOC_GEN_TWIRP_VERSION := v8.1.3
+GOBIN_DIR := $(shell go env GOPATH)/bin
+GOLANGCI := $(GOBIN_DIR)/golangci-lint
+PROTO_FILES := $(shell git ls-files '*.proto')
+
+export CGO_ENABLED := 1
+
+.PHONY: build test race lint fmt generate setup spec demo bench capacity clean
+
+build:
+	mkdir -p bin
+	go build -o bin/ ./cmd/... ./standin
+
+test:
+	go test ./...
+
+race:
+	go test -race ./...
+
+setup:
+	@test "$$($(GOLANGCI) version --short 2>/dev/null)" = "$(GOLANGCI_VERSION:v%=%)" || \
+		go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
+	@command -v spin >/dev/null || (apt-get update -qq && apt-get install -y -qq spin)
+
+lint: setup
+	go vet ./...
+	$(GOLANGCI) run ./...
+
+fmt: setup
+	$(GOLANGCI) fmt ./...
+
+# generate rewrites the committed code of the twirp services. It needs protoc.
+generate:
+	go install google.golang.org/protobuf/cmd/protoc-gen-go@$(PROTOC_GEN_GO_VERSION)
+	go install github.com/twitchtv/twirp/protoc-gen-twirp@$(PROTOC_GEN_TWIRP_VERSION)
+	PATH="$(GOBIN_DIR):$$PATH" protoc --go_out=. --go_opt=paths=source_relative \
+		--twirp_out=. --twirp_opt=paths=source_relative $(PROTO_FILES)
+
+clean:
+	rm -rf bin out
--- /dev/null
+++ b/cmd/bergamotctl/main.go
@@ -0,0 +1,4 @@
+// Command bergamotctl is the operators' command-line client of bergamotbank.
+package main
+
+func main() {}
