Packet path: steering tables, header codec, balancer, agent flows and endpoint

The balancer steers each caller packet with a weighted bucket table and names the owner and the former owners in the header; the agent delivers, passes on or drops by a pure flow core and ends TCP in gVisor's netstack.

--- /dev/null
+++ b/connection/datagram/conn.go
@@ -0,0 +1,182 @@
+// Package datagram reads and writes UDP datagrams in batches without
+// allocation.
+package datagram
+
+import (
+	"context"
+	"net"
+	"net/netip"
+	"syscall"
+
+	"golang.org/x/net/ipv4"
+	"golang.org/x/sys/unix"
+
+	"bergamotbank/errkind"
+)
+
+const (
+	// BatchSize is the number of datagrams moved by one system call.
+	BatchSize = 64
+	// MaxSize is the largest datagram read, in bytes.
+	MaxSize = 2048
+	// Headroom is the number of free bytes in front of each datagram read, so
+	// that a header can be put there without a copy.
+	Headroom = 64
+
+	socketBufferSize = 4 << 20 // bytes
+)
+
+// Conn is a UDP socket.
+type Conn struct {
+	udp    *net.UDPConn
+	reader *ipv4.PacketConn
+	writer *ipv4.PacketConn
+}
+
+// addressless is a socket whose batched reads do not report the sender. The
+// ipv4 package allocates a net.Addr per datagram for a UDP connection, but none
+// for a connection that has SetLinger, the mark of a TCP connection.
+type addressless struct {
+	*net.UDPConn
+}
+
+// SetLinger does nothing. It makes the ipv4 package skip the sender's address.
+func (addressless) SetLinger(int) error { return nil }
+
+// Listen opens a UDP socket at the address. Several sockets may share one
+// address when shared is set; the kernel then spreads the senders over them.
+// The error has kind InvalidSettings.
+func Listen(addr netip.AddrPort, shared bool) (*Conn, error) {
+	config := net.ListenConfig{}
+	if shared {
+		config.Control = setReusePort
+	}
+	pc, err := config.ListenPacket(context.Background(), "udp4", addr.String())
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.InvalidSettings, "listen for datagrams at %s", addr)
+	}
+	udp := pc.(*net.UDPConn)
+	// Smaller buffers than asked for work too.
+	_ = udp.SetReadBuffer(socketBufferSize)
+	_ = udp.SetWriteBuffer(socketBufferSize)
+	return &Conn{
+		udp:    udp,
+		reader: ipv4.NewPacketConn(addressless{udp}),
+		writer: ipv4.NewPacketConn(udp),
+	}, nil
+}
+
+func setReusePort(_, _ string, c syscall.RawConn) error {
+	var optErr error
+	err := c.Control(func(fd uintptr) {
+		optErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+	})
+	if err != nil {
+		return err
+	}
+	return optErr
+}
+
+// Addr returns the local address.
+func (c *Conn) Addr() netip.AddrPort {
+	addr := c.udp.LocalAddr().(*net.UDPAddr).AddrPort()
+	return netip.AddrPortFrom(addr.Addr().Unmap(), addr.Port())
+}
+
+// Close closes the socket; a blocked Read then returns an error.
+func (c *Conn) Close() error {
+	return c.udp.Close()
+}
+
+// Reader holds the buffers of batched reads from one socket. It is for one
+// goroutine.
+type Reader struct {
+	conn     *Conn
+	buffers  [][]byte
+	messages []ipv4.Message
+}
+
+// NewReader returns a reader with buffers of its own.
+func (c *Conn) NewReader() *Reader {
+	r := &Reader{
+		conn:     c,
+		buffers:  make([][]byte, BatchSize),
+		messages: make([]ipv4.Message, BatchSize),
+	}
+	for i := range r.messages {
+		r.buffers[i] = make([]byte, Headroom+MaxSize)
+		r.messages[i].Buffers = [][]byte{r.buffers[i][Headroom:]}
+	}
+	return r
+}
+
+// Read waits for datagrams and returns how many were read, at most BatchSize.
+func (r *Reader) Read() (int, error) {
+	return r.conn.reader.ReadBatch(r.messages, 0)
+}
+
+// Datagram returns datagram i of the last Read. It is valid until the next.
+func (r *Reader) Datagram(i int) []byte {
+	return r.buffers[i][Headroom : Headroom+r.messages[i].N]
+}
+
+// Prefixed returns datagram i of the last Read without its first skip bytes,
+// with size free bytes in front. Size must not exceed Headroom.
+func (r *Reader) Prefixed(i, skip, size int) []byte {
+	return r.buffers[i][Headroom+skip-size : Headroom+r.messages[i].N]
+}
+
+// Writer gathers datagrams and writes them in one system call. It is for one
+// goroutine.
+type Writer struct {
+	messages []ipv4.Message
+	addrs    []net.UDPAddr
+	count    int
+}
+
+// NewWriter returns an empty writer for BatchSize datagrams.
+func NewWriter() *Writer {
+	w := &Writer{
+		messages: make([]ipv4.Message, BatchSize),
+		addrs:    make([]net.UDPAddr, BatchSize),
+	}
+	for i := range w.messages {
+		w.addrs[i].IP = make(net.IP, net.IPv4len)
+		w.messages[i].Addr = &w.addrs[i]
+		w.messages[i].Buffers = make([][]byte, 1)
+	}
+	return w
+}
+
+// Add appends a datagram to an IPv4 address. The bytes must stay unchanged
+// until Flush. At most BatchSize datagrams may be added between flushes.
+func (w *Writer) Add(b []byte, to netip.AddrPort) {
+	m := &w.messages[w.count]
+	m.Buffers[0] = b
+	ip := to.Addr().As4()
+	copy(w.addrs[w.count].IP, ip[:])
+	w.addrs[w.count].Port = int(to.Port())
+	w.count++
+}
+
+// Len returns the number of datagrams added since the last Flush.
+func (w *Writer) Len() int {
+	return w.count
+}
+
+// Flush writes the added datagrams through the socket and returns how many the
+// kernel refused.
+func (w *Writer) Flush(c *Conn) (failed int) {
+	pending := w.messages[:w.count]
+	w.count = 0
+	for len(pending) > 0 {
+		n, err := c.writer.WriteBatch(pending, 0)
+		if err != nil || n <= 0 {
+			// The first datagram is the refused one.
+			failed++
+			n = 1
+		}
+		pending = pending[n:]
+	}
+	return failed
+}
--- /dev/null
+++ b/connection/endpoint/netstack.go
@@ -0,0 +1,109 @@
+package endpoint
+
+import (
+	"net/netip"
+	"time"
+
+	"gvisor.dev/gvisor/pkg/tcpip"
+	"gvisor.dev/gvisor/pkg/tcpip/header"
+	"gvisor.dev/gvisor/pkg/tcpip/link/channel"
+	"gvisor.dev/gvisor/pkg/tcpip/network/ipv4"
+	"gvisor.dev/gvisor/pkg/tcpip/stack"
+	"gvisor.dev/gvisor/pkg/tcpip/transport/tcp"
+
+	"bergamotbank/errkind"
+)
+
+const (
+	nicID = 1
+	// innerMTU leaves room for the outer headers in an Ethernet frame, in bytes.
+	innerMTU = 1400
+	// outboundQueue is the number of packets between the TCP stack and the
+	// sender.
+	outboundQueue = 4096
+
+	keepaliveIdle     = 60 * time.Second
+	keepaliveInterval = 30 * time.Second
+	keepaliveCount    = 8
+	timeWait          = 10 * time.Second
+
+	minBuffer     = 4 << 10   // bytes
+	defaultBuffer = 64 << 10  // bytes
+	maxBuffer     = 512 << 10 // bytes
+)
+
+// newStack returns a TCP stack that takes packets to any address through link.
+func newStack(source netip.Addr) (*stack.Stack, *channel.Endpoint, error) {
+	s := stack.New(stack.Options{
+		NetworkProtocols:   []stack.NetworkProtocolFactory{ipv4.NewProtocol},
+		TransportProtocols: []stack.TransportProtocolFactory{tcp.NewProtocol},
+	})
+	link := channel.New(outboundQueue, innerMTU, "")
+	if err := configure(s, link, source); err != nil {
+		s.Destroy()
+		return nil, nil, errkind.New(errkind.Internal, "configure TCP stack: %s", err)
+	}
+	return s, link, nil
+}
+
+func configure(s *stack.Stack, link *channel.Endpoint, source netip.Addr) tcpip.Error {
+	if err := s.CreateNIC(nicID, link); err != nil {
+		return err
+	}
+	// The service's address may change, so the stack takes any destination;
+	// the flows package checks it.
+	if err := s.SetPromiscuousMode(nicID, true); err != nil {
+		return err
+	}
+	if err := s.SetSpoofing(nicID, true); err != nil {
+		return err
+	}
+	s.SetRouteTable([]tcpip.Route{{Destination: header.IPv4EmptySubnet, NIC: nicID}})
+	if source.IsValid() {
+		if err := addSource(s, source); err != nil {
+			return err
+		}
+	}
+	return setTCPOptions(s)
+}
+
+func addSource(s *stack.Stack, source netip.Addr) tcpip.Error {
+	address := tcpip.ProtocolAddress{
+		Protocol:          ipv4.ProtocolNumber,
+		AddressWithPrefix: tcpip.AddrFrom4(source.As4()).WithPrefix(),
+	}
+	return s.AddProtocolAddress(nicID, address, stack.AddressProperties{})
+}
+
+func setTCPOptions(s *stack.Stack) tcpip.Error {
+	sack := tcpip.TCPSACKEnabled(true)
+	moderate := tcpip.TCPModerateReceiveBufferOption(true)
+	wait := tcpip.TCPTimeWaitTimeoutOption(timeWait)
+	receive := tcpip.TCPReceiveBufferSizeRangeOption{Min: minBuffer, Default: defaultBuffer, Max: maxBuffer}
+	send := tcpip.TCPSendBufferSizeRangeOption{Min: minBuffer, Default: defaultBuffer, Max: maxBuffer}
+	for _, option := range []tcpip.SettableTransportProtocolOption{&sack, &moderate, &wait, &receive, &send} {
+		if err := s.SetTransportProtocolOption(tcp.ProtocolNumber, option); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// setKeepalive makes the stack find a silent remote end.
+func setKeepalive(ep tcpip.Endpoint) {
+	idle := tcpip.KeepaliveIdleOption(keepaliveIdle)
+	interval := tcpip.KeepaliveIntervalOption(keepaliveInterval)
+	// These options cannot fail on a TCP endpoint.
+	_ = ep.SetSockOpt(&idle)
+	_ = ep.SetSockOpt(&interval)
+	_ = ep.SetSockOptInt(tcpip.KeepaliveCountOption, keepaliveCount)
+	ep.SocketOptions().SetKeepAlive(true)
+}
+
+func fullAddress(addr netip.AddrPort) tcpip.FullAddress {
+	full := tcpip.FullAddress{NIC: nicID, Port: addr.Port()}
+	if addr.Addr().IsValid() {
+		full.Addr = tcpip.AddrFrom4(addr.Addr().As4())
+	}
+	return full
+}
--- /dev/null
+++ b/connection/forward/counters.go
@@ -0,0 +1,89 @@
+package forward
+
+import "sync/atomic"
+
+// Counters are the packets and bytes that a forwarder has handled since it
+// started.
+type Counters struct {
+	// Forwarded counts packets sent to an agent.
+	Forwarded uint64
+	// ForwardedBytes counts the bytes of forwarded packets.
+	ForwardedBytes uint64
+	// NotIPv4 counts dropped datagrams that are no whole IPv4 packet.
+	NotIPv4 uint64
+	// NotTCP counts dropped packets of another protocol than TCP.
+	NotTCP uint64
+	// Fragment counts dropped fragments.
+	Fragment uint64
+	// BrokenTCP counts dropped packets with a broken TCP header.
+	BrokenTCP uint64
+	// TooLarge counts dropped datagrams over the size limit.
+	TooLarge uint64
+	// NoService counts dropped packets to an address without a service.
+	NoService uint64
+	// NoServer counts dropped packets of a service without a server.
+	NoServer uint64
+	// NoPlane counts packets dropped before the first plane was set.
+	NoPlane uint64
+	// SendFailed counts packets that the kernel refused to send.
+	SendFailed uint64
+}
+
+// counters is the shared form of Counters.
+type counters struct {
+	forwarded      atomic.Uint64
+	forwardedBytes atomic.Uint64
+	drops          [reasonCount]atomic.Uint64
+}
+
+// reason is why a packet was dropped.
+type reason uint8
+
+const (
+	reasonNone reason = iota
+	reasonNotIPv4
+	reasonNotTCP
+	reasonFragment
+	reasonBrokenTCP
+	reasonTooLarge
+	reasonNoService
+	reasonNoServer
+	reasonNoPlane
+	reasonSendFailed
+	reasonCount
+)
+
+func (c *counters) snapshot() Counters {
+	return Counters{
+		Forwarded:      c.forwarded.Load(),
+		ForwardedBytes: c.forwardedBytes.Load(),
+		NotIPv4:        c.drops[reasonNotIPv4].Load(),
+		NotTCP:         c.drops[reasonNotTCP].Load(),
+		Fragment:       c.drops[reasonFragment].Load(),
+		BrokenTCP:      c.drops[reasonBrokenTCP].Load(),
+		TooLarge:       c.drops[reasonTooLarge].Load(),
+		NoService:      c.drops[reasonNoService].Load(),
+		NoServer:       c.drops[reasonNoServer].Load(),
+		NoPlane:        c.drops[reasonNoPlane].Load(),
+		SendFailed:     c.drops[reasonSendFailed].Load(),
+	}
+}
+
+// batchCounts gathers the counts of one batch, so that the shared counters are
+// touched once per batch.
+type batchCounts struct {
+	forwarded      uint64
+	forwardedBytes uint64
+	drops          [reasonCount]uint64
+}
+
+func (c *counters) add(b *batchCounts) {
+	c.forwarded.Add(b.forwarded)
+	c.forwardedBytes.Add(b.forwardedBytes)
+	for i, n := range b.drops {
+		if n > 0 {
+			c.drops[i].Add(n)
+		}
+	}
+	*b = batchCounts{}
+}
--- /dev/null
+++ b/connection/forward/plane.go
@@ -0,0 +1,79 @@
+// Package forward is the balancer's packet path: it takes callers' IPv4 packets
+// from the fabric and sends each to the agent that owns its flow.
+package forward
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	"bergamotbank/version/steering"
+)
+
+// FormerTableAge is the time for which a replaced table still adds candidates.
+const FormerTableAge = 2 * time.Minute
+
+// ServiceInput is what the table of one service is built from.
+type ServiceInput struct {
+	// Address is the address and port of the service.
+	Address netip.AddrPort
+	// Servers are the service's servers that may get packets.
+	Servers []steering.Server
+}
+
+// service is the steering state of one service.
+type service struct {
+	servers []steering.Server
+	history steering.History
+}
+
+// Plane is the immutable forwarding state of a balancer: the steering tables of
+// all services, current and former.
+type Plane struct {
+	version  uint64
+	services map[netip.AddrPort]*service
+}
+
+// NewPlane returns the plane for a configuration version and the servers of
+// each service. It takes over the former tables of the previous plane, which
+// may be nil. A service with unchanged servers shares its table with the
+// previous plane.
+func NewPlane(previous *Plane, version uint64, services []ServiceInput, now time.Time) *Plane {
+	p := &Plane{
+		version:  version,
+		services: make(map[netip.AddrPort]*service, len(services)),
+	}
+	for _, input := range services {
+		p.services[input.Address] = newService(previous.service(input.Address), input.Servers, now)
+	}
+	return p
+}
+
+// Version returns the configuration version of the plane.
+func (p *Plane) Version() uint64 {
+	return p.version
+}
+
+func (p *Plane) service(addr netip.AddrPort) *service {
+	if p == nil {
+		return nil
+	}
+	return p.services[addr]
+}
+
+func newService(previous *service, servers []steering.Server, now time.Time) *service {
+	if previous == nil {
+		return &service{
+			servers: slices.Clone(servers),
+			history: steering.History{}.Push(steering.Build(servers), now, FormerTableAge),
+		}
+	}
+	table := previous.history.Current()
+	if !slices.Equal(previous.servers, servers) {
+		table = steering.Build(servers)
+	}
+	return &service{
+		servers: slices.Clone(servers),
+		history: previous.history.Push(table, now, FormerTableAge),
+	}
+}
--- /dev/null
+++ b/version/steering/history.go
@@ -0,0 +1,100 @@
+package steering
+
+import (
+	"net/netip"
+	"time"
+)
+
+const (
+	// MaxFormer is the number of former tables that a History keeps.
+	MaxFormer = 3
+	// MaxCandidates is the largest number of addresses that Candidates gives.
+	MaxCandidates = 1 + MaxFormer
+)
+
+// former is a table that was current until the given time.
+type former struct {
+	table *Table
+	until time.Time
+}
+
+// History holds the current table of a service and a few former ones. It is
+// immutable. The zero value has no table.
+type History struct {
+	current *Table
+	former  []former
+}
+
+// Push returns a history with the given table in front. Former tables that were
+// replaced before now minus keep are left out. Pushing a table equal to the
+// current one keeps the current table.
+func (h History) Push(t *Table, now time.Time, keep time.Duration) History {
+	next := History{current: t}
+	if h.current == nil {
+		return next
+	}
+	if h.current.Equal(t) {
+		next.current = h.current
+	} else {
+		next.former = append(next.former, former{table: h.current, until: now})
+	}
+	for _, f := range h.former {
+		if len(next.former) < MaxFormer && now.Sub(f.until) <= keep {
+			next.former = append(next.former, f)
+		}
+	}
+	return next
+}
+
+// Current returns the current table, or nil when there is none.
+func (h *History) Current() *Table {
+	return h.current
+}
+
+// Tables returns the current table and the former ones, newest first.
+func (h *History) Tables() []*Table {
+	if h.current == nil {
+		return nil
+	}
+	tables := []*Table{h.current}
+	for _, f := range h.former {
+		tables = append(tables, f.table)
+	}
+	return tables
+}
+
+// Candidates writes the agent addresses that may hold a flow into out: first
+// the owner under the current table, then the distinct owners under former
+// tables, newest first. It returns how many it wrote, 0 when the current table
+// has no server.
+func (h *History) Candidates(hash uint64, out *[MaxCandidates]netip.AddrPort) int {
+	if h.current == nil {
+		return 0
+	}
+	owner, ok := h.current.Lookup(hash)
+	if !ok {
+		return 0
+	}
+	out[0] = h.current.servers[owner].Addr
+	n := 1
+	for i := range h.former {
+		n = appendOwner(h.former[i].table, hash, out, n)
+	}
+	return n
+}
+
+// appendOwner adds the owner under one table unless it is already listed.
+func appendOwner(t *Table, hash uint64, out *[MaxCandidates]netip.AddrPort, n int) int {
+	owner, ok := t.Lookup(hash)
+	if !ok {
+		return n
+	}
+	addr := t.servers[owner].Addr
+	for _, listed := range out[:n] {
+		if listed == addr {
+			return n
+		}
+	}
+	out[n] = addr
+	return n + 1
+}
