--- a/version/steering/table.go
+++ b/version/steering/table.go
@@ -50,11 +50,15 @@
 // the same name only the first by address counts. At most 65,536 servers
 // take part; those with the last names are left out.
 func Build(servers []Server) *Table {
+	return build(servers, minBucketsPerServer)
+}
+
+func build(servers []Server, perServer int) *Table {
 	weighted := sortedWeighted(servers)
 	if len(weighted) == 0 {
 		return &Table{}
 	}
-	count := bucketCount(len(weighted))
+	count := bucketCount(len(weighted), perServer)
 	t := &Table{
 		servers: weighted,
 		buckets: make([]uint16, count),
@@ -123,8 +127,8 @@
 
 // bucketCount returns the smallest allowed power of two. A power of two keeps
 // the modulo a mask and lets a table of twice the size keep most owners.
-func bucketCount(servers int) int {
-	want := max(minBuckets, servers*minBucketsPerServer)
+func bucketCount(servers, perServer int) int {
+	want := max(minBuckets, servers*perServer)
 	return 1 << bits.Len(uint(want-1))
 }
 
