--- /dev/null
+++ b/connection/forward/bench_test.go
@@ -0,0 +1,165 @@
+package forward_test
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bergamotbank/connection/datagram"
+	"bergamotbank/connection/forward"
+	"bergamotbank/version/steering"
+)
+
+const (
+	rounds      = 5
+	roundLength = 400 * time.Millisecond
+	payloadSize = 400 // bytes
+	benchAgents = 7
+)
+
+// bench is a load generator and a set of sinks in place of agents.
+type bench struct {
+	sinks []netip.AddrPort
+	got   atomic.Uint64
+	conns []*datagram.Conn
+	wg    sync.WaitGroup
+}
+
+func newBench(b *testing.B) *bench {
+	s := &bench{}
+	for range benchAgents {
+		c := s.open(b)
+		s.sinks = append(s.sinks, c.Addr())
+		s.wg.Go(func() { s.drain(c) })
+	}
+	b.Cleanup(func() {
+		for _, c := range s.conns {
+			_ = c.Close()
+		}
+		s.wg.Wait()
+	})
+	return s
+}
+
+func (s *bench) open(b *testing.B) *datagram.Conn {
+	c, err := datagram.Listen(loopback, false)
+	if err != nil {
+		b.Fatal(err)
+	}
+	s.conns = append(s.conns, c)
+	return c
+}
+
+func (s *bench) drain(c *datagram.Conn) {
+	reader := c.NewReader()
+	for {
+		n, err := reader.Read()
+		if err != nil {
+			return
+		}
+		s.got.Add(uint64(n))
+	}
+}
+
+// relay forwards every datagram to the sinks in turn, and does nothing else.
+func (s *bench) relay(in, out *datagram.Conn) {
+	reader := in.NewReader()
+	writer := datagram.NewWriter()
+	turn := 0
+	for {
+		n, err := reader.Read()
+		if err != nil {
+			return
+		}
+		for i := range n {
+			turn = (turn + 1) % len(s.sinks)
+			writer.Add(reader.Datagram(i), s.sinks[turn])
+		}
+		writer.Flush(out)
+	}
+}
+
+// rate returns the packets a second that arrive while one sender sends as fast
+// as it can.
+func (s *bench) rate(from *datagram.Conn, to netip.AddrPort) float64 {
+	packets := make([][]byte, datagram.BatchSize)
+	for i := range packets {
+		packets[i] = tcpPacket(uint16(i+1), service, payloadSize)
+	}
+	writer := datagram.NewWriter()
+	before := s.got.Load()
+	start := time.Now()
+	for time.Since(start) < roundLength {
+		for _, p := range packets {
+			writer.Add(p, to)
+		}
+		writer.Flush(from)
+	}
+	return float64(s.got.Load()-before) / time.Since(start).Seconds()
+}
+
+// BenchmarkForward measures the forwarder and a bare relay in turns.
+func BenchmarkForward(b *testing.B) {
+	for b.Loop() {
+	}
+	s := newBench(b)
+	f := start(b, 1)
+	servers := make([]steering.Server, len(s.sinks))
+	for i, addr := range s.sinks {
+		servers[i] = serverAt(fmt.Sprintf("server-%d", i), addr)
+	}
+	f.SetPlane(forward.NewPlane(nil, 1, []forward.ServiceInput{{Address: service, Servers: servers}}, time.Now()))
+	in, out, sender := s.open(b), s.open(b), s.open(b)
+	s.wg.Go(func() { s.relay(in, out) })
+
+	var ratios, rates, relayed []float64
+	var allocs float64
+	for range rounds {
+		bare := s.rate(sender, in.Addr())
+		before, forwarded := mallocs(), f.Counters().Forwarded
+		rate := s.rate(sender, f.Addr())
+		allocs = float64(mallocs()-before) / float64(f.Counters().Forwarded-forwarded)
+		ratios = append(ratios, rate/bare)
+		rates = append(rates, rate)
+		relayed = append(relayed, bare)
+	}
+	fmt.Printf("bench forward_bare_relay %.0f packets/s\n", median(relayed))
+	fmt.Printf("bench forward_balancer %.0f packets/s\n", median(rates))
+	fmt.Printf("bench forward_balancer_over_bare_relay %.3f ratio\n", median(ratios))
+	fmt.Printf("bench forward_balancer_over_bare_relay_least %.3f ratio\n", slices.Min(ratios))
+	fmt.Printf("bench forward_allocations_per_packet %.4f allocs\n", allocs)
+}
+
+// BenchmarkRoute measures the decision for one packet with its header.
+func BenchmarkRoute(b *testing.B) {
+	var servers []steering.Server
+	for i := range 1000 {
+		addr := netip.AddrPortFrom(loopback.Addr(), uint16(i+1))
+		servers = append(servers, serverAt(fmt.Sprintf("server-%d", i), addr))
+	}
+	plane := forward.NewPlane(nil, 1, []forward.ServiceInput{{Address: service, Servers: servers}}, time.Now())
+	packet, out := tcpPacket(1, service, payloadSize), make([]byte, datagram.Headroom)
+	var packets int
+	start := time.Now()
+	for b.Loop() {
+		plane.Route(packet, out)
+		packets++
+	}
+	fmt.Printf("bench forward_decision %.1f ns\n", float64(time.Since(start).Nanoseconds())/float64(packets))
+}
+
+func median(values []float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[len(sorted)/2]
+}
+
+func mallocs() uint64 {
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.Mallocs
+}
--- /dev/null
+++ b/connection/forward/export_test.go
@@ -0,0 +1,24 @@
+package forward
+
+import "bergamotbank/connection/encap"
+
+// SharedTables counts the services whose current table is the same object.
+func SharedTables(a, b *Plane) int {
+	shared := 0
+	for addr, s := range a.services {
+		if s.history.Current() == b.services[addr].history.Current() {
+			shared++
+		}
+	}
+	return shared
+}
+
+// Route writes the header for a packet into out and tells whether there is one.
+func (p *Plane) Route(packet, out []byte) bool {
+	var h encap.Header
+	if p.route(packet, &h) != reasonNone {
+		return false
+	}
+	h.Put(out)
+	return true
+}
