--- a/version/steering/table_test.go
+++ b/version/steering/table_test.go
@@ -21,6 +21,7 @@
 	_ = flag.Set("rapid.seed", "20261204")
 	_ = flag.Set("rapid.checks", "200")
 	_ = flag.Set("rapid.nofailfile", "true")
+	_ = flag.Set("rapid.shrinktime", "5s")
 	os.Exit(m.Run())
 }
 
