--- a/connection/endpoint/network_test.go
+++ b/connection/endpoint/network_test.go
@@ -30,7 +30,7 @@
 
 // network is a fake fabric with balancers and agents in one process.
 type network struct {
-	t         *testing.T
+	t         testing.TB
 	conn      *net.UDPConn
 	wg        sync.WaitGroup
 	mu        sync.Mutex
@@ -38,13 +38,14 @@
 	faults    faults
 	balancers []*forward.Forwarder
 	planes    []*forward.Plane
+	stops     []context.CancelFunc
 	callers   map[netip.Addr]netip.AddrPort
 	held      []byte
 	heldTo    netip.AddrPort
 	nextIP    byte
 }
 
-func newNetwork(t *testing.T, balancers int) *network {
+func newNetwork(t testing.TB, balancers int) *network {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback))
 	if err != nil {
 		t.Fatal(err)
@@ -57,13 +58,10 @@
 	t.Cleanup(n.wg.Wait)
 	t.Cleanup(func() { conn.Close() })
 	for range balancers {
-		f, err := forward.New(forward.Options{Listen: loopback})
-		if err != nil {
-			t.Fatal(err)
-		}
+		f, cancel := n.startBalancer()
 		n.balancers = append(n.balancers, f)
 		n.planes = append(n.planes, nil)
-		n.run(f.Run)
+		n.stops = append(n.stops, cancel)
 	}
 	n.wg.Go(n.spray)
 	return n
@@ -102,15 +100,12 @@
 	if !servicePrefix.Contains(s.Source.Addr()) {
 		n.callers[s.Source.Addr()] = from
 	}
-	to := n.callers[s.Destination.Addr()]
-	if servicePrefix.Contains(s.Destination.Addr()) {
-		to = n.balancers[n.random.IntN(len(n.balancers))].Addr()
-	}
+	to := n.target(s.Destination.Addr())
 	if !to.IsValid() || n.random.Float64() < n.faults.loss {
 		return
 	}
 	if n.random.Float64() < n.faults.duplicate {
-		n.write(packet, to)
+		n.write(packet, n.target(s.Destination.Addr()))
 	}
 	if n.held == nil && n.random.Float64() < n.faults.reorder {
 		n.held, n.heldTo = append([]byte{}, packet...), to
@@ -123,10 +118,46 @@
 	}
 }
 
+// target returns where the fabric sends a packet: to a random balancer or to
+// the caller.
+func (n *network) target(destination netip.Addr) netip.AddrPort {
+	if servicePrefix.Contains(destination) {
+		return n.balancers[n.random.IntN(len(n.balancers))].Addr()
+	}
+	return n.callers[destination]
+}
+
 func (n *network) write(packet []byte, to netip.AddrPort) {
 	_, _ = n.conn.WriteToUDPAddrPort(packet, to)
 }
 
+func (n *network) setFaults(f faults) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.faults = f
+}
+
+// replaceBalancer stops one balancer and starts another in its place with the
+// given servers.
+func (n *network) replaceBalancer(i int, servers []steering.Server) {
+	f, cancel := n.startBalancer()
+	inputs := []forward.ServiceInput{{Address: serviceAddr, Servers: servers}}
+	plane := forward.NewPlane(nil, 1, inputs, time.Now())
+	f.SetPlane(plane)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stops[i]()
+	n.balancers[i], n.planes[i], n.stops[i] = f, plane, cancel
+}
+
+func (n *network) startBalancer() (*forward.Forwarder, context.CancelFunc) {
+	f, err := forward.New(forward.Options{Listen: loopback})
+	if err != nil {
+		n.t.Fatal(err)
+	}
+	return f, n.run(f.Run)
+}
+
 // addr returns the UDP address of the fabric.
 func (n *network) addr() netip.AddrPort {
 	return n.conn.LocalAddr().(*net.UDPAddr).AddrPort()
