flows: no circles under drain, restarts noticed, unknown addresses blocked while a domain is out

Faults found by the tests and their causes: - A SYN at an owner with an old view (it was paused) went to the server it took for the owner, which was draining and could not send it back, so new flows were dropped until the views met. The view's incarnation (steering.Server.Incarnation) now triggers registration at once. - With 20,000 sequences the hand-over test found a packet passed into a failure domain that was out, to an address that the agent had never seen. Unknown addresses are blocked while a domain is out.

--- a/connection/endpoint/counters.go
+++ b/connection/endpoint/counters.go
@@ -1,8 +1,10 @@
 package endpoint
 
 import (
+	"errors"
 	"sync/atomic"
 
+	"bergamotbank/connection/encap"
 	"bergamotbank/connection/flows"
 )
 
@@ -16,6 +18,8 @@
 	Sent uint64
 	// Malformed counts dropped datagrams that could not be decoded.
 	Malformed uint64
+	// UnknownVersion counts dropped datagrams of an unknown protocol version.
+	UnknownVersion uint64
 	// NotTCPOut counts dropped packets of the TCP stack that are not TCP.
 	NotTCPOut uint64
 	// SendFailed counts packets that the kernel refused to send.
@@ -36,6 +40,7 @@
 	passed               atomic.Uint64
 	sent                 atomic.Uint64
 	malformed            atomic.Uint64
+	unknownVersion       atomic.Uint64
 	notTCPOut            atomic.Uint64
 	sendFailed           atomic.Uint64
 	flowsRegistered      atomic.Uint64
@@ -48,12 +53,21 @@
 	c.drops[why].Add(1)
 }
 
+func (c *counters) countMalformed(err error) {
+	if errors.Is(err, encap.ErrVersion) {
+		c.unknownVersion.Add(1)
+		return
+	}
+	c.malformed.Add(1)
+}
+
 func (c *counters) snapshot() Counters {
 	s := Counters{
 		Delivered:            c.delivered.Load(),
 		Passed:               c.passed.Load(),
 		Sent:                 c.sent.Load(),
 		Malformed:            c.malformed.Load(),
+		UnknownVersion:       c.unknownVersion.Load(),
 		NotTCPOut:            c.notTCPOut.Load(),
 		SendFailed:           c.sendFailed.Load(),
 		FlowsRegistered:      c.flowsRegistered.Load(),
@@ -68,7 +82,7 @@
 
 // dropped returns the number of packets that were not moved on.
 func (c *counters) dropped() uint64 {
-	sum := c.malformed.Load() + c.notTCPOut.Load() + c.sendFailed.Load()
+	sum := c.malformed.Load() + c.unknownVersion.Load() + c.notTCPOut.Load() + c.sendFailed.Load()
 	for i := range c.drops {
 		sum += c.drops[i].Load()
 	}
--- a/connection/endpoint/packets.go
+++ b/connection/endpoint/packets.go
@@ -55,7 +55,7 @@
 	var h encap.Header
 	rest, err := h.Decode(b)
 	if err != nil {
-		e.counters.malformed.Add(1)
+		e.counters.countMalformed(err)
 		return
 	}
 	if h.Kind != encap.KindPacket {
--- a/connection/flows/inbound.go
+++ b/connection/flows/inbound.go
@@ -65,16 +65,15 @@
 	if !isSYN(s) {
 		return c.pass(h, hash, now)
 	}
-	if holder, ok := c.registrations.holder(hash, now); ok && c.mayVisit(h, holder) {
+	if holder, ok := c.registrations.holder(hash, now); ok && h.HopLimit > 0 && c.mayVisit(h, holder) {
 		return c.passTo(h, holder)
 	}
+	if c.isDraining() {
+		return c.refuse(h, hash)
+	}
 	if owner, ok := c.betterOwner(h, hash); ok {
 		return c.passTo(h, owner)
 	}
-	if c.isDraining() {
-		c.releaseHash(hash)
-		return drop(ReasonDraining)
-	}
 	return c.accept(key, hash, s, now)
 }
 
@@ -88,17 +87,25 @@
 	return deliver()
 }
 
+// refuse passes a new flow from this draining agent to the owner, for the last
+// time: an owner with another view must not send it back here.
+func (c *Core) refuse(h *encap.Header, hash uint64) Decision {
+	c.releaseHash(hash)
+	owner, ok := c.tables.owner(hash)
+	if !ok || h.HopLimit == 0 || !c.isTarget(owner) || !h.Visit(owner) {
+		return drop(ReasonDraining)
+	}
+	h.HopLimit = 0
+	return Decision{Verdict: Pass, To: owner}
+}
+
 // betterOwner returns the owner under the own view when it should take a new
-// flow in place of this agent. A new flow is passed on once, and by a draining
-// agent always.
+// flow in place of this agent. A new flow is passed on once.
 func (c *Core) betterOwner(h *encap.Header, hash uint64) (netip.AddrPort, bool) {
 	owner, ok := c.tables.owner(hash)
 	if !ok || !c.mayVisit(h, owner) {
 		return netip.AddrPort{}, false
 	}
-	if c.isDraining() {
-		return owner, true
-	}
 	// A view without this agent is older than the balancer's.
 	once := h.HopLimit == encap.DefaultHopLimit
 	return owner, once && c.tables.selfListed
--- a/connection/flows/registration.go
+++ b/connection/flows/registration.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 
 	"bergamotbank/connection/encap"
@@ -108,6 +109,24 @@
 	}
 }
 
+// registerAt announces the flows that the agents at the addresses should know.
+func (c *Core) registerAt(addrs []netip.AddrPort) {
+	if c.options.DisableRegistration {
+		return
+	}
+	for _, f := range c.flows {
+		if f.phase != established {
+			continue
+		}
+		for _, to := range c.targets(f.hash) {
+			if slices.Contains(addrs, to) {
+				f.registered = true
+				c.outbox.add(to, encap.KindRegistration, f.hash)
+			}
+		}
+	}
+}
+
 // movedTo returns the owner under the current table when the one before had
 // another owner.
 func (t *tables) movedTo(hash uint64) (netip.AddrPort, bool) {
@@ -124,7 +143,7 @@
 	var list []netip.AddrPort
 	for i := range c.tables.recent {
 		owner, ok := c.tables.recent[i].owner(hash)
-		if ok && c.isTarget(owner) && !contains(list, owner) {
+		if ok && c.isTarget(owner) && !slices.Contains(list, owner) {
 			list = append(list, owner)
 		}
 	}
@@ -153,12 +172,3 @@
 	early := refreshSpread * time.Duration(hash%spreadSteps) / spreadSteps
 	return now.Add(RefreshInterval - early)
 }
-
-func contains(list []netip.AddrPort, addr netip.AddrPort) bool {
-	for _, a := range list {
-		if a == addr {
-			return true
-		}
-	}
-	return false
-}
--- a/connection/flows/tables.go
+++ b/connection/flows/tables.go
@@ -38,6 +38,8 @@
 	// domains is the failure domain of each agent address ever seen.
 	domains map[netip.AddrPort]string
 	out     map[string]struct{}
+	// incarnations is the run of the agent at each address of the view.
+	incarnations map[netip.AddrPort]uint64
 	// selfListed tells that the view contains this agent.
 	selfListed bool
 	// selfDraining tells that the view gives this agent weight 0.
@@ -48,6 +50,8 @@
 	return tables{
 		domains: make(map[netip.AddrPort]string),
 		out:     make(map[string]struct{}),
+
+		incarnations: make(map[netip.AddrPort]uint64),
 	}
 }
 
@@ -59,12 +63,15 @@
 	t.setOut(outDomains)
 	t.setSelf(servers, c.options.Self)
 	t.learnDomains(servers)
+	restarted := t.learnIncarnations(servers)
 	next := steering.Build(t.withoutOut(servers))
-	if len(t.recent) > 0 && t.recent[0].table.Equal(next) {
-		return
+	if len(t.recent) == 0 || !t.recent[0].table.Equal(next) {
+		t.push(next, now)
+		c.registerMoved(now)
+	}
+	if len(restarted) > 0 {
+		c.registerAt(restarted)
 	}
-	t.push(next, now)
-	c.registerMoved(now)
 }
 
 func (t *tables) setOut(domains []string) {
@@ -94,6 +101,21 @@
 	}
 }
 
+// learnIncarnations returns the addresses whose agent has started anew, and so
+// has forgotten what was registered with it.
+func (t *tables) learnIncarnations(servers []steering.Server) (restarted []netip.AddrPort) {
+	incarnations := make(map[netip.AddrPort]uint64, len(servers))
+	for _, s := range servers {
+		former, known := t.incarnations[s.Addr]
+		if known && former != s.Incarnation {
+			restarted = append(restarted, s.Addr)
+		}
+		incarnations[s.Addr] = s.Incarnation
+	}
+	t.incarnations = incarnations
+	return restarted
+}
+
 func (t *tables) withoutOut(servers []steering.Server) []steering.Server {
 	in := make([]steering.Server, 0, len(servers))
 	for _, s := range servers {
@@ -129,14 +151,15 @@
 	return t.recent[0].owner(hash)
 }
 
-// blocked tells whether the agent at addr is in a failure domain that is out.
+// blocked tells whether the agent at addr is, or may be, in a failure domain
+// that is out.
 func (t *tables) blocked(addr netip.AddrPort) bool {
 	if len(t.out) == 0 {
 		return false
 	}
 	domain, known := t.domains[addr]
 	if !known {
-		return false
+		return true
 	}
 	_, out := t.out[domain]
 	return out
--- a/connection/forward/plane.go
+++ b/connection/forward/plane.go
@@ -19,6 +19,9 @@
 	Address netip.AddrPort
 	// Servers are the service's servers that may get packets.
 	Servers []steering.Server
+	// OutDomains are the failure domains that are out. Their servers are not
+	// named as former owners.
+	OutDomains []string
 }
 
 // service is the steering state of one service.
@@ -44,7 +47,7 @@
 		services: make(map[netip.AddrPort]*service, len(services)),
 	}
 	for _, input := range services {
-		p.services[input.Address] = newService(previous.service(input.Address), input.Servers, now)
+		p.services[input.Address] = newService(previous.service(input.Address), input, now)
 	}
 	return p
 }
@@ -61,19 +64,17 @@
 	return p.services[addr]
 }
 
-func newService(previous *service, servers []steering.Server, now time.Time) *service {
+func newService(previous *service, input ServiceInput, now time.Time) *service {
 	if previous == nil {
-		return &service{
-			servers: slices.Clone(servers),
-			history: steering.History{}.Push(steering.Build(servers), now, FormerTableAge),
-		}
+		previous = &service{}
 	}
 	table := previous.history.Current()
-	if !slices.Equal(previous.servers, servers) {
-		table = steering.Build(servers)
+	if table == nil || !slices.Equal(previous.servers, input.Servers) {
+		table = steering.Build(input.Servers)
 	}
+	history := previous.history.Push(table, now, FormerTableAge)
 	return &service{
-		servers: slices.Clone(servers),
-		history: previous.history.Push(table, now, FormerTableAge),
+		servers: slices.Clone(input.Servers),
+		history: history.WithOut(slices.Clone(input.OutDomains)),
 	}
 }
--- a/version/steering/table.go
+++ b/version/steering/table.go
@@ -33,6 +33,8 @@
 	Domain string
 	// Addr is the packet address of the server's agent.
 	Addr netip.AddrPort
+	// Incarnation is the run of the server's agent. It does not change the table.
+	Incarnation uint64
 	// Weight is the relative share of new flows, at most FullWeight; more counts
 	// as FullWeight. Weight 0 gives no buckets.
 	Weight uint16
@@ -106,6 +108,7 @@
 	weighted := make([]Server, 0, len(servers))
 	for _, s := range servers {
 		s.Weight = min(s.Weight, FullWeight)
+		s.Incarnation = 0
 		if s.Weight > 0 {
 			weighted = append(weighted, s)
 		}
