--- /dev/null
+++ b/process/settings/settings.go
@@ -0,0 +1,87 @@
+// Package settings reads and checks the static settings of a process: who it
+// is, where it listens and where it finds the outside systems. What the fleet
+// shares is configuration and lives in version/config instead.
+package settings
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Role tells as what a process runs.
+type Role string
+
+// The roles of the daemon.
+const (
+	RoleBalancer Role = "balancer"
+	RoleAgent    Role = "agent"
+)
+
+// Settings are the static settings of one process. The doc tag of a field is
+// its entry in docs/SETTINGS.md.
+type Settings struct {
+	// Name is the unique name of the process.
+	Name string `toml:"name" doc:"unique name of the process" required:"all"`
+	// Domain is the failure domain the process runs in.
+	Domain string `toml:"domain" doc:"failure domain of the VM" required:"all"`
+	// Packet is the UDP address for callers' packets.
+	Packet netip.AddrPort `toml:"packet" doc:"UDP address for callers' packets" required:"all"`
+	// Control is the address for control messages, on TCP and UDP.
+	Control netip.AddrPort `toml:"control" doc:"address for control messages, TCP and UDP" required:"all"`
+	// Store is the address of the platform's key-value service.
+	Store netip.AddrPort `toml:"store" doc:"address of the platform's key-value service" required:"balancer"`
+	// Seeds are control addresses of balancers to ask first.
+	Seeds []netip.AddrPort `toml:"seeds" doc:"control addresses of balancers to ask first; may be empty when the store is set"`
+	// LogLevel is the lowest level that is logged.
+	LogLevel string `toml:"log_level" doc:"debug, info, warn or error" default:"info"`
+	// TimelineEvents is the number of events kept for the time line.
+	TimelineEvents int `toml:"timeline_events" doc:"events kept for the time line, 16 to 65536" default:"4096"`
+	// Balancer holds the settings of a balancer.
+	Balancer Balancer `toml:"balancer"`
+	// Agent holds the settings of an agent.
+	Agent Agent `toml:"agent"`
+}
+
+// Balancer are the settings that only a balancer has.
+type Balancer struct {
+	// SourcePorts is the number of UDP ports used in turn towards agents.
+	SourcePorts int `toml:"source_ports" doc:"UDP source ports used in turn towards agents, 1 to 64" default:"4"`
+	// StopGrace is how long a stopping balancer goes on forwarding.
+	StopGrace Duration `toml:"stop_grace" doc:"time a stopping balancer goes on forwarding while the fabric notices" default:"3s"`
+}
+
+// Agent are the settings that only an agent has.
+type Agent struct {
+	// Service is the name of the service of the backend server.
+	Service string `toml:"service" doc:"service of the backend server" required:"agent"`
+	// Server is the unique name of the backend server.
+	Server string `toml:"server" doc:"unique name of the backend server" required:"agent"`
+	// Backend is the address of the backend server.
+	Backend netip.AddrPort `toml:"backend" doc:"TCP address of the backend server" required:"agent"`
+	// Fabric is the UDP address that takes packets to callers.
+	Fabric netip.AddrPort `toml:"fabric" doc:"UDP address of the fabric for packets to callers" required:"agent"`
+	// Source is the inner source address of calls to other services.
+	Source netip.Addr `toml:"source" doc:"inner source address of calls to other services; empty: no such calls"`
+	// Calls is the address where the backend server calls other services.
+	Calls netip.AddrPort `toml:"calls" doc:"address of the HTTP proxy for calls of the backend server to other services; empty: none"`
+	// StopTimeout is the longest time a stopping agent waits for open flows.
+	StopTimeout Duration `toml:"stop_timeout" doc:"longest time a stopping agent waits for open requests and streams" default:"1h"`
+}
+
+// Duration is a time.Duration that is written like "3s" in a settings file.
+type Duration time.Duration
+
+// UnmarshalText parses a duration such as "250ms".
+func (d *Duration) UnmarshalText(text []byte) error {
+	value, err := time.ParseDuration(string(text))
+	if err != nil {
+		return err
+	}
+	*d = Duration(value)
+	return nil
+}
+
+// MarshalText formats the duration as UnmarshalText reads it.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(d).String()), nil
+}
--- /dev/null
+++ b/process/settings/settings_test.go
@@ -0,0 +1,78 @@
+package settings_test
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"bergamotbank/errkind"
+	"bergamotbank/process/settings"
+)
+
+const balancerText = `
+name = "junin-1"
+domain = "junin"
+packet = "127.0.0.1:7201"
+control = "127.0.0.1:7202"
+store = "127.0.0.1:7000"
+`
+
+func noEnvironment(string) (string, bool) { return "", false }
+
+func TestParse(t *testing.T) {
+	convey.Convey("Defaults fill what the file leaves out", t, func() {
+		s, err := settings.Parse([]byte(balancerText), settings.RoleBalancer, noEnvironment)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(s.LogLevel, convey.ShouldEqual, "info")
+		convey.So(time.Duration(s.Balancer.StopGrace), convey.ShouldEqual, 3*time.Second)
+	})
+	convey.Convey("The environment replaces name, domain and addresses", t, func() {
+		env := map[string]string{settings.EnvDomain: "pasco", settings.EnvPacket: "127.0.0.9:1"}
+		lookup := func(name string) (string, bool) { v, ok := env[name]; return v, ok }
+		s, err := settings.Parse([]byte(balancerText), settings.RoleBalancer, lookup)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(s.Domain, convey.ShouldEqual, "pasco")
+		convey.So(s.Packet.String(), convey.ShouldEqual, "127.0.0.9:1")
+	})
+}
+
+func TestParseRefuses(t *testing.T) {
+	cases := []struct {
+		name, text string
+		role       settings.Role
+		want       string
+	}{
+		{"broken syntax", "name = \"a", settings.RoleBalancer, "line 1"},
+		{"an unknown key", balancerText + "speed = 1\n", settings.RoleBalancer, `unknown field "speed"`},
+		{"a missing field", strings.Replace(balancerText, "domain", "#", 1), settings.RoleBalancer, `field "domain": missing`},
+		{"a bad address", strings.Replace(balancerText, "127.0.0.1:7202", "127.0.0.1", 1), settings.RoleBalancer, "line 5"},
+		{"a port number out of range", balancerText + "[balancer]\nsource_ports = 65\n", settings.RoleBalancer, `"balancer.source_ports": 65`},
+		{"an unknown log level", balancerText + "log_level = \"loud\"\n", settings.RoleBalancer, `unknown level "loud"`},
+		{"an agent without its service", balancerText, settings.RoleAgent, `field "agent.service": missing`},
+		{"calls without a source", balancerText + "[agent]\ncalls = \"127.0.0.1:1\"\n", settings.RoleBalancer, `"agent.source"`},
+	}
+	for _, c := range cases {
+		convey.Convey("Settings with "+c.name+" are refused by name", t, func() {
+			_, err := settings.Parse([]byte(c.text), c.role, noEnvironment)
+			convey.So(errkind.Is(err, errkind.InvalidSettings), convey.ShouldBeTrue)
+			convey.So(err.Error(), convey.ShouldContainSubstring, c.want)
+		})
+	}
+}
+
+func TestSettingsPageListsEveryField(t *testing.T) {
+	convey.Convey("docs/SETTINGS.md has a row for every setting and its default", t, func() {
+		page, err := os.ReadFile("../../docs/SETTINGS.md")
+		convey.So(err, convey.ShouldBeNil)
+		for _, field := range settings.Fields() {
+			row := "| `" + field.Key + "` | " + field.Doc + " | " + field.Default + " |"
+			convey.So(string(page), convey.ShouldContainSubstring, row)
+		}
+		for _, name := range []string{settings.EnvName, settings.EnvDomain, settings.EnvPacket, settings.EnvControl} {
+			convey.So(string(page), convey.ShouldContainSubstring, name)
+		}
+	})
+}
