--- /dev/null
+++ b/layers_test.go
@@ -0,0 +1,103 @@
+// Package bergamotbank_test checks rules that hold for the whole module.
+package bergamotbank_test
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+// modulePrefix starts the import path of every package of the module.
+const modulePrefix = "bergamotbank/"
+
+// allowedImports lists the top directories that each top directory may import.
+var allowedImports = map[string][]string{
+	"errkind":    {"errkind"},
+	"event":      {"event"},
+	"version":    {"version", "errkind", "event"},
+	"request":    {"request", "version", "errkind", "event"},
+	"connection": {"connection", "version", "errkind", "event"},
+	"process":    {"process", "connection", "request", "version", "errkind", "event"},
+	"standin":    {"standin", "errkind"},
+}
+
+// sourceFile is a Go file with the module's packages that it imports.
+type sourceFile struct {
+	path string
+	top  string
+	// imports are all import paths; own are those of this module without prefix.
+	imports []string
+	own     []string
+}
+
+func TestImportsPointOneWay(t *testing.T) {
+	convey.Convey("No package imports one of a layer above it", t, func() {
+		for _, file := range sourceFiles(t) {
+			allowed, checked := allowedImports[file.top]
+			if !checked {
+				continue
+			}
+			for _, imported := range file.own {
+				convey.So(file.path+" imports "+imported, importAllowed, imported, allowed)
+			}
+		}
+	})
+}
+
+// importAllowed is an assertion: the top directory of an import is in a list.
+func importAllowed(actual any, expected ...any) string {
+	imported, _ := expected[0].(string)
+	allowed, _ := expected[1].([]string)
+	top, _, _ := strings.Cut(imported, "/")
+	for _, name := range allowed {
+		if name == top {
+			return ""
+		}
+	}
+	text, _ := actual.(string)
+	return text + ", which is a layer above"
+}
+
+func TestUnusedAbilitiesOfLibraries(t *testing.T) {
+	banned := []string{"net/http/httputil", "github.com/hashicorp/memberlist", "github.com/hashicorp/consul/api"}
+	convey.Convey("No file uses a library for clustering, discovery or proxying", t, func() {
+		for _, file := range sourceFiles(t) {
+			for _, imported := range file.imports {
+				convey.So(banned, convey.ShouldNotContain, imported)
+			}
+		}
+	})
+}
+
+func sourceFiles(t *testing.T) []sourceFile {
+	t.Helper()
+	var files []sourceFile
+	err := filepath.WalkDir(".", func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || entry.IsDir() || !strings.HasSuffix(path, ".go") {
+			return err
+		}
+		parsed, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+		if err != nil {
+			return err
+		}
+		top, _, _ := strings.Cut(filepath.ToSlash(path), "/")
+		file := sourceFile{path: path, top: top}
+		for _, spec := range parsed.Imports {
+			name, _ := strconv.Unquote(spec.Path.Value)
+			file.imports = append(file.imports, name)
+			if own, ok := strings.CutPrefix(name, modulePrefix); ok {
+				file.own = append(file.own, own)
+			}
+		}
+		files = append(files, file)
+		return nil
+	})
+	convey.So(err, convey.ShouldBeNil)
+	return files
+}
