Add the stand-ins: store, fabric, server and caller

The tests, the demo and the measurements need the systems around the product. Each stand-in is one subcommand of one program, with its fault switches at PUT /fault.

--- /dev/null
+++ b/standin/caller/command.go
@@ -0,0 +1,106 @@
+// Package caller is the stand-in for callers and a load tool. It speaks TCP in
+// user space and sends its packets to the fabric, or uses the machine's own TCP
+// when no fabric is given. Requests arrive at random times at a fixed mean rate,
+// however slow the answers are; streams stay open for the whole run. Every
+// answer is checked, and the run ends with a report.
+package caller
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotbank/errkind"
+)
+
+// Command is the subcommand that runs a caller.
+type Command struct {
+	Fabric  netip.AddrPort `arg:"--fabric" help:"UDP address of the fabric; without it, connections use the machine's own TCP" placeholder:"IP:PORT"`
+	Local   netip.AddrPort `arg:"--local" default:"127.0.0.1:0" help:"UDP address of the caller"`
+	Address netip.Addr     `arg:"--address" default:"198.19.0.1" help:"inner address of the caller"`
+	Name    string         `arg:"--name" default:"caller" help:"name in keys and reports"`
+	Seed    uint64         `arg:"--seed" default:"1" help:"seed of arrivals"`
+	Timeout time.Duration  `arg:"--timeout" default:"10s" help:"deadline of a request, named in X-Deadline-Ms"`
+	Body    string         `arg:"--body" default:"{\"tags\":40}" help:"body of orders, releases and --once"`
+
+	Once      string `arg:"--once" help:"send one request to this URL, print the answer and end" placeholder:"URL"`
+	Method    string `arg:"--method" default:"GET" help:"method of --once"`
+	Key       string `arg:"--key" help:"Idempotency-Key of --once"`
+	RequestID string `arg:"--request-id" help:"X-Request-Id of --once"`
+
+	Duration           time.Duration `arg:"--duration" default:"10s" help:"length of the run"`
+	Orders             string        `arg:"--orders" help:"URL that takes orders" placeholder:"URL"`
+	OrdersPerSecond    float64       `arg:"--orders-per-second" default:"10" help:"mean rate of orders"`
+	Releases           string        `arg:"--releases" help:"URL that takes releases" placeholder:"URL"`
+	ReleasesPerSecond  float64       `arg:"--releases-per-second" default:"10" help:"mean rate of releases"`
+	Downloads          string        `arg:"--downloads" help:"URL of a download" placeholder:"URL"`
+	DownloadsPerSecond float64       `arg:"--downloads-per-second" default:"1" help:"mean rate of downloads"`
+	DownloadTimeout    time.Duration `arg:"--download-timeout" default:"60s" help:"deadline of a download"`
+	Status             string        `arg:"--status" help:"URL of a status stream" placeholder:"URL"`
+	Streams            int           `arg:"--streams" default:"10" help:"status streams held open"`
+	StatusInterval     time.Duration `arg:"--status-interval" default:"1s" help:"time between two lines that the URL asks for, and between two lines of --echo"`
+	Echo               string        `arg:"--echo" help:"address of a tcp service that echoes" placeholder:"IP:PORT"`
+	EchoFlows          int           `arg:"--echo-flows" default:"10" help:"flows to the tcp service held open"`
+	Ramp               time.Duration `arg:"--ramp" default:"1s" help:"time over which long flows are opened"`
+	MaxInFlight        int           `arg:"--max-in-flight" default:"10000" help:"requests of a class in flight above which arrivals are not sent"`
+	KeepAlive          bool          `arg:"--keep-alive" help:"orders and releases reuse flows"`
+	Repeat             Repeat        `arg:"--repeat" default:"never" help:"which requests are repeated under their key: never, not-run or unknown"`
+	Repeats            int           `arg:"--repeats" default:"3" help:"largest number of repeats of a request"`
+	Services           []Expectation `arg:"--service,separate" help:"service that must answer at an address; repeat for more" placeholder:"IP:PORT=NAME"`
+
+	Report   string `arg:"--report" help:"file for the JSON report; standard output if not given" placeholder:"FILE"`
+	Requests string `arg:"--requests" help:"file for one JSON line per request" placeholder:"FILE"`
+	Plot     string `arg:"--plot" help:"file for a plot of the run, .svg or .png" placeholder:"FILE"`
+
+	ExpectNoBroken  bool   `arg:"--expect-no-broken" help:"fail if an established flow broke or went silent"`
+	ExpectWhole     bool   `arg:"--expect-whole" help:"fail if an answer was cut, crossed or of a wrong service"`
+	ExpectNoUnknown bool   `arg:"--expect-no-unknown" help:"fail if an answer left the outcome unknown"`
+	ExpectNoRefusal bool   `arg:"--expect-no-refusal" help:"fail if a request was refused"`
+	ExpectConnected bool   `arg:"--expect-connected" help:"fail if a flow could not be opened"`
+	ExpectAnswers   uint64 `arg:"--expect-answers" help:"fail if there were fewer whole answers"`
+}
+
+// Run runs the caller until its work is done or ctx ends.
+func (c *Command) Run(ctx context.Context, log *zap.Logger) error {
+	if err := c.checkFlags(); err != nil {
+		return err
+	}
+	dial, closeNetwork, err := c.network()
+	if err != nil {
+		return err
+	}
+	defer closeNetwork()
+	if c.Once != "" {
+		return c.once(ctx, &http.Client{Transport: newTransport(dial, false)})
+	}
+	return c.load(ctx, dial, log)
+}
+
+func (c *Command) checkFlags() error {
+	switch {
+	case c.MaxInFlight < 1:
+		return errkind.New(errkind.Usage, "--max-in-flight %d is not positive", c.MaxInFlight)
+	case !c.Address.Is4():
+		return errkind.New(errkind.Usage, "--address %s is not an IPv4 address", c.Address)
+	case c.Duration <= 0:
+		return errkind.New(errkind.Usage, "--duration %s is not positive", c.Duration)
+	}
+	return nil
+}
+
+// network returns how flows are opened and how that ends.
+func (c *Command) network() (dialer, func(), error) {
+	if !c.Fabric.IsValid() {
+		direct := &net.Dialer{}
+		return direct.DialContext, func() {}, nil
+	}
+	n, err := NewNetwork(c.Local, c.Fabric, c.Address)
+	if err != nil {
+		return nil, nil, err
+	}
+	return n.DialContext, n.Close, nil
+}
--- /dev/null
+++ b/standin/caller/outcome.go
@@ -0,0 +1,54 @@
+package caller
+
+// Outcome is how a request or flow ended, as its caller saw it.
+type Outcome uint8
+
+// The outcomes of requests and flows.
+const (
+	// OutcomeAnswered is a whole answer to the caller's own request.
+	OutcomeAnswered Outcome = iota
+	// OutcomeNotRun is a refusal that promises that the request did not run.
+	OutcomeNotRun
+	// OutcomeUnknown is an answer that admits that the request may have run.
+	OutcomeUnknown
+	// OutcomeRejected is an answer 4xx without a promise.
+	OutcomeRejected
+	// OutcomeNotConnected is a flow that was never established.
+	OutcomeNotConnected
+	// OutcomeBroken is an established flow that ended before the whole answer.
+	OutcomeBroken
+	// OutcomeTimeout is a flow that stayed silent until the caller's deadline.
+	OutcomeTimeout
+	// OutcomeCut is an answer that looks whole and is not.
+	OutcomeCut
+	// OutcomeWrongService is an answer of another service.
+	OutcomeWrongService
+	// OutcomeCrossed is an answer to another request.
+	OutcomeCrossed
+	// OutcomeGap is a status stream that lost or repeated a line or changed its
+	// server.
+	OutcomeGap
+	// OutcomeOverrun is an arrival that was not sent, because too many requests
+	// were in flight at the caller.
+	OutcomeOverrun
+
+	outcomeCount
+)
+
+var outcomeNames = [outcomeCount]string{
+	"answered", "not_run", "unknown", "rejected", "not_connected", "broken",
+	"timeout", "cut", "wrong_service", "crossed", "gap", "overrun",
+}
+
+// String returns the name of the outcome in reports.
+func (o Outcome) String() string {
+	if o >= outcomeCount {
+		return "invalid"
+	}
+	return outcomeNames[o]
+}
+
+// MarshalText returns the name of the outcome.
+func (o Outcome) MarshalText() ([]byte, error) {
+	return []byte(o.String()), nil
+}
--- /dev/null
+++ b/standin/caller/plot.go
@@ -0,0 +1,132 @@
+package caller
+
+import (
+	"image/color"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+
+	"bergamotbank/errkind"
+)
+
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 18 * vg.Centimeter
+)
+
+// curve is one line of a plot.
+type curve struct {
+	name  string
+	color color.Color
+	value func(Second) float64
+}
+
+var (
+	green = color.RGBA{G: 0x99, A: 0xff}
+	blue  = color.RGBA{B: 0xcc, A: 0xff}
+	amber = color.RGBA{R: 0xdd, G: 0x99, A: 0xff}
+	red   = color.RGBA{R: 0xcc, A: 0xff}
+)
+
+// countCurves shows what ended in each second.
+var countCurves = []curve{
+	{"answered", green, func(s Second) float64 { return float64(s.Answered) }},
+	{"not run", blue, func(s Second) float64 { return float64(s.NotRun) }},
+	{"unknown", amber, func(s Second) float64 { return float64(s.Unknown) }},
+	{"failed", red, func(s Second) float64 { return float64(s.Failed) }},
+}
+
+// latencyCurves shows the latencies of whole answers.
+var latencyCurves = []curve{
+	{"p50", green, func(s Second) float64 { return s.P50 }},
+	{"p99", red, func(s Second) float64 { return s.P99 }},
+}
+
+// WritePlot draws the seconds of a run into a file whose name ends with .svg or
+// .png.
+func WritePlot(path, title string, seconds []Second) error {
+	counts, err := newPlot(title, "per second", countCurves, seconds)
+	if err != nil {
+		return err
+	}
+	latencies, err := newPlot("", "milliseconds", latencyCurves, seconds)
+	if err != nil {
+		return err
+	}
+	latencies.X.Label.Text = "second of the run"
+	format := strings.TrimPrefix(filepath.Ext(path), ".")
+	canvas, err := draw.NewFormattedCanvas(plotWidth, plotHeight, format)
+	if err != nil {
+		return errkind.Wrap(err, errkind.Usage, "plot %s", path)
+	}
+	grid := [][]*plot.Plot{{counts}, {latencies}}
+	tiles := draw.Tiles{Rows: len(grid), Cols: 1, PadY: vg.Centimeter}
+	canvases := plot.Align(grid, tiles, draw.New(canvas))
+	counts.Draw(canvases[0][0])
+	latencies.Draw(canvases[1][0])
+	return writeCanvas(path, canvas)
+}
+
+func newPlot(title, label string, curves []curve, seconds []Second) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text = title
+	p.Y.Label.Text = label
+	p.Y.Min = 0
+	p.Legend.Top = true
+	p.Add(plotter.NewGrid())
+	for _, c := range curves {
+		points := make(plotter.XYs, 0, len(seconds))
+		for _, s := range seconds {
+			points = append(points, plotter.XY{X: float64(s.Second), Y: c.value(s)})
+		}
+		if len(points) == 0 {
+			continue
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return nil, errkind.Wrap(err, errkind.Internal, "plot %s", c.name)
+		}
+		line.Color = c.color
+		p.Add(line)
+		p.Legend.Add(c.name, line)
+	}
+	return p, nil
+}
+
+func writeCanvas(path string, canvas vg.CanvasWriterTo) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return errkind.Wrap(err, errkind.Usage, "plot")
+	}
+	if _, err := canvas.WriteTo(file); err != nil {
+		_ = file.Close()
+		return errkind.Wrap(err, errkind.Internal, "plot %s", path)
+	}
+	return errkind.Wrap(file.Close(), errkind.Internal, "plot %s", path)
+}
+
+// sumSeconds adds the seconds of several classes up. Latencies are the largest.
+func sumSeconds(classes []*ClassReport) []Second {
+	var sums []Second
+	for _, class := range classes {
+		for i, s := range class.Series {
+			if i == len(sums) {
+				sums = append(sums, Second{Second: i})
+			}
+			sum := &sums[i]
+			sum.Answered += s.Answered
+			sum.NotRun += s.NotRun
+			sum.Unknown += s.Unknown
+			sum.Failed += s.Failed
+			sum.Lines += s.Lines
+			sum.P50 = max(sum.P50, s.P50)
+			sum.P99 = max(sum.P99, s.P99)
+		}
+	}
+	return sums
+}
--- /dev/null
+++ b/standin/caller/report.go
@@ -0,0 +1,95 @@
+package caller
+
+// Report is what a load run found.
+type Report struct {
+	Name            string  `json:"name"`
+	Seed            uint64  `json:"seed"`
+	DurationSeconds float64 `json:"duration_seconds"`
+	// Totals adds up all classes.
+	Totals    Totals       `json:"totals"`
+	Orders    *ClassReport `json:"orders,omitempty"`
+	Releases  *ClassReport `json:"releases,omitempty"`
+	Status    *ClassReport `json:"status,omitempty"`
+	Downloads *ClassReport `json:"downloads,omitempty"`
+	Echo      *ClassReport `json:"echo,omitempty"`
+	// Unmet lists the stated expectations that did not hold.
+	Unmet []string `json:"unmet"`
+}
+
+// Totals adds up the outcomes that promises are about.
+type Totals struct {
+	Answers      uint64 `json:"answers"`
+	NotRun       uint64 `json:"not_run"`
+	Unknown      uint64 `json:"unknown"`
+	NotConnected uint64 `json:"not_connected"`
+	BrokenFlows  uint64 `json:"broken_flows"`
+	CutAnswers   uint64 `json:"cut_answers"`
+	WrongService uint64 `json:"wrong_service"`
+	Crossed      uint64 `json:"crossed"`
+}
+
+// ClassReport is what a load run found about one class of requests. Latencies
+// are those of whole answers, from the arrival, in milliseconds.
+type ClassReport struct {
+	Answered     uint64   `json:"answered"`
+	NotRun       uint64   `json:"not_run"`
+	Unknown      uint64   `json:"unknown"`
+	Rejected     uint64   `json:"rejected"`
+	NotConnected uint64   `json:"not_connected"`
+	Broken       uint64   `json:"broken"`
+	Timeout      uint64   `json:"timeout"`
+	Cut          uint64   `json:"cut"`
+	WrongService uint64   `json:"wrong_service"`
+	Crossed      uint64   `json:"crossed"`
+	Gap          uint64   `json:"gap"`
+	Overrun      uint64   `json:"overrun"`
+	Repeats      uint64   `json:"repeats"`
+	Bytes        int64    `json:"bytes"`
+	Lines        uint64   `json:"lines"`
+	P50          float64  `json:"p50_ms"`
+	P99          float64  `json:"p99_ms"`
+	P999         float64  `json:"p999_ms"`
+	Max          float64  `json:"max_ms"`
+	Series       []Second `json:"series"`
+	Samples      []Sample `json:"samples"`
+}
+
+func (r *ClassReport) fill(counts [outcomeCount]uint64) {
+	r.Answered = counts[OutcomeAnswered]
+	r.NotRun = counts[OutcomeNotRun]
+	r.Unknown = counts[OutcomeUnknown]
+	r.Rejected = counts[OutcomeRejected]
+	r.NotConnected = counts[OutcomeNotConnected]
+	r.Broken = counts[OutcomeBroken]
+	r.Timeout = counts[OutcomeTimeout]
+	r.Cut = counts[OutcomeCut]
+	r.WrongService = counts[OutcomeWrongService]
+	r.Crossed = counts[OutcomeCrossed]
+	r.Gap = counts[OutcomeGap]
+	r.Overrun = counts[OutcomeOverrun]
+}
+
+// classes returns the classes that took part in the run.
+func (r *Report) classes() []*ClassReport {
+	var classes []*ClassReport
+	for _, class := range []*ClassReport{r.Orders, r.Releases, r.Status, r.Downloads, r.Echo} {
+		if class != nil {
+			classes = append(classes, class)
+		}
+	}
+	return classes
+}
+
+// total fills Totals.
+func (r *Report) total() {
+	for _, class := range r.classes() {
+		r.Totals.Answers += class.Answered
+		r.Totals.NotRun += class.NotRun
+		r.Totals.Unknown += class.Unknown
+		r.Totals.NotConnected += class.NotConnected
+		r.Totals.BrokenFlows += class.Broken + class.Timeout + class.Gap
+		r.Totals.CutAnswers += class.Cut
+		r.Totals.WrongService += class.WrongService
+		r.Totals.Crossed += class.Crossed
+	}
+}
--- /dev/null
+++ b/standin/caller/run.go
@@ -0,0 +1,208 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotbank/errkind"
+	"bergamotbank/standin/fault"
+)
+
+// maxIdleFlows is the number of idle flows kept for requests that reuse them.
+const maxIdleFlows = 1024
+
+// load is one load run.
+type load struct {
+	command  *Command
+	dial     dialer
+	services *serviceTable
+	requests *requestLog
+	start    time.Time
+	prefix   string
+	group    sync.WaitGroup
+}
+
+// load runs the load, writes the report and checks the expectations.
+func (c *Command) load(ctx context.Context, dial dialer, log *zap.Logger) error {
+	requests, err := newRequestLog(c.Requests)
+	if err != nil {
+		return err
+	}
+	start := time.Now()
+	l := &load{
+		command:  c,
+		dial:     dial,
+		services: newServiceTable(c.Services),
+		requests: requests,
+		start:    start,
+		prefix:   c.Name + "-" + strconv.FormatInt(start.UnixNano(), 36),
+	}
+	running, cancel := context.WithTimeout(ctx, c.Duration)
+	defer cancel()
+	collect := l.startAll(running)
+	l.group.Wait()
+	report := collect()
+	if err := requests.close(); err != nil {
+		return err
+	}
+	c.check(report)
+	log.Info("load ended", zap.Any("totals", report.Totals), zap.Strings("unmet", report.Unmet))
+	if err := c.write(report); err != nil {
+		return err
+	}
+	return report.unmet()
+}
+
+// startAll starts every class that the command names. The function that it
+// returns collects the report after all have ended.
+func (l *load) startAll(ctx context.Context) func() *Report {
+	c := l.command
+	report := &Report{Name: c.Name, Seed: c.Seed, Unmet: []string{}}
+	var collectors []func(now time.Time)
+	collect := func(target **ClassReport, r *recorder) {
+		if r == nil {
+			return
+		}
+		collectors = append(collectors, func(now time.Time) {
+			class := r.report(now)
+			*target = &class
+		})
+	}
+	collect(&report.Orders, l.startClass(ctx, l.orders("orders", c.Orders, c.OrdersPerSecond, 1)))
+	collect(&report.Releases, l.startClass(ctx, l.orders("releases", c.Releases, c.ReleasesPerSecond, 2)))
+	collect(&report.Downloads, l.startClass(ctx, l.downloads()))
+	collect(&report.Status, l.startStreams(ctx))
+	collect(&report.Echo, l.startEchoes(ctx))
+	return func() *Report {
+		now := time.Now()
+		for _, f := range collectors {
+			f(now)
+		}
+		report.DurationSeconds = now.Sub(l.start).Seconds()
+		report.total()
+		return report
+	}
+}
+
+// newClient returns a client whose flows are its own.
+func (l *load) newClient(keepAlive bool) *client {
+	return &client{
+		http:     &http.Client{Transport: newTransport(l.dial, keepAlive)},
+		services: l.services,
+	}
+}
+
+func (l *load) orders(name, url string, perSecond float64, stream uint64) *class {
+	c := l.command
+	return &class{
+		name:      name,
+		method:    http.MethodPost,
+		url:       url,
+		body:      []byte(c.Body),
+		perSecond: perSecond,
+		keyed:     true,
+		repeat:    c.Repeat,
+		repeats:   c.Repeats,
+		timeout:   c.Timeout,
+		prefix:    l.prefix,
+		client:    l.newClient(c.KeepAlive),
+		requests:  l.requests,
+		random:    rand.New(rand.NewPCG(c.Seed, stream)),
+	}
+}
+
+func (l *load) downloads() *class {
+	c := l.command
+	return &class{
+		name:      "downloads",
+		method:    http.MethodGet,
+		url:       c.Downloads,
+		perSecond: c.DownloadsPerSecond,
+		repeat:    RepeatNever,
+		timeout:   c.DownloadTimeout,
+		prefix:    l.prefix,
+		client:    l.newClient(false),
+		requests:  l.requests,
+		random:    rand.New(rand.NewPCG(c.Seed, 3)),
+	}
+}
+
+// startClass starts a class, if it has a URL and a rate.
+func (l *load) startClass(ctx context.Context, c *class) *recorder {
+	if c.url == "" || c.perSecond <= 0 {
+		return nil
+	}
+	c.recorder = newRecorder(l.start)
+	c.inFlight = make(chan struct{}, l.command.MaxInFlight)
+	l.group.Go(func() { c.run(ctx) })
+	return c.recorder
+}
+
+func (l *load) startStreams(ctx context.Context) *recorder {
+	c := l.command
+	if c.Status == "" || c.Streams <= 0 {
+		return nil
+	}
+	r := newRecorder(l.start)
+	shared := l.newClient(false)
+	l.startMany(ctx, c.Streams, func(name string) {
+		s := &streamer{url: c.Status, interval: c.StatusInterval, client: shared, recorder: r, name: name}
+		s.run(ctx)
+	})
+	return r
+}
+
+func (l *load) startEchoes(ctx context.Context) *recorder {
+	c := l.command
+	if c.Echo == "" || c.EchoFlows <= 0 {
+		return nil
+	}
+	r := newRecorder(l.start)
+	l.startMany(ctx, c.EchoFlows, func(name string) {
+		e := &echoer{address: c.Echo, interval: c.StatusInterval, dial: l.dial, recorder: r, name: name}
+		e.run(ctx)
+	})
+	return r
+}
+
+// startMany starts long flows, spread over the ramp.
+func (l *load) startMany(ctx context.Context, count int, run func(name string)) {
+	step := l.command.Ramp / time.Duration(count)
+	for i := range count {
+		name := l.prefix + "-flow-" + strconv.Itoa(i)
+		l.group.Go(func() {
+			if fault.Sleep(ctx, time.Duration(i)*step) {
+				run(name)
+			}
+		})
+	}
+}
+
+// write writes the report and the plot.
+func (c *Command) write(report *Report) error {
+	text, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return errkind.Wrap(err, errkind.Internal, "report")
+	}
+	text = append(text, '\n')
+	if c.Report == "" {
+		_, err = os.Stdout.Write(text)
+	} else {
+		err = os.WriteFile(c.Report, text, 0o644)
+	}
+	if err != nil {
+		return errkind.Wrap(err, errkind.Usage, "report")
+	}
+	if c.Plot == "" {
+		return nil
+	}
+	return WritePlot(c.Plot, c.Name, sumSeconds(report.classes()))
+}
--- /dev/null
+++ b/standin/caller/services.go
@@ -0,0 +1,64 @@
+package caller
+
+import (
+	"strings"
+	"sync"
+
+	"bergamotbank/errkind"
+)
+
+// Expectation names the service that answers at an address. On the command line
+// it is IP:PORT=NAME.
+type Expectation struct {
+	Host    string
+	Service string
+}
+
+// UnmarshalText reads the form of the command line.
+func (e *Expectation) UnmarshalText(text []byte) error {
+	host, service, ok := strings.Cut(string(text), "=")
+	if !ok || host == "" || service == "" {
+		return errkind.New(errkind.Usage, "service %q is not IP:PORT=NAME", text)
+	}
+	*e = Expectation{Host: host, Service: service}
+	return nil
+}
+
+// serviceTable knows which service answers at which address. An address that
+// nobody named keeps the service that answered there first.
+type serviceTable struct {
+	mu       sync.Mutex
+	services map[string]string
+}
+
+func newServiceTable(expectations []Expectation) *serviceTable {
+	t := &serviceTable{services: make(map[string]string)}
+	for _, e := range expectations {
+		t.services[withPort(e.Host)] = e.Service
+	}
+	return t
+}
+
+// check tells whether service may answer at host. Answers without a service,
+// such as refusals before a backend server was reached, pass.
+func (t *serviceTable) check(host, service string) bool {
+	if service == "" {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	host = withPort(host)
+	want, known := t.services[host]
+	if !known {
+		t.services[host] = service
+		return true
+	}
+	return want == service
+}
+
+func withPort(host string) string {
+	if strings.Contains(host, ":") {
+		return host
+	}
+	return host + ":80"
+}
--- /dev/null
+++ b/standin/fabric/router.go
@@ -0,0 +1,103 @@
+package fabric
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"net/netip"
+)
+
+const (
+	ipv4HeaderBytes = 20
+	ipv4Version     = 4
+	totalLengthAt   = 2
+	sourceAt        = 12
+	destinationAt   = 16
+	addressBytes    = 4
+	// maxLearned bounds the number of learned inner addresses.
+	maxLearned = 1 << 16
+)
+
+// verdict tells what becomes of a packet.
+type verdict uint8
+
+const (
+	verdictForward verdict = iota
+	// verdictMalformed is a datagram that is not an IPv4 packet.
+	verdictMalformed
+	// verdictNoBalancer is a packet while no balancer is alive.
+	verdictNoBalancer
+	// verdictUnknown is a packet for an address that was never learned.
+	verdictUnknown
+	// verdictBlocked is a packet between blocked addresses.
+	verdictBlocked
+	// verdictCut is a packet on a link that is cut.
+	verdictCut
+	// verdictLost is a packet drawn for loss.
+	verdictLost
+	// verdictOverflow is a packet that found the delay queue full.
+	verdictOverflow
+
+	verdictCount
+)
+
+// router picks the receiver of packets. It is not safe for concurrent use.
+type router struct {
+	services netip.Prefix
+	learned  map[netip.Addr]netip.AddrPort
+	random   *rand.Rand
+}
+
+func newRouter(services netip.Prefix, seed uint64) *router {
+	return &router{
+		services: services,
+		learned:  make(map[netip.Addr]netip.AddrPort),
+		random:   rand.New(rand.NewPCG(seed, seed)),
+	}
+}
+
+// route returns the receiver of a packet that came from a UDP address. Packets
+// for service addresses go to one of the balancers, drawn at random.
+func (r *router) route(packet []byte, from netip.AddrPort, balancers []netip.AddrPort) (netip.AddrPort, verdict) {
+	source, destination, ok := parseAddresses(packet)
+	if !ok {
+		return netip.AddrPort{}, verdictMalformed
+	}
+	r.learn(source, from)
+	if r.services.Contains(destination) {
+		if len(balancers) == 0 {
+			return netip.AddrPort{}, verdictNoBalancer
+		}
+		return balancers[r.random.IntN(len(balancers))], verdictForward
+	}
+	to, known := r.learned[destination]
+	if !known {
+		return netip.AddrPort{}, verdictUnknown
+	}
+	return to, verdictForward
+}
+
+// learn remembers where an inner address outside of the services is.
+func (r *router) learn(source netip.Addr, from netip.AddrPort) {
+	if r.services.Contains(source) || r.learned[source] == from {
+		return
+	}
+	if _, known := r.learned[source]; !known && len(r.learned) >= maxLearned {
+		return
+	}
+	r.learned[source] = from
+}
+
+// parseAddresses reads the addresses of an IPv4 packet.
+func parseAddresses(packet []byte) (source, destination netip.Addr, ok bool) {
+	if len(packet) < ipv4HeaderBytes || packet[0]>>4 != ipv4Version {
+		return source, destination, false
+	}
+	headerBytes := int(packet[0]&0x0f) * 4
+	total := int(binary.BigEndian.Uint16(packet[totalLengthAt:]))
+	if headerBytes < ipv4HeaderBytes || total < headerBytes || total > len(packet) {
+		return source, destination, false
+	}
+	source = netip.AddrFrom4([addressBytes]byte(packet[sourceAt:]))
+	destination = netip.AddrFrom4([addressBytes]byte(packet[destinationAt:]))
+	return source, destination, true
+}
--- /dev/null
+++ b/standin/fault/duration.go
@@ -0,0 +1,40 @@
+package fault
+
+import (
+	"time"
+
+	"bergamotbank/errkind"
+)
+
+// Duration is a time.Duration that is written as text, such as "30ms", in JSON
+// and TOML.
+type Duration time.Duration
+
+// Std returns the duration as the standard type.
+func (d Duration) Std() time.Duration {
+	return time.Duration(d)
+}
+
+// String returns the duration as text.
+func (d Duration) String() string {
+	return d.Std().String()
+}
+
+// MarshalText returns the duration as text.
+func (d Duration) MarshalText() ([]byte, error) {
+	return []byte(d.String()), nil
+}
+
+// UnmarshalText reads a duration as time.ParseDuration does and refuses negative
+// ones with an error of kind Malformed.
+func (d *Duration) UnmarshalText(text []byte) error {
+	parsed, err := time.ParseDuration(string(text))
+	if err != nil {
+		return errkind.Wrap(err, errkind.Malformed, "duration")
+	}
+	if parsed < 0 {
+		return errkind.New(errkind.Malformed, "duration %s is negative", parsed)
+	}
+	*d = Duration(parsed)
+	return nil
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -3,4 +3,60 @@
 // callers. It serves tests, the demo and measurements and is not shipped.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"go.uber.org/zap"
+
+	"bergamotbank/errkind"
+	"bergamotbank/standin/caller"
+	"bergamotbank/standin/fabric"
+	"bergamotbank/standin/server"
+	"bergamotbank/standin/store"
+)
+
+type arguments struct {
+	Store  *store.Command  `arg:"subcommand:store" help:"key-value service with compare-and-swap, leases and watches"`
+	Fabric *fabric.Command `arg:"subcommand:fabric" help:"network that sprays packets over balancers"`
+	Server *server.Command `arg:"subcommand:server" help:"backend server"`
+	Caller *caller.Command `arg:"subcommand:caller" help:"caller and load tool"`
+}
+
+// Description returns the first line of the help text.
+func (arguments) Description() string {
+	return "Stand-ins for the systems around bergamotbank. Faults are switched with PUT /fault."
+}
+
+// runner is a subcommand. Run returns when ctx ends or its work is done.
+type runner interface {
+	Run(ctx context.Context, log *zap.Logger) error
+}
+
+func main() {
+	var args arguments
+	parser := arg.MustParse(&args)
+	command, ok := parser.Subcommand().(runner)
+	if !ok {
+		parser.Fail("a subcommand is needed")
+	}
+	os.Exit(run(command))
+}
+
+func run(command runner) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	log, err := zap.NewProduction()
+	if err != nil {
+		return errkind.ExitCode(err)
+	}
+	defer func() { _ = log.Sync() }()
+	err = command.Run(ctx, log)
+	if err != nil {
+		log.Error("stopped", zap.String("kind", errkind.Of(err).String()), zap.String("error", err.Error()))
+	}
+	return errkind.ExitCode(err)
+}
--- /dev/null
+++ b/standin/server/command.go
@@ -0,0 +1,223 @@
+// Package server is the stand-in for a backend server. It runs orders and
+// releases on a few slots, streams status lines, sends downloads, starts cold,
+// falls over under too much load, drains, sheds load and obeys cancellation and
+// deadlines. It logs each run of a request that is not idempotent.
+package server
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotbank/errkind"
+	"bergamotbank/standin/fault"
+)
+
+// Protocols of a backend server.
+const (
+	protocolRequest = "request"
+	protocolTCP     = "tcp"
+)
+
+// Command is the subcommand that runs a backend server.
+type Command struct {
+	Listen        netip.AddrPort `arg:"--listen,required" help:"TCP address of the service" placeholder:"IP:PORT"`
+	Control       netip.AddrPort `arg:"--control" help:"HTTP address of the fault switches; the service's own if not given" placeholder:"IP:PORT"`
+	Name          string         `arg:"--name,required" help:"name in X-Server of answers"`
+	Service       string         `arg:"--service,required" help:"name of the service in X-Service of answers"`
+	Protocol      string         `arg:"--protocol" default:"request" help:"request (HTTP) or tcp (echo)"`
+	Slots         int            `arg:"--slots" default:"2" help:"requests that run at the same time"`
+	Queue         int            `arg:"--queue" default:"-1" help:"requests that may wait before the server falls over; negative: twice the slots"`
+	Connections   int64          `arg:"--connections" default:"2000" help:"connections above this number are reset"`
+	Work          time.Duration  `arg:"--work" default:"20ms" help:"mean work time of a request"`
+	Cold          time.Duration  `arg:"--cold" default:"5s" help:"time that the server stays cold"`
+	ColdSlots     int            `arg:"--cold-slots" default:"1" help:"requests that run at the same time while cold"`
+	ColdQueue     int            `arg:"--cold-queue" default:"1" help:"requests that may wait while cold"`
+	ColdSlowdown  float64        `arg:"--cold-slowdown" default:"4" help:"factor of the work time while cold"`
+	Fallen        time.Duration  `arg:"--fallen" default:"1s" help:"time that the server resets connections after it fell over"`
+	ShedAbove     int            `arg:"--shed-above" default:"0" help:"requests inside above which the server answers 503; 0: never"`
+	SlotDownloads bool           `arg:"--slot-downloads" help:"downloads take a slot"`
+	Seed          uint64         `arg:"--seed" default:"1" help:"seed of work times and of faults drawn at random"`
+}
+
+// backend is one running backend server.
+type backend struct {
+	command    *Command
+	instance   string
+	slots      *slots
+	counts     *counters
+	executions *executions
+	faults     *fault.Switches[Faults]
+	dice       *dice
+	history    *loadHistory
+	log        *zap.Logger
+}
+
+// Run serves until ctx ends.
+func (c *Command) Run(ctx context.Context, log *zap.Logger) error {
+	if err := c.check(); err != nil {
+		return err
+	}
+	b := newBackend(c, log)
+	listenConfig := net.ListenConfig{}
+	inner, err := listenConfig.Listen(ctx, "tcp", c.Listen.String())
+	if err != nil {
+		return errkind.Wrap(err, errkind.Usage, "listen on %s", c.Listen)
+	}
+	listener := &limitedListener{Listener: inner, limit: c.Connections, counts: b.counts}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go b.sample(ctx)
+	failed := make(chan error, 1)
+	go func() {
+		failed <- b.serveControl(ctx)
+		cancel()
+	}()
+	log.Info("server listens", zap.String("server", c.Name), zap.String("service", c.Service), zap.Stringer("address", c.Listen))
+	err = b.serve(ctx, listener)
+	cancel()
+	if controlErr := <-failed; controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
+func (c *Command) check() error {
+	if c.Protocol != protocolRequest && c.Protocol != protocolTCP {
+		return errkind.New(errkind.Usage, "--protocol %q is not request or tcp", c.Protocol)
+	}
+	if c.Slots < 1 || c.ColdSlots < 1 {
+		return errkind.New(errkind.Usage, "--slots %d and --cold-slots %d must be at least 1", c.Slots, c.ColdSlots)
+	}
+	if c.Protocol == protocolTCP && !c.Control.IsValid() {
+		return errkind.New(errkind.Usage, "--protocol tcp needs --control")
+	}
+	return nil
+}
+
+func newBackend(c *Command, log *zap.Logger) *backend {
+	now := time.Now()
+	counts := &counters{}
+	b := &backend{
+		command:    c,
+		instance:   strconv.FormatInt(now.UnixNano(), 36),
+		slots:      newSlots(c.limits(), counts, now),
+		counts:     counts,
+		executions: &executions{},
+		faults:     fault.NewSwitches(Faults{}),
+		dice:       newDice(c.Seed),
+		history:    &loadHistory{},
+		log:        log,
+	}
+	cold := 0
+	b.faults.OnChange(func(f Faults) {
+		if f.Cold > cold {
+			b.slots.chill()
+		}
+		cold = f.Cold
+	})
+	return b
+}
+
+func (c *Command) limits() Limits {
+	queue := c.Queue
+	if queue < 0 {
+		queue = 2 * c.Slots
+	}
+	return Limits{
+		Slots:     c.Slots,
+		Queue:     queue,
+		ColdSlots: c.ColdSlots,
+		ColdQueue: c.ColdQueue,
+		ColdFor:   c.Cold,
+		FallenFor: c.Fallen,
+		ShedAbove: c.ShedAbove,
+	}
+}
+
+func (b *backend) serve(ctx context.Context, listener net.Listener) error {
+	if b.command.Protocol == protocolTCP {
+		return serveEcho(ctx, listener)
+	}
+	return fault.ServeListener(ctx, listener, b.routes(), withRequestCount)
+}
+
+func (b *backend) serveControl(ctx context.Context) error {
+	if !b.command.Control.IsValid() {
+		<-ctx.Done()
+		return nil
+	}
+	mux := http.NewServeMux()
+	b.addControl(mux)
+	return fault.Serve(ctx, b.command.Control.String(), mux)
+}
+
+func (b *backend) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /orders", b.run)
+	mux.HandleFunc("POST /releases", b.run)
+	mux.HandleFunc("GET /status", b.status)
+	mux.HandleFunc("GET /download", b.download)
+	mux.HandleFunc("/echo", b.echo)
+	mux.HandleFunc("GET /health", b.health)
+	mux.HandleFunc("GET /load", b.load)
+	if !b.command.Control.IsValid() {
+		b.addControl(mux)
+	}
+	return countRequests(b.named(mux))
+}
+
+// named puts the name of the server and its service into each answer.
+func (b *backend) named(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(headerServer, b.command.Name)
+		w.Header().Set(headerService, b.command.Service)
+		w.Header().Set(headerInstance, b.instance)
+		next.ServeHTTP(w, r)
+	})
+}
+
+func (b *backend) addControl(mux *http.ServeMux) {
+	mux.Handle("/fault", b.faults)
+	mux.HandleFunc("GET /fault/counters", func(w http.ResponseWriter, _ *http.Request) {
+		fault.WriteJSON(w, b.counts.snapshot())
+	})
+	mux.HandleFunc("GET /fault/executions", func(w http.ResponseWriter, _ *http.Request) {
+		entries, truncated := b.executions.snapshot()
+		fault.WriteJSON(w, ExecutionLog{
+			Server:     b.command.Name,
+			Service:    b.command.Service,
+			Truncated:  truncated,
+			Executions: entries,
+		})
+	})
+}
+
+// serveEcho returns the bytes of each connection until ctx ends.
+func serveEcho(ctx context.Context, listener net.Listener) error {
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return errkind.Wrap(err, errkind.Internal, "accept")
+		}
+		go echoConn(ctx, conn)
+	}
+}
+
+func echoConn(ctx context.Context, conn net.Conn) {
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
+	defer func() { _ = conn.Close() }()
+	_, _ = io.Copy(conn, conn)
+}
--- /dev/null
+++ b/standin/server/counters.go
@@ -0,0 +1,63 @@
+package server
+
+import "sync/atomic"
+
+// Counters counts what a backend server did.
+type Counters struct {
+	Started  uint64 `json:"started"`
+	Finished uint64 `json:"finished"`
+	Canceled uint64 `json:"canceled"`
+	Shed     uint64 `json:"shed"`
+	Refused  uint64 `json:"refused_draining"`
+	Resets   uint64 `json:"resets"`
+	// FallsCold and FallsWarm count how often the server fell over.
+	FallsCold uint64 `json:"falls_cold"`
+	FallsWarm uint64 `json:"falls_warm"`
+	// PeakCold and PeakWarm are the largest numbers of requests inside.
+	PeakCold int64 `json:"peak_cold"`
+	PeakWarm int64 `json:"peak_warm"`
+	// Streams is the number of open status streams.
+	Streams int64 `json:"streams"`
+	// Connections is the number of open connections.
+	Connections int64 `json:"connections"`
+	// RefusedConnections counts connections above the limit.
+	RefusedConnections uint64 `json:"refused_connections"`
+}
+
+type counters struct {
+	started, finished, canceled atomic.Uint64
+	shed, refused, resets       atomic.Uint64
+	fallsCold, fallsWarm        atomic.Uint64
+	peakCold, peakWarm          atomic.Int64
+	streams, connections        atomic.Int64
+	refusedConnections          atomic.Uint64
+}
+
+func (c *counters) snapshot() Counters {
+	return Counters{
+		Started:            c.started.Load(),
+		Finished:           c.finished.Load(),
+		Canceled:           c.canceled.Load(),
+		Shed:               c.shed.Load(),
+		Refused:            c.refused.Load(),
+		Resets:             c.resets.Load(),
+		FallsCold:          c.fallsCold.Load(),
+		FallsWarm:          c.fallsWarm.Load(),
+		PeakCold:           c.peakCold.Load(),
+		PeakWarm:           c.peakWarm.Load(),
+		Streams:            c.streams.Load(),
+		Connections:        c.connections.Load(),
+		RefusedConnections: c.refusedConnections.Load(),
+	}
+}
+
+// observeLoad keeps the largest load. The caller serializes the calls.
+func (c *counters) observeLoad(inside int, cold bool) {
+	peak := &c.peakWarm
+	if cold {
+		peak = &c.peakCold
+	}
+	if int64(inside) > peak.Load() {
+		peak.Store(int64(inside))
+	}
+}
--- /dev/null
+++ b/standin/server/reads.go
@@ -0,0 +1,148 @@
+package server
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bergamotbank/standin/fault"
+)
+
+const (
+	defaultStatusInterval = time.Second
+	defaultDownloadBytes  = 1 << 20
+	maxDownloadBytes      = 1 << 30
+	downloadBlockBytes    = 16 << 10
+)
+
+// StatusLine is one line of a status stream. Sequence begins at 1 and grows by 1.
+type StatusLine struct {
+	Sequence uint64 `json:"sequence"`
+	Server   string `json:"server"`
+	Service  string `json:"service"`
+	Instance string `json:"instance"`
+}
+
+// status streams a line per interval until the caller leaves or, if the query
+// has a limit, until that many lines.
+func (b *backend) status(w http.ResponseWriter, r *http.Request) {
+	if b.refuse(w, Faults{Drain: b.faults.Get().Drain}) {
+		return
+	}
+	interval, limit, err := statusQuery(r)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	b.counts.streams.Add(1)
+	defer b.counts.streams.Add(-1)
+	w.Header().Set("Content-Type", "application/jsonl")
+	encoder := json.NewEncoder(w)
+	controller := http.NewResponseController(w)
+	line := StatusLine{Server: b.command.Name, Service: b.command.Service, Instance: b.instance}
+	for limit == 0 || line.Sequence < limit {
+		line.Sequence++
+		if encoder.Encode(line) != nil || controller.Flush() != nil {
+			return
+		}
+		if !fault.Sleep(r.Context(), interval) {
+			return
+		}
+	}
+}
+
+func statusQuery(r *http.Request) (interval time.Duration, limit uint64, err error) {
+	interval = defaultStatusInterval
+	query := r.URL.Query()
+	if query.Has("interval") {
+		interval, err = time.ParseDuration(query.Get("interval"))
+	}
+	if err == nil && query.Has("limit") {
+		limit, err = strconv.ParseUint(query.Get("limit"), 10, 64)
+	}
+	return max(interval, time.Millisecond), limit, err
+}
+
+// download sends a body of the length that the query names. The checksum is a
+// trailer when the query asks for chunks, else a header.
+func (b *backend) download(w http.ResponseWriter, r *http.Request) {
+	faults := b.faults.Get()
+	if b.refuse(w, faults) || b.resetEarly(w, r, faults) {
+		return
+	}
+	size, err := downloadBytes(r)
+	if err != nil || size < 0 || size > maxDownloadBytes {
+		http.Error(w, "bytes is not a number up to 1 GiB", http.StatusBadRequest)
+		return
+	}
+	if b.command.SlotDownloads {
+		t, verdict := b.slots.enter(r.Context())
+		if verdict != admitRun {
+			b.answerRefused(w, verdict)
+			return
+		}
+		defer b.slots.leave(t)
+	}
+	if r.URL.Query().Has("chunked") {
+		w.Header().Set("Trailer", headerChecksum)
+		sum, _ := writeDownload(w, size)
+		w.Header().Set(headerChecksum, sum)
+		return
+	}
+	b.downloadWhole(w, size, faults)
+}
+
+func (b *backend) downloadWhole(w http.ResponseWriter, size int, faults Faults) {
+	sum, _ := writeDownload(io.Discard, size)
+	w.Header().Set(headerChecksum, sum)
+	w.Header().Set("Content-Length", strconv.Itoa(size))
+	if b.dice.hit(faults.ResetMidAnswer) {
+		_, _ = writeDownload(w, size/2)
+		_ = http.NewResponseController(w).Flush()
+		b.reset(w)
+		return
+	}
+	_, _ = writeDownload(w, size)
+}
+
+func downloadBytes(r *http.Request) (int, error) {
+	if !r.URL.Query().Has("bytes") {
+		return defaultDownloadBytes, nil
+	}
+	return strconv.Atoi(r.URL.Query().Get("bytes"))
+}
+
+// writeDownload writes a body that differs from block to block and returns its
+// checksum.
+func writeDownload(w io.Writer, size int) (string, error) {
+	digest := xxhash.New()
+	both := io.MultiWriter(w, digest)
+	block := make([]byte, downloadBlockBytes)
+	for i := range block {
+		block[i] = byte(i * 31)
+	}
+	for sent := 0; sent < size; sent += len(block) {
+		for i := range 8 {
+			block[i] = byte(sent >> (8 * i))
+		}
+		if _, err := both.Write(block[:min(len(block), size-sent)]); err != nil {
+			return "", err
+		}
+	}
+	return formatChecksum(digest.Sum64()), nil
+}
+
+// echo returns the body of the request. It takes no slot.
+func (b *backend) echo(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	if err != nil {
+		http.Error(w, "body is too large or cut", http.StatusBadRequest)
+		return
+	}
+	w.Header().Set(headerRequest, r.Header.Get(headerRequest))
+	b.writeBody(w, body, false)
+}
--- /dev/null
+++ b/standin/store/command.go
@@ -0,0 +1,49 @@
+// Package store is the stand-in for the platform's key-value service. It speaks
+// a subset of the Consul HTTP API in memory: compare-and-swap by ModifyIndex,
+// sessions as leases, blocking queries as watches, lists and transactions. It
+// counts calls, limits their rates and has fault switches at /fault.
+package store
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/time/rate"
+
+	"bergamotbank/standin/fault"
+)
+
+// Command is the subcommand that runs the service.
+type Command struct {
+	Listen          netip.AddrPort `arg:"--listen,required" help:"address of the HTTP API and the fault switches" placeholder:"IP:PORT"`
+	WritesPerSecond int            `arg:"--writes-per-second" default:"300" help:"writes above this rate are answered with 429"`
+	ReadsPerSecond  int            `arg:"--reads-per-second" default:"2000" help:"reads above this rate are answered with 429; a watch is one read"`
+	Seed            uint64         `arg:"--seed" default:"1" help:"seed of the faults that are drawn at random"`
+}
+
+// Run serves until ctx ends.
+func (c *Command) Run(ctx context.Context, log *zap.Logger) error {
+	h := newHandler(c)
+	go h.service.expire(ctx)
+	log.Info("store listens", zap.Stringer("address", c.Listen))
+	return fault.Serve(ctx, c.Listen.String(), h.routes())
+}
+
+func newHandler(c *Command) *handler {
+	h := &handler{
+		service:    newService(time.Now),
+		counters:   &counters{started: time.Now()},
+		faults:     fault.NewSwitches(Faults{}),
+		silenced:   newSilencer(),
+		dice:       newDice(c.Seed),
+		readLimit:  rate.NewLimiter(rate.Limit(c.ReadsPerSecond), c.ReadsPerSecond),
+		writeLimit: rate.NewLimiter(rate.Limit(c.WritesPerSecond), c.WritesPerSecond),
+	}
+	h.faults.OnChange(func(f Faults) {
+		h.service.setStale(f.StaleReads)
+		h.silenced.set(f)
+	})
+	return h
+}
