Test the caller's judgement through the fabric

Each kind of bad answer (reset, cut, crossed, wrong service, refused, unknown) is produced by a service behind a real fabric and must be counted as itself. The report could not be read back: outcomes had no text decoder. Before: the test failed on reading the report. After: 7 cases pass.

--- /dev/null
+++ b/standin/caller/fabric_test.go
@@ -0,0 +1,183 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+	"gvisor.dev/gvisor/pkg/tcpip"
+	"gvisor.dev/gvisor/pkg/tcpip/adapters/gonet"
+	netstackipv4 "gvisor.dev/gvisor/pkg/tcpip/network/ipv4"
+
+	"bergamotbank/errkind"
+	"bergamotbank/standin/fabric"
+)
+
+var serviceAddress = netip.MustParseAddr("198.18.0.10")
+
+// freePort returns a UDP and TCP port of 127.0.0.1 that was free.
+func freePort(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+// startFabric runs a fabric with one balancer that always counts as alive.
+func startFabric(t *testing.T, balancer netip.AddrPort) netip.AddrPort {
+	t.Helper()
+	command := &fabric.Command{
+		Listen:        freePort(t),
+		ServicePrefix: netip.MustParsePrefix("198.18.0.0/16"),
+		Balancers:     []fabric.Balancer{{Name: "b1", Packet: balancer}},
+		HealthPeriod:  time.Second,
+		Seed:          1,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- command.Run(ctx, zap.NewNop()) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return command.Listen
+}
+
+// startService serves HTTP on the service address, in the place of balancer and
+// agent.
+func startService(t *testing.T, local, fabricAddress netip.AddrPort, handler http.Handler) {
+	t.Helper()
+	n, err := NewNetwork(local, fabricAddress, serviceAddress)
+	if err != nil {
+		t.Fatal(err)
+	}
+	full := tcpip.FullAddress{NIC: nicID, Addr: tcpip.AddrFrom4(serviceAddress.As4()), Port: 80}
+	listener, err := gonet.ListenTCP(n.stack, full, netstackipv4.ProtocolNumber)
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: handler}
+	go server.Serve(listener)
+	t.Cleanup(func() {
+		server.Close()
+		n.Close()
+	})
+}
+
+// answering answers orders as a backend server does, after change.
+func answering(change func(w http.ResponseWriter, r *http.Request) bool) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		w.Header().Set(headerService, "ordering")
+		if change(w, r) {
+			return
+		}
+		body, _ := json.Marshal(identity{Request: r.Header.Get(headerRequest), Key: r.Header.Get(headerKey)})
+		w.Header().Set(headerChecksum, sumOf(body))
+		_, _ = w.Write(body)
+	})
+}
+
+// runLoad sends orders for a moment and returns the report.
+func runLoad(t *testing.T, fabricAddress netip.AddrPort, change func(*Command)) (*Report, error) {
+	t.Helper()
+	command := &Command{
+		Fabric:          fabricAddress,
+		Local:           netip.MustParseAddrPort("127.0.0.1:0"),
+		Address:         netip.MustParseAddr("198.19.0.1"),
+		Name:            "test",
+		Seed:            1,
+		Timeout:         5 * time.Second,
+		Duration:        300 * time.Millisecond,
+		Orders:          "http://198.18.0.10/orders",
+		OrdersPerSecond: 200,
+		MaxInFlight:     1000,
+		Report:          filepath.Join(t.TempDir(), "report.json"),
+		ExpectNoBroken:  true,
+		ExpectWhole:     true,
+		ExpectAnswers:   1,
+	}
+	change(command)
+	runErr := command.Run(context.Background(), zap.NewNop())
+	text, err := os.ReadFile(command.Report)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var report Report
+	if err := json.Unmarshal(text, &report); err != nil {
+		t.Fatal(err)
+	}
+	return &report, runErr
+}
+
+func TestOrdersThroughFabric(t *testing.T) {
+	nothing := func(*Command) {}
+	whole := func(http.ResponseWriter, *http.Request) bool { return false }
+	cases := []struct {
+		name   string
+		answer func(http.ResponseWriter, *http.Request) bool
+		change func(*Command)
+		kind   errkind.Kind
+		count  func(*Report) uint64
+	}{
+		{"whole answers", whole, nothing, errkind.Internal, func(r *Report) uint64 { return r.Totals.Answers }},
+		{"reset flows", func(http.ResponseWriter, *http.Request) bool {
+			panic(http.ErrAbortHandler)
+		}, nothing, errkind.Partial, func(r *Report) uint64 { return r.Totals.BrokenFlows }},
+		{"cut answers", func(w http.ResponseWriter, _ *http.Request) bool {
+			w.Header().Set(headerChecksum, "1")
+			_, _ = w.Write([]byte("{}"))
+			return true
+		}, nothing, errkind.Partial, func(r *Report) uint64 { return r.Totals.CutAnswers }},
+		{"crossed answers", func(_ http.ResponseWriter, r *http.Request) bool {
+			r.Header.Set(headerKey, "another")
+			return false
+		}, nothing, errkind.Partial, func(r *Report) uint64 { return r.Totals.Crossed }},
+		{"answers of another service", func(w http.ResponseWriter, _ *http.Request) bool {
+			w.Header().Set(headerService, "archive")
+			return false
+		}, func(c *Command) {
+			c.Services = []Expectation{{Host: "198.18.0.10", Service: "ordering"}}
+		}, errkind.Partial, func(r *Report) uint64 { return r.Totals.WrongService }},
+		{"refusals", func(w http.ResponseWriter, _ *http.Request) bool {
+			w.Header().Set(headerRun, runNot)
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return true
+		}, nothing, errkind.Partial, func(r *Report) uint64 { return r.Totals.NotRun }},
+		{"unknown outcomes", func(w http.ResponseWriter, _ *http.Request) bool {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return true
+		}, nothing, errkind.Partial, func(r *Report) uint64 { return r.Totals.Unknown }},
+	}
+	for _, c := range cases {
+		convey.Convey("A load run counts "+c.name, t, func() {
+			balancer := freePort(t)
+			fabricAddress := startFabric(t, balancer)
+			startService(t, balancer, fabricAddress, answering(c.answer))
+			report, err := runLoad(t, fabricAddress, c.change)
+			convey.So(errkind.Of(err), convey.ShouldEqual, c.kind)
+			convey.So(c.count(report), convey.ShouldBeGreaterThan, 0)
+		})
+	}
+}
+
+// sumOf returns the checksum that a backend server gives for a body.
+func sumOf(body []byte) string {
+	return strconv.FormatUint(xxhash.Sum64(body), 16)
+}
--- a/standin/caller/outcome.go
+++ b/standin/caller/outcome.go
@@ -1,5 +1,7 @@
 package caller
 
+import "bergamotbank/errkind"
+
 // Outcome is how a request or flow ended, as its caller saw it.
 type Outcome uint8
 
@@ -52,3 +54,14 @@
 func (o Outcome) MarshalText() ([]byte, error) {
 	return []byte(o.String()), nil
 }
+
+// UnmarshalText reads the name of an outcome.
+func (o *Outcome) UnmarshalText(text []byte) error {
+	for i, name := range outcomeNames {
+		if name == string(text) {
+			*o = Outcome(i)
+			return nil
+		}
+	}
+	return errkind.New(errkind.Malformed, "outcome %q is not known", text)
+}
