--- /dev/null
+++ b/version/config/diff.go
@@ -0,0 +1,127 @@
+package config
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// ChangeKind is one entry of the closed list of kinds of change.
+type ChangeKind string
+
+// The kinds of change between two configurations.
+const (
+	ServiceAdded   ChangeKind = "service_added"
+	ServiceRemoved ChangeKind = "service_removed"
+	ServiceChanged ChangeKind = "service_changed"
+	DomainAdded    ChangeKind = "domain_added"
+	DomainRemoved  ChangeKind = "domain_removed"
+	DomainChanged  ChangeKind = "domain_changed"
+)
+
+// Change is one difference between two configurations.
+type Change struct {
+	// Kind tells what changed.
+	Kind ChangeKind `json:"kind"`
+	// Name is the name of the service or failure domain.
+	Name string `json:"name"`
+	// Field is the changed key; empty for an addition or removal.
+	Field string `json:"field,omitempty"`
+	// Old is the value before; empty for an addition.
+	Old string `json:"old,omitempty"`
+	// New is the value after; empty for a removal.
+	New string `json:"new,omitempty"`
+}
+
+// String returns the change as one line of text.
+func (c Change) String() string {
+	what, how, _ := strings.Cut(string(c.Kind), "_")
+	if c.Field == "" {
+		return fmt.Sprintf("%s %s %s", what, c.Name, how)
+	}
+	return fmt.Sprintf("%s %s: %s %q -> %q", what, c.Name, c.Field, c.Old, c.New)
+}
+
+// Diff returns the changes that lead from before to after, ordered by failure
+// domains, then services, each by name. A nil configuration counts as empty.
+func Diff(before, after *Config) []Change {
+	if before == nil {
+		before = &Config{}
+	}
+	if after == nil {
+		after = &Config{}
+	}
+	return append(diffDomains(before, after), diffServices(before, after)...)
+}
+
+func diffDomains(before, after *Config) []Change {
+	var changes []Change
+	i, j := 0, 0
+	for i < len(before.Domains) || j < len(after.Domains) {
+		switch {
+		case j == len(after.Domains) || i < len(before.Domains) && before.Domains[i].Name < after.Domains[j].Name:
+			changes = append(changes, Change{Kind: DomainRemoved, Name: before.Domains[i].Name})
+			i++
+		case i == len(before.Domains) || after.Domains[j].Name < before.Domains[i].Name:
+			changes = append(changes, Change{Kind: DomainAdded, Name: after.Domains[j].Name})
+			j++
+		default:
+			changes = append(changes, diffDomain(before.Domains[i], after.Domains[j])...)
+			i++
+			j++
+		}
+	}
+	return changes
+}
+
+func diffDomain(before, after Domain) []Change {
+	var changes []Change
+	add := func(name, from, to string) {
+		if from != to {
+			changes = append(changes, Change{Kind: DomainChanged, Name: after.Name, Field: name, Old: from, New: to})
+		}
+	}
+	add("region", before.Region, after.Region)
+	add("out", strconv.FormatBool(before.Out), strconv.FormatBool(after.Out))
+	return changes
+}
+
+func diffServices(before, after *Config) []Change {
+	var changes []Change
+	i, j := 0, 0
+	for i < len(before.Services) || j < len(after.Services) {
+		switch {
+		case j == len(after.Services) || i < len(before.Services) && before.Services[i].Name < after.Services[j].Name:
+			changes = append(changes, Change{Kind: ServiceRemoved, Name: before.Services[i].Name})
+			i++
+		case i == len(before.Services) || after.Services[j].Name < before.Services[i].Name:
+			changes = append(changes, Change{Kind: ServiceAdded, Name: after.Services[j].Name})
+			j++
+		default:
+			changes = append(changes, diffService(before.Services[i], after.Services[j])...)
+			i++
+			j++
+		}
+	}
+	return changes
+}
+
+func diffService(before, after Service) []Change {
+	if before.equal(after) {
+		return nil
+	}
+	var changes []Change
+	add := func(name, from, to string) {
+		if from != to {
+			changes = append(changes, Change{Kind: ServiceChanged, Name: after.Name, Field: name, Old: from, New: to})
+		}
+	}
+	add("address", before.Address.String(), after.Address.String())
+	add("port", strconv.Itoa(int(before.Port)), strconv.Itoa(int(after.Port)))
+	add("protocol", string(before.Protocol), string(after.Protocol))
+	add("slots", strconv.Itoa(before.Slots), strconv.Itoa(after.Slots))
+	add("connections", strconv.Itoa(before.Connections), strconv.Itoa(after.Connections))
+	add("timeout", before.Timeout.String(), after.Timeout.String())
+	add("depends_on", strings.Join(before.DependsOn, ","), strings.Join(after.DependsOn, ","))
+	return changes
+}
