Add membership and time line, first working version

Nothing in the repository knew which balancers and backend servers are alive, nor kept events. Membership has a pure core for balancers (merge, probes, gossip, anti-entropy, silence judged by all homes) and for agents (heartbeats to homes, view by delta), with thin shells Node and Announcer. The time line has a bounded ring with a hybrid logical clock, a paged twirp query and a collector that names missing processes.

An agent does not compute its homes: a balancer names them when the agent's differ, so that an agent needs no list of all balancers.

--- /dev/null
+++ b/process/membership/announcer.go
@@ -0,0 +1,272 @@
+package membership
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"bergamotbank/errkind"
+	"bergamotbank/event"
+	pb "bergamotbank/process/membership/membershippb"
+)
+
+// AnnouncerOptions are the options of an agent's Announcer.
+type AnnouncerOptions struct {
+	// Self is the record of the backend server. The UDP side of Self.Control is
+	// opened by the Announcer. Incarnation 0 stands for the time of the start in
+	// milliseconds.
+	Self Record
+	// Seeds are control addresses of balancers from the settings.
+	Seeds []netip.AddrPort
+	// Directory lists balancers; nil for none.
+	Directory Directory
+	// Recorder takes the events; nil drops them.
+	Recorder event.Recorder
+	// Clock stamps the messages; nil for none.
+	Clock Clock
+	// Version returns the configuration version in force here; nil for 0.
+	Version func() uint64
+	// OnView is called with the view of the needed services and the homes after
+	// it has changed, never concurrently.
+	OnView func(View)
+	// OnHint is called when a balancer was seen at a higher configuration
+	// version. It must not block.
+	OnHint func(version uint64, from Peer)
+	// DependsOn returns the services that the agent needs besides its own; nil
+	// for none.
+	DependsOn func() []string
+	// Timing holds the periods; zero fields take those of DefaultTiming.
+	Timing Timing
+}
+
+// Announcer is the membership of an agent.
+type Announcer struct {
+	options AnnouncerOptions
+	udp     *udpEndpoint
+	core    *agentCore
+	client  *http.Client
+
+	calls     callQueue
+	changed   chan struct{}
+	fetches   chan fetchAction
+	directory chan struct{}
+	view      atomic.Pointer[View]
+	homes     atomic.Pointer[[]Peer]
+	ready     atomic.Bool
+}
+
+// NewAnnouncer opens the UDP side of the control address. Errors are of kind
+// InvalidSettings.
+func NewAnnouncer(options AnnouncerOptions) (*Announcer, error) {
+	options.fill()
+	udp, err := listenUDP(options.Self.Control)
+	if err != nil {
+		return nil, err
+	}
+	options.Self.Control = udp.addr()
+	if err := validateSelf(options.Self); err != nil {
+		_ = udp.conn.Close()
+		return nil, err
+	}
+	a := &Announcer{
+		options:   options,
+		udp:       udp,
+		core:      newAgentCore(options.Self, options.Seeds, options.Timing, newRandom(), time.Now()),
+		client:    newHTTPClient(),
+		calls:     make(callQueue, callQueueSize),
+		changed:   make(chan struct{}, 1),
+		fetches:   make(chan fetchAction, 1),
+		directory: make(chan struct{}, 1),
+	}
+	a.core.version = options.Version
+	a.core.stamp = options.Clock.Stamp
+	a.view.Store(&View{})
+	a.homes.Store(&[]Peer{})
+	return a, nil
+}
+
+func (o *AnnouncerOptions) fill() {
+	if o.Self.Incarnation == 0 {
+		o.Self.Incarnation = uint64(time.Now().UnixMilli())
+	}
+	if o.Self.MaxProtocol == 0 {
+		o.Self.MinProtocol, o.Self.MaxProtocol = MinProtocol, MaxProtocol
+	}
+	if o.Recorder == nil {
+		o.Recorder = event.Discard{}
+	}
+	if o.Clock == nil {
+		o.Clock = noClock{}
+	}
+	if o.Version == nil {
+		o.Version = func() uint64 { return 0 }
+	}
+	if o.OnView == nil {
+		o.OnView = func(View) {}
+	}
+	if o.OnHint == nil {
+		o.OnHint = func(uint64, Peer) {}
+	}
+	if o.DependsOn == nil {
+		o.DependsOn = func() []string { return nil }
+	}
+}
+
+// Addr returns the control address.
+func (a *Announcer) Addr() netip.AddrPort {
+	return a.options.Self.Control
+}
+
+// View returns the present snapshot of the needed services and the homes. It
+// must not be modified.
+func (a *Announcer) View() View {
+	return *a.view.Load()
+}
+
+// Ready tells whether the view was fetched since the start or the last pause of
+// the process.
+func (a *Announcer) Ready() bool {
+	return a.ready.Load()
+}
+
+// Homes returns the present home balancers.
+func (a *Announcer) Homes() []Peer {
+	return *a.homes.Load()
+}
+
+// SetState announces a state and a weight at once and repeats it until the
+// homes have it.
+func (a *Announcer) SetState(state State, weight uint16) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	_ = a.calls.enqueue(ctx, func() { a.core.setState(time.Now(), state, weight) })
+}
+
+// Leave tells the homes that the server has gone. No heartbeat follows.
+func (a *Announcer) Leave(ctx context.Context) {
+	_ = a.calls.do(ctx, func() {
+		a.core.leave()
+		a.perform()
+	})
+}
+
+// Run announces the server until the context ends.
+func (a *Announcer) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(a.udp.readLoop)
+	group.Go(func() error { return a.udp.closeAtEnd(ctx) })
+	group.Go(func() error { return a.coreLoop(ctx) })
+	group.Go(func() error { return a.fetchLoop(ctx) })
+	group.Go(func() error {
+		return notifyLoop(ctx, a.changed, func() { a.options.OnView(a.View()) })
+	})
+	group.Go(func() error { return a.directoryLoop(ctx) })
+	return group.Wait()
+}
+
+// coreLoop feeds the core with datagrams, calls and time.
+func (a *Announcer) coreLoop(ctx context.Context) error {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case datagram := <-a.udp.inbox:
+			a.options.Clock.Observe(datagram.envelope.Stamp)
+			a.core.handle(time.Now(), datagram.from, datagram.envelope)
+		case call := <-a.calls:
+			call()
+		case <-ticker.C:
+			a.core.setDepends(a.options.DependsOn())
+			a.core.tick(time.Now())
+		}
+		a.perform()
+	}
+}
+
+// perform carries out the actions of the core.
+func (a *Announcer) perform() {
+	for _, act := range a.core.take() {
+		switch act := act.(type) {
+		case sendAction:
+			a.udp.send(act)
+		case recordAction:
+			a.options.Recorder.Record(act.event)
+		case hintAction:
+			a.options.OnHint(act.version, act.from)
+		case viewAction:
+			view := a.core.view()
+			a.view.Store(&view)
+			signal(a.changed)
+		case fetchAction:
+			a.startFetch(act)
+		case directoryAction:
+			signal(a.directory)
+		}
+	}
+	homes := a.core.homePeers()
+	a.homes.Store(&homes)
+	a.ready.Store(a.core.fetched)
+}
+
+// startFetch hands a fetch over; the core asks again when one is still running.
+func (a *Announcer) startFetch(fetch fetchAction) {
+	select {
+	case a.fetches <- fetch:
+	default:
+		a.core.fetching = false
+	}
+}
+
+// fetchLoop fetches the view of the needed services.
+func (a *Announcer) fetchLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case fetch := <-a.fetches:
+			response, err := a.fetch(ctx, fetch)
+			_ = a.calls.do(ctx, func() { a.core.fetchDone(time.Now(), response, err) })
+		}
+	}
+}
+
+func (a *Announcer) fetch(ctx context.Context, fetch fetchAction) (*pb.FetchViewResponse, error) {
+	request := &pb.FetchViewRequest{Services: fetch.services, Buckets: fetch.buckets}
+	response, err := membershipAt(a.client, fetch.from).FetchView(ctx, request)
+	return response, errkind.Wrap(err, errkind.PeerUnavailable, "fetch view from %v", fetch.from)
+}
+
+// directoryLoop reads the directory when no home answers.
+func (a *Announcer) directoryLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-a.directory:
+			a.readDirectory(ctx)
+		}
+	}
+}
+
+func (a *Announcer) readDirectory(ctx context.Context) {
+	if a.options.Directory == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	peers, err := a.options.Directory.Read(ctx, a.options.Self.Domain)
+	if err != nil {
+		return
+	}
+	addrs := make([]netip.AddrPort, 0, len(peers))
+	for _, peer := range peers {
+		addrs = append(addrs, peer.Control)
+	}
+	_ = a.calls.do(ctx, func() { a.core.addContacts(addrs) })
+}
--- /dev/null
+++ b/process/membership/antientropy.go
@@ -0,0 +1,160 @@
+package membership
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+
+	pb "bergamotbank/process/membership/membershippb"
+)
+
+const (
+	// exchangePeriod is the shortest time between two anti-entropy exchanges
+	// that a balancer opens.
+	exchangePeriod = time.Second
+	// exchangeDomains is the number of failure domains compared in one exchange.
+	exchangeDomains = 2
+	// exchangeDatagrams is the largest number of datagrams with entries that
+	// one message of an exchange brings.
+	exchangeDatagrams = 6
+)
+
+// openExchange sends the digests of all failure domains to a balancer whose
+// state differs.
+func (c *nodeCore) openExchange(now time.Time, to netip.AddrPort) {
+	if now.Sub(c.exchange) < exchangePeriod {
+		return
+	}
+	c.exchange = now
+	digest := &pb.Digest{}
+	for domain, d := range c.state.digests {
+		digest.Domains = append(digest.Domains, &pb.DomainDigest{Domain: domain, Digest: d.total})
+	}
+	slices.SortFunc(digest.Domains, compareDomainDigests)
+	c.send(to, &pb.Envelope{Body: &pb.Envelope_Digest{Digest: digest}})
+}
+
+func compareDomainDigests(a, b *pb.DomainDigest) int {
+	if a.Domain < b.Domain {
+		return -1
+	}
+	return 1
+}
+
+// handleDigest answers with the bucket digests of failure domains that differ.
+func (c *nodeCore) handleDigest(from netip.AddrPort, digest *pb.Digest) {
+	theirs := make(map[string]uint64, len(digest.Domains))
+	for _, d := range digest.Domains {
+		theirs[d.Domain] = d.Digest
+	}
+	for domain := range c.state.digests {
+		if _, ok := theirs[domain]; !ok {
+			theirs[domain] = 0
+		}
+	}
+	differing := make([]string, 0, len(theirs))
+	for domain, value := range theirs {
+		if value != c.domainDigest(domain).total {
+			differing = append(differing, domain)
+		}
+	}
+	slices.Sort(differing)
+	c.random.Shuffle(len(differing), func(i, j int) { differing[i], differing[j] = differing[j], differing[i] })
+	for _, domain := range differing[:min(exchangeDomains, len(differing))] {
+		c.sendBuckets(from, domain)
+	}
+}
+
+func (c *nodeCore) domainDigest(domain string) *domainDigest {
+	if digest, ok := c.state.digests[domain]; ok {
+		return digest
+	}
+	return &domainDigest{}
+}
+
+func (c *nodeCore) sendBuckets(to netip.AddrPort, domain string) {
+	digest := c.domainDigest(domain)
+	buckets := &pb.Buckets{Domain: domain, Digests: make([]uint32, bucketCount)}
+	for i, value := range digest.buckets {
+		buckets.Digests[i] = uint32(value)
+	}
+	c.send(to, &pb.Envelope{Body: &pb.Envelope_Buckets{Buckets: buckets}})
+}
+
+// handleBuckets sends the entries of buckets that differ and asks for those of
+// the sender.
+func (c *nodeCore) handleBuckets(from netip.AddrPort, buckets *pb.Buckets) {
+	if len(buckets.Digests) != bucketCount || !validName(buckets.Domain) {
+		return
+	}
+	digest := c.domainDigest(buckets.Domain)
+	want := &pb.Want{Domain: buckets.Domain}
+	for i, value := range digest.buckets {
+		if uint32(value) != buckets.Digests[i] {
+			want.Buckets = append(want.Buckets, uint32(i))
+		}
+	}
+	if len(want.Buckets) == 0 {
+		return
+	}
+	c.send(from, &pb.Envelope{Body: &pb.Envelope_Want{Want: want}})
+	c.sendEntries(from, want)
+}
+
+// handleWant sends the entries of the wanted buckets.
+func (c *nodeCore) handleWant(from netip.AddrPort, want *pb.Want) {
+	c.sendEntries(from, want)
+}
+
+// sendEntries sends the live entries of some buckets, as many as one exchange
+// may bring.
+func (c *nodeCore) sendEntries(to netip.AddrPort, want *pb.Want) {
+	keys := c.keysIn(want)
+	c.random.Shuffle(len(keys), func(i, j int) { keys[i], keys[j] = keys[j], keys[i] })
+	for range exchangeDatagrams {
+		batch := &gossipBatch{}
+		for len(keys) > 0 && c.addEntry(batch, keys[0]) {
+			keys = keys[1:]
+		}
+		if batch.empty() {
+			return
+		}
+		c.sendGossip(to, batch.records, batch.peers)
+	}
+}
+
+// keysIn returns the live entries of some buckets, in the order of their names.
+func (c *nodeCore) keysIn(want *pb.Want) []rumorKey {
+	var wanted [bucketCount]bool
+	for _, bucket := range want.Buckets {
+		if bucket < bucketCount {
+			wanted[bucket] = true
+		}
+	}
+	var keys []rumorKey
+	for name, entry := range c.state.servers {
+		if entry.status == statusAlive && entry.record.Domain == want.Domain && wanted[bucketOf(entry.hash)] {
+			keys = append(keys, rumorKey{server: true, name: name})
+		}
+	}
+	for name, entry := range c.state.peers {
+		if entry.status <= statusSuspect && entry.peer.Domain == want.Domain && wanted[bucketOf(^entry.hash)] {
+			keys = append(keys, rumorKey{name: name})
+		}
+	}
+	slices.SortFunc(keys, compareKeys)
+	return keys
+}
+
+func compareKeys(a, b rumorKey) int {
+	if a.server != b.server {
+		if a.server {
+			return 1
+		}
+		return -1
+	}
+	if a.name < b.name {
+		return -1
+	}
+	return 1
+}
--- /dev/null
+++ b/process/membership/node.go
@@ -0,0 +1,282 @@
+package membership
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"bergamotbank/errkind"
+	"bergamotbank/event"
+	pb "bergamotbank/process/membership/membershippb"
+)
+
+// Clock stamps messages with a hybrid logical clock.
+type Clock interface {
+	// Stamp returns a stamp above all stamps returned or observed before.
+	Stamp() uint64
+	// Observe takes in the stamp of a message.
+	Observe(stamp uint64)
+}
+
+// noClock is used where no clock is given.
+type noClock struct{}
+
+func (noClock) Stamp() uint64  { return 0 }
+func (noClock) Observe(uint64) {}
+
+// NodeOptions are the options of a balancer's Node.
+type NodeOptions struct {
+	// Self is what the balancer announces about itself. The UDP side of
+	// Self.Control is opened by the Node. Incarnation 0 stands for the time of
+	// the start in milliseconds.
+	Self Peer
+	// Seeds are control addresses of other balancers from the settings.
+	Seeds []netip.AddrPort
+	// Directory lists other balancers; nil for none.
+	Directory Directory
+	// Recorder takes the events; nil drops them.
+	Recorder event.Recorder
+	// Clock stamps the messages; nil for none.
+	Clock Clock
+	// Version returns the configuration version in force here; nil for 0.
+	Version func() uint64
+	// OnView is called with the view after it has changed, never concurrently.
+	// Changes during a call are delivered as one.
+	OnView func(View)
+	// OnHint is called when a peer was seen at a higher configuration version.
+	// It must not block.
+	OnHint func(version uint64, from Peer)
+	// Timing holds the periods; zero fields take those of DefaultTiming.
+	Timing Timing
+}
+
+// Node is the membership of a balancer.
+type Node struct {
+	options NodeOptions
+	udp     *udpEndpoint
+	core    *nodeCore
+	client  *http.Client
+
+	calls   callQueue
+	changed chan struct{}
+	pulls   chan netip.AddrPort
+	view    atomic.Pointer[View]
+	ready   atomic.Bool
+}
+
+// NewNode opens the UDP side of the control address. Errors are of kind
+// InvalidSettings.
+func NewNode(options NodeOptions) (*Node, error) {
+	options.fill()
+	udp, err := listenUDP(options.Self.Control)
+	if err != nil {
+		return nil, err
+	}
+	options.Self.Control = udp.addr()
+	if _, _, err := peerFromWire(peerToWire(options.Self, statusAlive)); err != nil {
+		_ = udp.conn.Close()
+		return nil, errkind.Wrap(err, errkind.InvalidSettings, "announce balancer %q", options.Self.Name)
+	}
+	n := &Node{
+		options: options,
+		udp:     udp,
+		core:    newNodeCore(options.Self, options.Seeds, options.Timing, newRandom(), time.Now()),
+		client:  newHTTPClient(),
+		calls:   make(callQueue, callQueueSize),
+		changed: make(chan struct{}, 1),
+		pulls:   make(chan netip.AddrPort, 1),
+	}
+	n.core.version = options.Version
+	n.core.stamp = options.Clock.Stamp
+	n.core.join.directoryPending = options.Directory != nil
+	n.view.Store(&View{})
+	return n, nil
+}
+
+func (o *NodeOptions) fill() {
+	if o.Self.Incarnation == 0 {
+		o.Self.Incarnation = uint64(time.Now().UnixMilli())
+	}
+	if o.Self.MaxProtocol == 0 {
+		o.Self.MinProtocol, o.Self.MaxProtocol = MinProtocol, MaxProtocol
+	}
+	if o.Recorder == nil {
+		o.Recorder = event.Discard{}
+	}
+	if o.Clock == nil {
+		o.Clock = noClock{}
+	}
+	if o.Version == nil {
+		o.Version = func() uint64 { return 0 }
+	}
+	if o.OnView == nil {
+		o.OnView = func(View) {}
+	}
+	if o.OnHint == nil {
+		o.OnHint = func(uint64, Peer) {}
+	}
+}
+
+// Addr returns the control address.
+func (n *Node) Addr() netip.AddrPort {
+	return n.options.Self.Control
+}
+
+// View returns the present snapshot. It must not be modified.
+func (n *Node) View() View {
+	return *n.view.Load()
+}
+
+// Ready tells whether the view is as good as that of the other balancers.
+func (n *Node) Ready() bool {
+	return n.ready.Load()
+}
+
+// Handler returns the twirp service for the control address.
+func (n *Node) Handler() (prefix string, handler http.Handler) {
+	server := pb.NewMembershipServer(&nodeService{node: n})
+	return server.PathPrefix(), server
+}
+
+// Run takes part in the membership until the context ends, then tells the
+// other balancers that this one leaves.
+func (n *Node) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(n.udp.readLoop)
+	group.Go(func() error { return n.coreLoop(ctx) })
+	group.Go(func() error { return n.pullLoop(ctx) })
+	group.Go(func() error {
+		return notifyLoop(ctx, n.changed, func() { n.options.OnView(n.View()) })
+	})
+	if n.options.Directory != nil {
+		group.Go(func() error { return n.directoryLoop(ctx) })
+	}
+	return group.Wait()
+}
+
+// coreLoop feeds the core with datagrams, calls and time.
+func (n *Node) coreLoop(ctx context.Context) error {
+	ticker := time.NewTicker(tickPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			n.core.leave()
+			n.perform()
+			return errkind.Wrap(n.udp.conn.Close(), errkind.Internal, "close control socket")
+		case datagram := <-n.udp.inbox:
+			n.options.Clock.Observe(datagram.envelope.Stamp)
+			n.core.handle(time.Now(), datagram.from, datagram.envelope)
+		case call := <-n.calls:
+			call()
+		case <-ticker.C:
+			n.core.tick(time.Now())
+		}
+		n.perform()
+	}
+}
+
+// perform carries out the actions of the core.
+func (n *Node) perform() {
+	for _, a := range n.core.take() {
+		switch a := a.(type) {
+		case sendAction:
+			n.udp.send(a)
+		case recordAction:
+			n.options.Recorder.Record(a.event)
+		case hintAction:
+			n.options.OnHint(a.version, a.from)
+		case viewAction:
+			view := n.core.current
+			n.view.Store(&view)
+			signal(n.changed)
+		case pullAction:
+			select {
+			case n.pulls <- a.from:
+			default:
+			}
+		}
+	}
+	n.ready.Store(n.core.join.ready)
+}
+
+// pullLoop fetches the whole state from balancers.
+func (n *Node) pullLoop(ctx context.Context) error {
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case from := <-n.pulls:
+			ready, err := n.pull(ctx, from)
+			_ = n.calls.do(ctx, func() { n.core.pullDone(time.Now(), from, ready, err) })
+		}
+	}
+}
+
+// pull fetches the whole state page by page. It tells whether the balancer was
+// ready.
+func (n *Node) pull(ctx context.Context, from netip.AddrPort) (bool, error) {
+	client := membershipAt(n.client, from)
+	request := &pb.PullRequest{Self: peerToWire(n.options.Self, statusAlive)}
+	for {
+		page, err := client.Pull(ctx, request)
+		if err != nil {
+			return false, errkind.Wrap(err, errkind.PeerUnavailable, "pull from %v", from)
+		}
+		if err := n.calls.do(ctx, func() { n.core.mergePage(time.Now(), page) }); err != nil {
+			return false, err
+		}
+		if page.Next == "" {
+			return page.Ready, nil
+		}
+		request.Cursor = page.Next
+	}
+}
+
+// nodeService serves the twirp calls of other processes.
+type nodeService struct {
+	node *Node
+}
+
+// Pull returns one page of the whole state.
+func (s *nodeService) Pull(ctx context.Context, request *pb.PullRequest) (*pb.PullResponse, error) {
+	var response *pb.PullResponse
+	err := s.node.calls.do(ctx, func() {
+		response = s.node.core.page(request.Cursor)
+		s.node.core.meet(time.Now(), request.Self)
+	})
+	return response, err
+}
+
+// FetchView returns the live servers of some services.
+func (s *nodeService) FetchView(_ context.Context, request *pb.FetchViewRequest) (*pb.FetchViewResponse, error) {
+	view := s.node.View()
+	records := selectServices(view.Servers, request.Services)
+	replaced, delta := viewDelta(records, request.Buckets)
+	response := &pb.FetchViewResponse{Replaced: replaced, Ready: s.node.Ready()}
+	for i := range delta {
+		response.Records = append(response.Records, recordToWire(delta[i], statusAlive))
+	}
+	for i := range records {
+		response.Digest ^= recordDigest(records[i])
+	}
+	response.Peers = contactsOf(view.Peers)
+	return response, nil
+}
+
+// fetchContacts is the number of balancers named in an answer.
+const fetchContacts = 8
+
+// contactsOf returns some balancers for the case that the caller's homes end.
+func contactsOf(peers []Peer) []*pb.Peer {
+	contacts := make([]*pb.Peer, 0, fetchContacts)
+	step := max(1, len(peers)/fetchContacts)
+	for i := 0; i < len(peers) && len(contacts) < fetchContacts; i += step {
+		contacts = append(contacts, peerToWire(peers[i], statusAlive))
+	}
+	return contacts
+}
--- /dev/null
+++ b/process/membership/silence.go
@@ -0,0 +1,325 @@
+package membership
+
+import (
+	"math"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bergamotbank/event"
+	pb "bergamotbank/process/membership/membershippb"
+)
+
+const (
+	// silencePeriod is the period in which homes compare what they find silent.
+	silencePeriod = 500 * time.Millisecond
+	// observationLife is the time for which another home's finding counts.
+	observationLife = 3 * silencePeriod
+	// deafAfter is the time without any datagram after which a balancer that
+	// knows others judges nobody.
+	deafAfter = 2 * time.Second
+	// weakDelay is how much longer a server must be silent when all who find
+	// it so sit in one other failure domain.
+	weakDelay = time.Second
+	// massMinimum is the least number of servers that make a mass silence.
+	massMinimum = 2
+	// silenceBatch is the largest number of servers in one message.
+	silenceBatch = 20
+)
+
+// silenceWatch is what a balancer knows as a home of servers.
+type silenceWatch struct {
+	next        time.Time
+	lastInbound time.Time
+	heard       map[string]heartbeatSeen
+	watched     map[string]time.Time // server to the time of becoming its home
+	// observed holds when another home last found a server silent.
+	observed map[observationKey]time.Time
+	mass     map[string]bool // failure domains in mass silence
+}
+
+// heartbeatSeen is the last heartbeat of a server.
+type heartbeatSeen struct {
+	at          time.Time
+	from        netip.AddrPort
+	incarnation uint64
+}
+
+type observationKey struct {
+	server string
+	home   string
+}
+
+func newSilenceWatch() silenceWatch {
+	return silenceWatch{
+		heard:    make(map[string]heartbeatSeen),
+		watched:  make(map[string]time.Time),
+		observed: make(map[observationKey]time.Time),
+		mass:     make(map[string]bool),
+	}
+}
+
+// restart gives every watched server its full time again.
+func (w *silenceWatch) restart(now time.Time) {
+	w.observed = make(map[observationKey]time.Time)
+	for server := range w.watched {
+		w.watched[server] = now
+	}
+}
+
+// watch starts or ends the watch over a server, by whether this balancer is one
+// of its homes.
+func (c *nodeCore) watch(now time.Time, entry *serverEntry) {
+	name := entry.record.Server
+	_, watched := c.silence.watched[name]
+	home := entry.status == statusAlive && containsPeer(c.homesOf(entry.hash, entry.record.Domain), c.state.peers[c.self.Name])
+	switch {
+	case home && !watched:
+		c.silence.watched[name] = now
+	case !home && watched:
+		delete(c.silence.watched, name)
+	}
+}
+
+// deaf tells whether this balancer hears nobody though it knows others, so
+// that its own reception is more likely broken than everyone else.
+func (c *nodeCore) deaf(now time.Time) bool {
+	alone := len(c.state.peers) <= 1 && len(c.silence.heard) == 0
+	return !alone && now.Sub(c.silence.lastInbound) > deafAfter
+}
+
+// handleHeartbeat takes in a heartbeat and answers it.
+func (c *nodeCore) handleHeartbeat(now time.Time, from netip.AddrPort, server string, heartbeat *pb.Heartbeat) {
+	if heartbeat.Record != nil && heartbeat.Record.Server == server {
+		if record, _, err := recordFromWire(heartbeat.Record); err == nil {
+			c.mergeRecord(now, record, statusAlive)
+		}
+	}
+	entry, known := c.state.servers[server]
+	if !known || heartbeat.Incarnation >= entry.record.Incarnation {
+		c.silence.heard[server] = heartbeatSeen{at: now, from: from, incarnation: heartbeat.Incarnation}
+	}
+	reply := c.heartbeatReply(server, heartbeat)
+	c.send(from, &pb.Envelope{Body: &pb.Envelope_HeartbeatReply{HeartbeatReply: reply}})
+}
+
+func (c *nodeCore) heartbeatReply(server string, heartbeat *pb.Heartbeat) *pb.HeartbeatReply {
+	reply := &pb.HeartbeatReply{Server: serverCheck(server), Ready: c.join.ready}
+	entry, known := c.state.servers[server]
+	if !known {
+		reply.WantRecord = true
+		return reply
+	}
+	reply.Incarnation = entry.record.Incarnation
+	reply.Sequence = entry.record.Sequence
+	order := compareVersions(entry.record.Incarnation, entry.record.Sequence, 0, heartbeat.Incarnation, heartbeat.Sequence, 0)
+	reply.WantRecord = order < 0
+	reply.RefuteIncarnation, reply.RefuteSequence = c.refutation(entry, heartbeat.Incarnation)
+	reply.View = viewDigest(c.digests, entry.record.Service, heartbeat.DependsOn)
+	homes := c.homesOf(entry.hash, entry.record.Domain)
+	names := make([]string, 0, homeCount)
+	for _, home := range homes {
+		names = append(names, home.peer.Name)
+	}
+	if homesHash(names) != heartbeat.Homes {
+		for _, home := range homes {
+			reply.Homes = append(reply.Homes, peerToWire(home.peer, home.status))
+		}
+	}
+	return reply
+}
+
+// refutation returns the version that the agent must exceed to be seen as
+// alive, or zeros.
+func (c *nodeCore) refutation(entry *serverEntry, incarnation uint64) (uint64, uint64) {
+	if entry.record.Incarnation > incarnation || entry.status != statusAlive {
+		return entry.record.Incarnation, entry.record.Sequence
+	}
+	if owner, replaced := c.state.superseded(entry); replaced {
+		return owner.incarnation, math.MaxUint64
+	}
+	return 0, 0
+}
+
+// serverCheck is a short check of the name of a server.
+func serverCheck(server string) uint32 {
+	return uint32(xxhash.Sum64String(server))
+}
+
+// refuteForAgent tells the agent of a server that others hold for silent,
+// while its heartbeats arrive here.
+func (c *nodeCore) refuteForAgent(now time.Time, entry *serverEntry) {
+	heard, ok := c.silence.heard[entry.record.Server]
+	if !ok || now.Sub(heard.at) > c.timing.SilentAfter || heard.incarnation < entry.record.Incarnation {
+		return
+	}
+	c.send(heard.from, &pb.Envelope{Body: &pb.Envelope_HeartbeatReply{HeartbeatReply: &pb.HeartbeatReply{
+		Server:            serverCheck(entry.record.Server),
+		Ready:             c.join.ready,
+		RefuteIncarnation: entry.record.Incarnation,
+		RefuteSequence:    entry.record.Sequence,
+	}}})
+}
+
+// lastHeard returns when a watched server was heard last; a new home counts
+// from the time it became one.
+func (c *nodeCore) lastHeard(name string, incarnation uint64) time.Time {
+	last := c.silence.watched[name]
+	heard, ok := c.silence.heard[name]
+	if ok && heard.incarnation >= incarnation && heard.at.After(last) {
+		return heard.at
+	}
+	return last
+}
+
+// handleSilence takes in what another home finds silent.
+func (c *nodeCore) handleSilence(now time.Time, home string, silence *pb.Silence) {
+	for _, server := range silence.Servers {
+		entry, ok := c.state.servers[server.Server]
+		if ok && entry.record.Incarnation == server.Incarnation {
+			c.silence.observed[observationKey{server: entry.record.Server, home: home}] = now
+		}
+	}
+}
+
+// silentServer is a watched server without heartbeats.
+type silentServer struct {
+	entry *serverEntry
+	since time.Duration
+	homes []*peerEntry
+}
+
+// tickSilence compares with the other homes which servers are silent, and
+// takes out those that all homes find silent.
+func (c *nodeCore) tickSilence(now time.Time) {
+	if now.Before(c.silence.next) {
+		return
+	}
+	c.silence.next = now.Add(silencePeriod)
+	c.expireObservations(now)
+	if !c.join.ready || c.deaf(now) {
+		return
+	}
+	silent, totals := c.silentServers(now)
+	c.tellHomes(silent)
+	held := c.massSilence(silent, totals)
+	for _, server := range silent {
+		if c.confirmed(server, held[server.entry.record.Domain]) {
+			c.mergeRecord(now, server.entry.record, statusSilent)
+		}
+	}
+}
+
+func (c *nodeCore) expireObservations(now time.Time) {
+	for key, at := range c.silence.observed {
+		if now.Sub(at) > observationLife {
+			delete(c.silence.observed, key)
+		}
+	}
+	for server, heard := range c.silence.heard {
+		if now.Sub(heard.at) > c.timing.ForgetAfter {
+			delete(c.silence.heard, server)
+		}
+	}
+}
+
+// silentServers returns the watched servers that are silent, by name, and the
+// number of servers per failure domain that can be judged.
+func (c *nodeCore) silentServers(now time.Time) ([]silentServer, map[string]int) {
+	var silent []silentServer
+	totals := make(map[string]int)
+	for name := range c.silence.watched {
+		entry, ok := c.state.servers[name]
+		if !ok || !c.state.live(entry) {
+			continue
+		}
+		since := now.Sub(c.lastHeard(name, entry.record.Incarnation))
+		_, heard := c.silence.heard[name]
+		if since <= c.timing.SilentAfter && !heard {
+			continue
+		}
+		totals[entry.record.Domain]++
+		if since > c.timing.SilentAfter {
+			homes := c.homesOf(entry.hash, entry.record.Domain)
+			silent = append(silent, silentServer{entry: entry, since: since, homes: homes})
+		}
+	}
+	slices.SortFunc(silent, func(a, b silentServer) int {
+		if a.entry.record.Server < b.entry.record.Server {
+			return -1
+		}
+		return 1
+	})
+	return silent, totals
+}
+
+// tellHomes sends the other homes what is silent here.
+func (c *nodeCore) tellHomes(silent []silentServer) {
+	lists := make(map[*peerEntry][]*pb.SilentServer)
+	var order []*peerEntry
+	for _, server := range silent {
+		for _, home := range server.homes {
+			if home.peer.Name == c.self.Name {
+				continue
+			}
+			if lists[home] == nil {
+				order = append(order, home)
+			}
+			lists[home] = append(lists[home], &pb.SilentServer{
+				Server:      server.entry.record.Server,
+				Incarnation: server.entry.record.Incarnation,
+				Sequence:    server.entry.record.Sequence,
+			})
+		}
+	}
+	for _, home := range order {
+		for chunk := range slices.Chunk(lists[home], silenceBatch) {
+			c.send(home.peer.Control, &pb.Envelope{Body: &pb.Envelope_Silence{Silence: &pb.Silence{Servers: chunk}}})
+		}
+	}
+}
+
+// massSilence returns the failure domains most of whose servers went silent
+// here, and records the change.
+func (c *nodeCore) massSilence(silent []silentServer, totals map[string]int) map[string]bool {
+	counts := make(map[string]int)
+	for _, server := range silent {
+		counts[server.entry.record.Domain]++
+	}
+	held := make(map[string]bool)
+	for domain, count := range counts {
+		if count >= massMinimum && 2*count > totals[domain] {
+			held[domain] = true
+		}
+	}
+	for domain := range held {
+		if !c.silence.mass[domain] {
+			c.record(event.Event{Kind: event.MassSilence, Domain: domain, Count: uint64(counts[domain])})
+		}
+	}
+	c.silence.mass = held
+	return held
+}
+
+// confirmed tells whether all live homes find a server silent. When all of
+// them sit in one other failure domain, the cut may be ours: the server then
+// stays while most servers of its failure domain are silent too.
+func (c *nodeCore) confirmed(server silentServer, mass bool) bool {
+	domains := make(map[string]bool)
+	for _, home := range server.homes {
+		domains[home.peer.Domain] = true
+		if home.peer.Name == c.self.Name {
+			continue
+		}
+		key := observationKey{server: server.entry.record.Server, home: home.peer.Name}
+		if _, found := c.silence.observed[key]; !found {
+			return false
+		}
+	}
+	if domains[server.entry.record.Domain] || len(domains) > 1 {
+		return true
+	}
+	return !mass && server.since > c.timing.SilentAfter+weakDelay
+}
--- /dev/null
+++ b/process/membership/state.go
@@ -0,0 +1,277 @@
+package membership
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// bucketCount is the number of digest buckets of a failure domain.
+const bucketCount = 256
+
+// serverEntry is what a balancer holds about a backend server.
+type serverEntry struct {
+	record  Record
+	status  status
+	hash    uint64
+	changed time.Time
+}
+
+func (e *serverEntry) compare(r Record, st status) int {
+	order := compareVersions(e.record.Incarnation, e.record.Sequence, e.status, r.Incarnation, r.Sequence, st)
+	return cmp.Or(order, compareRecords(e.record, r))
+}
+
+// compareRecords breaks the tie between two records that claim the same
+// version, so that every balancer keeps the same one.
+func compareRecords(a, b Record) int {
+	return cmp.Or(
+		strings.Compare(a.Service, b.Service),
+		strings.Compare(a.Domain, b.Domain),
+		a.Packet.Compare(b.Packet),
+		a.Control.Compare(b.Control),
+		cmp.Compare(a.State, b.State),
+		cmp.Compare(a.Weight, b.Weight),
+		cmp.Compare(a.MinProtocol, b.MinProtocol),
+		cmp.Compare(a.MaxProtocol, b.MaxProtocol),
+	)
+}
+
+// peerEntry is what a balancer holds about a balancer.
+type peerEntry struct {
+	peer    Peer
+	status  status
+	hash    uint64
+	changed time.Time
+}
+
+func (e *peerEntry) compare(p Peer, st status) int {
+	return cmp.Or(
+		compareVersions(e.peer.Incarnation, 0, e.status, p.Incarnation, 0, st),
+		strings.Compare(e.peer.Domain, p.Domain),
+		e.peer.Packet.Compare(p.Packet),
+		e.peer.Control.Compare(p.Control),
+		cmp.Compare(e.peer.MinProtocol, p.MinProtocol),
+		cmp.Compare(e.peer.MaxProtocol, p.MaxProtocol),
+	)
+}
+
+// addrOwner is the newest server seen at a packet address.
+type addrOwner struct {
+	incarnation uint64
+	hash        uint64
+}
+
+func (o addrOwner) compare(other addrOwner) int {
+	return cmp.Or(cmp.Compare(o.incarnation, other.incarnation), cmp.Compare(o.hash, other.hash))
+}
+
+// domainDigest is the digest of the live entries of a failure domain.
+type domainDigest struct {
+	total   uint64
+	buckets [bucketCount]uint64
+}
+
+// state is the merged knowledge of a balancer. Merging is commutative,
+// associative and idempotent.
+type state struct {
+	servers map[string]*serverEntry
+	peers   map[string]*peerEntry
+	owners  map[uint64]addrOwner
+	digests map[string]*domainDigest
+	names   map[string]string
+}
+
+func newState() *state {
+	return &state{
+		servers: make(map[string]*serverEntry),
+		peers:   make(map[string]*peerEntry),
+		owners:  make(map[uint64]addrOwner),
+		digests: make(map[string]*domainDigest),
+		names:   make(map[string]string),
+	}
+}
+
+// intern returns one shared copy of a name that many entries carry.
+func (s *state) intern(name string) string {
+	if shared, ok := s.names[name]; ok {
+		return shared
+	}
+	name = strings.Clone(name)
+	s.names[name] = name
+	return name
+}
+
+// mergeServer takes in an announcement. It returns 1 when the announcement is
+// newer than what was known, 0 when it is known, -1 when it is older.
+func (s *state) mergeServer(r Record, st status, now time.Time) int {
+	entry, known := s.servers[r.Server]
+	if known {
+		if order := entry.compare(r, st); order >= 0 {
+			return -order
+		}
+		s.toggleServer(entry)
+	} else {
+		entry = &serverEntry{hash: xxhash.Sum64String(r.Server)}
+		s.servers[r.Server] = entry
+	}
+	r.Service = s.intern(r.Service)
+	r.Domain = s.intern(r.Domain)
+	if known {
+		r.Server = entry.record.Server
+	}
+	entry.record = r
+	entry.status = st
+	entry.changed = now
+	s.claimAddr(entry)
+	s.toggleServer(entry)
+	return 1
+}
+
+// claimAddr makes the server the owner of its packet address unless a server
+// of a higher incarnation was seen there.
+func (s *state) claimAddr(e *serverEntry) {
+	key := packAddr(e.record.Packet)
+	claim := addrOwner{incarnation: e.record.Incarnation, hash: e.hash}
+	if owner, ok := s.owners[key]; !ok || owner.compare(claim) < 0 {
+		s.owners[key] = claim
+	}
+}
+
+// superseded returns the owner of the server's packet address when that is
+// another server.
+func (s *state) superseded(e *serverEntry) (addrOwner, bool) {
+	owner := s.owners[packAddr(e.record.Packet)]
+	return owner, owner != addrOwner{incarnation: e.record.Incarnation, hash: e.hash}
+}
+
+// live tells whether a server belongs into the view.
+func (s *state) live(e *serverEntry) bool {
+	if e.status != statusAlive {
+		return false
+	}
+	_, replaced := s.superseded(e)
+	return !replaced
+}
+
+// mergePeer takes in an announcement of a balancer, with results as those of
+// mergeServer.
+func (s *state) mergePeer(p Peer, st status, now time.Time) int {
+	entry, known := s.peers[p.Name]
+	if known {
+		if order := entry.compare(p, st); order >= 0 {
+			return -order
+		}
+		s.togglePeer(entry)
+	} else {
+		entry = &peerEntry{hash: xxhash.Sum64String(p.Name)}
+		s.peers[p.Name] = entry
+	}
+	p.Domain = s.intern(p.Domain)
+	entry.peer = p
+	entry.status = st
+	entry.changed = now
+	s.togglePeer(entry)
+	return 1
+}
+
+// removeServer drops a server for good.
+func (s *state) removeServer(e *serverEntry) {
+	s.toggleServer(e)
+	key := packAddr(e.record.Packet)
+	if _, replaced := s.superseded(e); !replaced {
+		delete(s.owners, key)
+	}
+	delete(s.servers, e.record.Server)
+}
+
+// removePeer drops a peer for good.
+func (s *state) removePeer(e *peerEntry) {
+	s.togglePeer(e)
+	delete(s.peers, e.peer.Name)
+}
+
+// toggleServer adds a live server to the digests or takes it out again.
+func (s *state) toggleServer(e *serverEntry) {
+	if e.status != statusAlive {
+		return
+	}
+	s.toggle(e.record.Domain, e.hash, e.record.Incarnation, e.record.Sequence, uint64(e.status))
+}
+
+// togglePeer adds a live peer to the digests or takes it out again.
+func (s *state) togglePeer(e *peerEntry) {
+	if e.status > statusSuspect {
+		return
+	}
+	s.toggle(e.peer.Domain, ^e.hash, e.peer.Incarnation, 0, uint64(e.status))
+}
+
+func (s *state) toggle(domain string, nameHash, incarnation, sequence, st uint64) {
+	digest, ok := s.digests[domain]
+	if !ok {
+		digest = &domainDigest{}
+		s.digests[domain] = digest
+	}
+	value := entryDigest(nameHash, incarnation, sequence, st)
+	digest.buckets[bucketOf(nameHash)] ^= value
+	digest.total ^= value
+}
+
+func entryDigest(nameHash, incarnation, sequence, st uint64) uint64 {
+	var buffer [32]byte
+	binary.LittleEndian.PutUint64(buffer[0:], nameHash)
+	binary.LittleEndian.PutUint64(buffer[8:], incarnation)
+	binary.LittleEndian.PutUint64(buffer[16:], sequence)
+	binary.LittleEndian.PutUint64(buffer[24:], st)
+	return xxhash.Sum64(buffer[:])
+}
+
+func bucketOf(nameHash uint64) uint32 {
+	return uint32(nameHash % bucketCount)
+}
+
+// total returns the digest of the whole state.
+func (s *state) total() uint64 {
+	var sum uint64
+	for domain, digest := range s.digests {
+		if digest.total != 0 {
+			sum ^= mix(digest.total, xxhash.Sum64String(domain))
+		}
+	}
+	return sum
+}
+
+// view returns a snapshot of what is alive, without the peer named self.
+func (s *state) view(self string) View {
+	view := View{}
+	live := 0
+	for _, e := range s.servers {
+		if s.live(e) {
+			live++
+		}
+	}
+	view.Servers = make([]Record, 0, live)
+	for _, e := range s.servers {
+		if s.live(e) {
+			view.Servers = append(view.Servers, e.record)
+		}
+	}
+	view.Peers = make([]Peer, 0, len(s.peers))
+	for name, e := range s.peers {
+		if name != self && e.status <= statusSuspect {
+			view.Peers = append(view.Peers, e.peer)
+		}
+	}
+	sortView(&view)
+	return view
+}
+
+func sortView(view *View) {
+	slices.SortFunc(view.Servers, func(a, b Record) int { return strings.Compare(a.Server, b.Server) })
+	slices.SortFunc(view.Peers, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
+}
--- /dev/null
+++ b/process/timeline/timeline_test.go
@@ -0,0 +1,149 @@
+package timeline_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"bergamotbank/errkind"
+	"bergamotbank/event"
+	"bergamotbank/process/timeline"
+)
+
+// epoch is the physical time at which the rings of the tests stand.
+var epoch = time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC)
+
+func newRing(process string, capacity int, now time.Time) *timeline.Ring {
+	return timeline.NewRing(timeline.Options{
+		Process:  process,
+		Capacity: capacity,
+		Now:      func() time.Time { return now },
+	})
+}
+
+func serve(t *testing.T, ring *timeline.Ring) netip.AddrPort {
+	mux := http.NewServeMux()
+	prefix, handler := ring.Handler()
+	mux.Handle(prefix, handler)
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+}
+
+func kinds(entries []timeline.Entry) string {
+	names := make([]string, 0, len(entries))
+	for _, entry := range entries {
+		names = append(names, entry.Process+":"+string(entry.Event.Kind))
+	}
+	return strings.Join(names, " ")
+}
+
+func TestCauseComesBeforeEffect(t *testing.T) {
+	convey.Convey("Given a process whose clock is a second behind", t, func() {
+		ahead := newRing("ahead", 10, epoch.Add(time.Second))
+		behind := newRing("behind", 10, epoch)
+		ahead.Record(event.Event{Kind: event.DomainOut})
+		stamp := ahead.Stamp()
+		convey.Convey("an effect is after its cause once the stamp was observed", func() {
+			behind.Observe(stamp)
+			behind.Record(event.Event{Kind: event.FlowsGivenUp})
+			entries, missing := timeline.Collect(context.Background(), []netip.AddrPort{serve(t, behind), serve(t, ahead)}, timeline.Filter{})
+			convey.So(missing, convey.ShouldBeEmpty)
+			convey.So(kinds(entries), convey.ShouldEqual, "ahead:domain_out behind:flows_given_up")
+		})
+		convey.Convey("without it the order is that of the physical clocks", func() {
+			behind.Record(event.Event{Kind: event.FlowsGivenUp})
+			entries, _ := timeline.Collect(context.Background(), []netip.AddrPort{serve(t, behind), serve(t, ahead)}, timeline.Filter{})
+			convey.So(kinds(entries), convey.ShouldEqual, "behind:flows_given_up ahead:domain_out")
+		})
+		convey.Convey("a stamp far in the future is not taken in", func() {
+			behind.Observe(uint64(timeline.StampAt(epoch.Add(time.Hour))))
+			convey.So(timeline.Stamp(behind.Stamp()).Time(), convey.ShouldEqual, epoch.Local())
+		})
+	})
+}
+
+func TestMissingProcessesAreNamed(t *testing.T) {
+	convey.Convey("A process that does not answer is named and the others are given", t, func() {
+		ring := newRing("here", 10, epoch)
+		ring.Record(event.Event{Kind: event.ProcessReady})
+		closed := netip.MustParseAddrPort("127.0.0.1:1")
+		entries, missing := timeline.Collect(context.Background(), []netip.AddrPort{closed, serve(t, ring)}, timeline.Filter{})
+		convey.So(kinds(entries), convey.ShouldEqual, "here:process_ready")
+		convey.So(len(missing), convey.ShouldEqual, 1)
+		convey.So(missing[0].Addr, convey.ShouldEqual, closed)
+		convey.So(errkind.Is(missing[0].Err, errkind.PeerUnavailable), convey.ShouldBeTrue)
+	})
+	convey.Convey("A process that keeps silent is given up at the deadline", t, func() {
+		release := make(chan struct{})
+		server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { <-release }))
+		defer server.Close()
+		defer close(release)
+		addr := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
+		ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+		defer cancel()
+		_, missing := timeline.Collect(ctx, []netip.AddrPort{addr}, timeline.Filter{})
+		convey.So(len(missing), convey.ShouldEqual, 1)
+	})
+}
+
+func TestRingIsBoundedAndPaged(t *testing.T) {
+	convey.Convey("Given a ring of 3,000 entries with long texts after 5,000 events", t, func() {
+		ring := newRing("p", 3000, epoch)
+		for i := range 5000 {
+			ring.Record(event.Event{Kind: event.ViewChanged, Count: uint64(i), Detail: strings.Repeat("é", 400)})
+		}
+		collector := timeline.NewCollector([]netip.AddrPort{serve(t, ring)}, timeline.Filter{})
+		entries, missing := collector.Poll(context.Background())
+		convey.Convey("the newest 3,000 come, in order, with their texts cut", func() {
+			convey.So(len(entries), convey.ShouldEqual, 3000)
+			convey.So(entries[0].Event.Count, convey.ShouldEqual, 2000)
+			convey.So(entries[2999].Event.Count, convey.ShouldEqual, 4999)
+			convey.So(entries[0].Event.Detail, convey.ShouldEqual, strings.Repeat("é", 128))
+		})
+		convey.Convey("the number of dropped entries is told", func() {
+			convey.So(len(missing), convey.ShouldEqual, 1)
+			convey.So(missing[0].Dropped, convey.ShouldEqual, 2000)
+			convey.So(missing[0].Err, convey.ShouldBeNil)
+		})
+		convey.Convey("the next poll brings only what is new", func() {
+			ring.Record(event.Event{Kind: event.DrainStarted})
+			entries, missing := collector.Poll(context.Background())
+			convey.So(kinds(entries), convey.ShouldEqual, "p:drain_started")
+			convey.So(missing, convey.ShouldBeEmpty)
+		})
+	})
+}
+
+func TestFilter(t *testing.T) {
+	ring := newRing("p", 10, epoch)
+	ring.Record(event.Event{Kind: event.DrainStarted, Service: "ordering", Server: "s1", Domain: "junin"})
+	ring.Record(event.Event{Kind: event.RequestRefused, Service: "catalogue", Request: "r7", Domain: "pasco"})
+	ring.Record(event.Event{Kind: event.DrainFinished, Service: "ordering", Server: "s1", Domain: "junin"})
+	addrs := []netip.AddrPort{serve(t, ring)}
+	cases := map[string]struct {
+		filter timeline.Filter
+		want   string
+	}{
+		"service": {timeline.Filter{Service: "catalogue"}, "p:request_refused"},
+		"server":  {timeline.Filter{Server: "s1"}, "p:drain_started p:drain_finished"},
+		"domain":  {timeline.Filter{Domain: "pasco"}, "p:request_refused"},
+		"request": {timeline.Filter{Request: "r7"}, "p:request_refused"},
+		"kinds":   {timeline.Filter{Kinds: []event.Kind{event.DrainStarted, event.RequestRefused}}, "p:drain_started p:request_refused"},
+		"since":   {timeline.Filter{Since: timeline.StampAt(epoch) + 2}, "p:drain_finished"},
+		"both":    {timeline.Filter{Server: "s1", Kinds: []event.Kind{event.DrainFinished}}, "p:drain_finished"},
+		"none":    {timeline.Filter{Service: "other"}, ""},
+	}
+	for name, c := range cases {
+		convey.Convey("Filter by "+name, t, func() {
+			entries, _ := timeline.Collect(context.Background(), addrs, c.filter)
+			convey.So(kinds(entries), convey.ShouldEqual, c.want)
+		})
+	}
+}
