Admit, queue and proxy requests at the agent

The agent needs a gate in front of its backend server.

Ruled out: http.Transport, which repeats a request on a reused connection by itself, also a POST with an Idempotency-Key.

Checked by go test ./request/..., also with -race.

--- /dev/null
+++ b/request/admission/gate.go
@@ -0,0 +1,188 @@
+// Package admission is the shell around the pure request packages: it takes
+// callers' requests, asks the engine whether they may start, sends each to the
+// backend server once and tells the caller the truth about the outcome.
+package admission
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"bergamotbank/errkind"
+	"bergamotbank/event"
+	"bergamotbank/request/backend"
+	"bergamotbank/request/limit"
+	"bergamotbank/request/queue"
+)
+
+const (
+	// defaultSlots holds until SetLimits is called.
+	defaultSlots = 1
+	// defaultConnections holds until SetLimits is called.
+	defaultConnections = 2000
+	// defaultTimeout holds until SetLimits is called.
+	defaultTimeout = 10 * time.Second
+	// reachPeriod is the period of the check whether a paused backend server
+	// takes connections.
+	reachPeriod = time.Second
+	// drainPoll is the period of the check whether a drain has finished.
+	drainPoll = 10 * time.Millisecond
+)
+
+// Sibling is another agent of the same service.
+type Sibling struct {
+	// Server is the name of its backend server.
+	Server string
+	// Control is its control address.
+	Control netip.AddrPort
+	// State is the announced state of its backend server.
+	State limit.State
+	// Weight is the announced weight, 0 to limit.FullWeight.
+	Weight uint16
+	// Room is how many further requests it is thought to take at once; 0 when not
+	// known.
+	Room int
+}
+
+// Options are the settings of a Gate.
+type Options struct {
+	// Service is the name of the service.
+	Service string
+	// Server is the name of the backend server.
+	Server string
+	// Backend is the address of the backend server.
+	Backend netip.AddrPort
+	// Recorder takes the events for the time line.
+	Recorder event.Recorder
+	// Siblings returns the agents of the service that are alive. It returns nil
+	// while that is not known yet, and an empty slice when there are none. The
+	// agent itself may be among them.
+	Siblings func() []Sibling
+	// DependencyHealthy tells whether every service that this one depends on has a
+	// healthy backend server, or names one that has none. It may be nil.
+	DependencyHealthy func() (missing string, ok bool)
+	// OnState is told each change of the state and weight to announce. It must not
+	// block. It may be nil.
+	OnState func(state limit.State, weight uint16)
+}
+
+// Gate admits the requests of one backend server. It is an http.Handler for
+// callers' requests. Run must be running for it to serve.
+type Gate struct {
+	options  Options
+	engine   *engine
+	client   *backend.Client
+	buffers  sync.Pool
+	requests atomic.Uint64
+	timeout  atomic.Int64
+	maxOpen  atomic.Int64
+	relays   atomic.Int64
+	draining atomic.Bool
+	seen     atomic.Pointer[snapshot]
+	counters counters
+}
+
+// New returns a gate. Until SetLimits is called it admits one request at a time.
+func New(options Options) *Gate {
+	if options.Recorder == nil {
+		options.Recorder = event.Discard{}
+	}
+	g := &Gate{
+		options: options,
+		client:  backend.NewClient(options.Backend.String()),
+	}
+	g.buffers.New = func() any { return new([copyBufferSize]byte) }
+	g.timeout.Store(int64(defaultTimeout))
+	g.maxOpen.Store(defaultConnections)
+	g.seen.Store(&snapshot{slots: defaultSlots, limit: 1})
+	g.engine = newEngine(options, func(s snapshot) { g.seen.Store(&s) })
+	return g
+}
+
+// SetLimits sets the slots and connections of the backend server and the timeout
+// of a request. Values below one leave the former value.
+func (g *Gate) SetLimits(slots, connections int, timeout time.Duration) {
+	if timeout > 0 {
+		g.timeout.Store(int64(timeout))
+	}
+	if connections > 0 {
+		g.maxOpen.Store(int64(connections))
+	}
+	if slots < 1 {
+		slots = g.seen.Load().slots
+	}
+	connections = int(g.maxOpen.Load())
+	g.engine.post(engineEvent{kind: eventLimits, slots: slots, connections: connections})
+}
+
+// Run runs the engine and its timers until ctx ends.
+func (g *Gate) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		g.engine.run(ctx)
+		return nil
+	})
+	group.Go(func() error {
+		g.checkReachable(ctx)
+		return nil
+	})
+	return group.Wait()
+}
+
+// checkReachable opens a connection now and then while the backend server takes
+// no requests, as a hint that it can be tried again.
+func (g *Gate) checkReachable(ctx context.Context) {
+	ticker := time.NewTicker(reachPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if g.seen.Load().room > 0 {
+			continue
+		}
+		conn, err := g.client.Dial(ctx)
+		if err != nil {
+			continue
+		}
+		_ = conn.Close()
+		g.engine.post(engineEvent{kind: eventReachable})
+	}
+}
+
+// Drain refuses new work and waits until every open request, stream and relayed
+// connection has ended. It returns an error of the kind Partial when ctx ends
+// first.
+func (g *Gate) Drain(ctx context.Context) error {
+	g.draining.Store(true)
+	g.engine.post(engineEvent{kind: eventDrain})
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for {
+		open := g.Open()
+		if open == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errkind.Wrap(ctx.Err(), errkind.Partial, "drain ended with %d requests open", open)
+		case <-ticker.C:
+		}
+	}
+}
+
+// Open returns the number of requests, streams and relayed connections that are
+// open.
+func (g *Gate) Open() int {
+	return int(g.counters.open.Load() + g.relays.Load())
+}
+
+func (g *Gate) nextID() queue.ID {
+	return queue.ID(g.requests.Add(1))
+}
--- /dev/null
+++ b/request/admission/gate_test.go
@@ -0,0 +1,346 @@
+package admission
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+const testTimeout = 5 * time.Second
+
+// bench is a gate in front of a fake backend server, served over loopback.
+type bench struct {
+	t      *testing.T
+	gate   *Gate
+	front  *httptest.Server
+	client *http.Client
+}
+
+func newBench(t *testing.T, backend netip.AddrPort, options Options) *bench {
+	t.Helper()
+	options.Backend = backend
+	if options.Server == "" {
+		options.Server = "s1"
+	}
+	options.Service = "ordering"
+	gate := New(options)
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		_ = gate.Run(ctx)
+	}()
+	front := httptest.NewUnstartedServer(gate)
+	front.Config.ErrorLog = nil
+	front.Start()
+	transport := &http.Transport{}
+	t.Cleanup(func() {
+		transport.CloseIdleConnections()
+		front.CloseClientConnections()
+		front.Close()
+		cancel()
+		<-stopped
+	})
+	return &bench{t: t, gate: gate, front: front, client: &http.Client{Transport: transport}}
+}
+
+func httpBackend(t *testing.T, handler http.HandlerFunc) netip.AddrPort {
+	t.Helper()
+	server := httptest.NewServer(handler)
+	t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return netip.MustParseAddrPort(server.Listener.Addr().String())
+}
+
+// rawBackend accepts connections and gives each to serve with the request read.
+func rawBackend(t *testing.T, serve func(net.Conn, *http.Request)) netip.AddrPort {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				req, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, req.Body)
+				serve(conn, req)
+			}()
+		}
+	}()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+func (b *bench) do(method, path, body string, headers ...string) reply {
+	req, err := http.NewRequest(method, b.front.URL+path, strings.NewReader(body))
+	if err != nil {
+		b.t.Fatal(err)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := b.client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(text), err: err}
+}
+
+func waitFor(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for range 2000 {
+		if condition() {
+			return
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatalf("never happened: %s", what)
+}
+
+func TestAnswersPassWhole(t *testing.T) {
+	convey.Convey("Bodies of every size and framing reach the caller unchanged", t, func() {
+		big := strings.Repeat("0123456789abcdef", 40000)
+		b := newBench(t, httpBackend(t, func(w http.ResponseWriter, r *http.Request) {
+			text, _ := io.ReadAll(r.Body)
+			if r.URL.Path == "/known" {
+				w.Header().Set("Content-Length", fmt.Sprint(len(text)))
+			}
+			w.Header().Set("X-Seen-Deadline", r.Header.Get(HeaderDeadline))
+			_, _ = w.Write(text)
+		}), Options{})
+		for _, path := range []string{"/known", "/chunked"} {
+			for _, body := range []string{"", "small", big} {
+				got := b.do(http.MethodPost, path, body, HeaderDeadline, "3000")
+				convey.So(got.err, convey.ShouldBeNil)
+				convey.So(got.status, convey.ShouldEqual, http.StatusOK)
+				convey.So(got.body == body, convey.ShouldBeTrue)
+				convey.So(got.header.Get("X-Seen-Deadline"), convey.ShouldNotBeEmpty)
+			}
+		}
+	})
+}
+
+func TestBackendServerFails(t *testing.T) {
+	cases := []struct {
+		name   string
+		serve  func(net.Conn, *http.Request)
+		status int
+		run    string
+		kind   string
+	}{
+		{"closes after the request", func(net.Conn, *http.Request) {}, 502, "unknown", "backend_failed"},
+		{"sends a broken header", func(c net.Conn, _ *http.Request) {
+			fmt.Fprint(c, "HTTP/1.1 200 OK\r\nContent-Le")
+		}, 502, "unknown", "backend_failed"},
+		{"answers after the deadline", func(c net.Conn, _ *http.Request) {
+			_, _ = c.Read(make([]byte, 1))
+		}, 504, "unknown", "backend_timeout"},
+	}
+	for _, c := range cases {
+		convey.Convey("A backend server that "+c.name+" leaves an unknown outcome", t, func() {
+			b := newBench(t, rawBackend(t, c.serve), Options{})
+			got := b.do(http.MethodPost, "/order", "x", HeaderDeadline, "300")
+			convey.So(got.err, convey.ShouldBeNil)
+			convey.So(got.status, convey.ShouldEqual, c.status)
+			convey.So(got.header.Get(HeaderRun), convey.ShouldEqual, c.run)
+			convey.So(got.header.Get(HeaderError), convey.ShouldEqual, c.kind)
+		})
+	}
+	convey.Convey("A backend server that takes no connections leaves the request not run", t, func() {
+		b := newBench(t, netip.MustParseAddrPort("127.0.0.1:1"), Options{})
+		got := b.do(http.MethodPost, "/order", "x")
+		convey.So(got.status, convey.ShouldEqual, 503)
+		convey.So(got.header.Get(HeaderRun), convey.ShouldEqual, "not-run")
+		convey.So(got.header.Get(HeaderError), convey.ShouldEqual, "backend_unavailable")
+		convey.So(got.header.Get("Retry-After"), convey.ShouldEqual, "1")
+	})
+	convey.Convey("An answer that breaks off never looks whole", t, func() {
+		for _, head := range []string{"Content-Length: 10\r\n\r\n12345", "Transfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n"} {
+			b := newBench(t, rawBackend(t, func(c net.Conn, _ *http.Request) {
+				fmt.Fprint(c, "HTTP/1.1 200 OK\r\n"+head)
+			}), Options{})
+			got := b.do(http.MethodGet, "/", "")
+			convey.So(got.err, convey.ShouldNotBeNil)
+		}
+	})
+}
+
+func TestSlotsQueueAndCancel(t *testing.T) {
+	convey.Convey("No more requests run at once than the limit, the rest wait or are refused", t, func() {
+		var running, most, total atomic.Int64
+		release := make(chan struct{})
+		b := newBench(t, httpBackend(t, func(_ http.ResponseWriter, r *http.Request) {
+			total.Add(1)
+			if n := running.Add(1); n > most.Load() {
+				most.Store(n)
+			}
+			defer running.Add(-1)
+			select {
+			case <-release:
+			case <-r.Context().Done():
+			}
+		}), Options{})
+		b.gate.SetLimits(1, 100, testTimeout)
+		const calls = 30
+		replies := make(chan reply, calls)
+		for range calls {
+			go func() { replies <- b.do(http.MethodPost, "/", "x") }()
+		}
+		refused := 0
+		for range calls - 1 - 16 {
+			got := <-replies
+			convey.So(got.status, convey.ShouldEqual, 503)
+			convey.So(got.header.Get(HeaderError), convey.ShouldEqual, "overloaded")
+			convey.So(got.header.Get(HeaderRun), convey.ShouldEqual, "not-run")
+			refused++
+		}
+		close(release)
+		for range calls - refused {
+			convey.So((<-replies).status, convey.ShouldEqual, 200)
+		}
+		convey.So(most.Load(), convey.ShouldEqual, 1)
+		convey.So(total.Load(), convey.ShouldEqual, calls-refused)
+	})
+	convey.Convey("A caller that goes away cancels its request at the backend server", t, func() {
+		gone := make(chan struct{})
+		b := newBench(t, httpBackend(t, func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+			close(gone)
+		}), Options{})
+		ctx, cancel := context.WithCancel(context.Background())
+		req, _ := http.NewRequestWithContext(ctx, http.MethodGet, b.front.URL, nil)
+		go func() {
+			waitFor(t, "the request runs", func() bool { return b.gate.Open() == 1 })
+			cancel()
+		}()
+		_, err := b.client.Do(req)
+		convey.So(err, convey.ShouldNotBeNil)
+		<-gone
+	})
+}
+
+func TestDrainKeepsStreamsAndOpenRequests(t *testing.T) {
+	convey.Convey("Open work ends whole, new work is refused, and Drain returns at the end", t, func() {
+		release := make(chan struct{})
+		b := newBench(t, httpBackend(t, func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/stream" {
+				w.Header().Set("Content-Type", "text/event-stream")
+			}
+			_, _ = io.WriteString(w, "begin;")
+			_ = http.NewResponseController(w).Flush()
+			<-release
+			_, _ = io.WriteString(w, "end")
+		}), Options{})
+		replies := make(chan reply, 2)
+		go func() { replies <- b.do(http.MethodGet, "/stream", "") }()
+		waitFor(t, "the stream is open", func() bool { return b.gate.Counters().Streams == 1 })
+		go func() { replies <- b.do(http.MethodGet, "/order", "") }()
+		waitFor(t, "the order is open", func() bool { return b.gate.Open() == 2 })
+		short, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+		defer cancel()
+		convey.So(b.gate.Drain(short), convey.ShouldNotBeNil)
+		late := b.do(http.MethodGet, "/order", "")
+		convey.So(late.status, convey.ShouldEqual, 503)
+		convey.So(late.header.Get(HeaderError), convey.ShouldEqual, "draining")
+		convey.So(late.header.Get(HeaderRun), convey.ShouldEqual, "not-run")
+		close(release)
+		for range 2 {
+			got := <-replies
+			convey.So(got.err, convey.ShouldBeNil)
+			convey.So(got.body, convey.ShouldEqual, "begin;end")
+		}
+		convey.So(b.gate.Drain(context.Background()), convey.ShouldBeNil)
+	})
+}
+
+func TestRelay(t *testing.T) {
+	convey.Convey("Bytes pass both ways, with half-close, within the connection limit", t, func() {
+		echo, err := net.Listen("tcp", "127.0.0.1:0")
+		convey.So(err, convey.ShouldBeNil)
+		defer echo.Close()
+		go func() {
+			for {
+				conn, err := echo.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer conn.Close()
+					_, _ = io.Copy(conn, conn)
+				}()
+			}
+		}()
+		gate := New(Options{Backend: netip.MustParseAddrPort(echo.Addr().String())})
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go func() { _ = gate.Run(ctx) }()
+		gate.SetLimits(1, 1, testTimeout)
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		convey.So(err, convey.ShouldBeNil)
+		served := make(chan error, 1)
+		go func() { served <- gate.ServeTCP(l) }()
+		first, err := net.Dial("tcp", l.Addr().String())
+		convey.So(err, convey.ShouldBeNil)
+		waitFor(t, "the first is relayed", func() bool { return gate.Open() == 1 })
+		second, err := net.Dial("tcp", l.Addr().String())
+		convey.So(err, convey.ShouldBeNil)
+		_, err = second.Read(make([]byte, 1))
+		convey.So(err, convey.ShouldNotBeNil)
+		_, _ = io.WriteString(first, "hello")
+		_ = first.(*net.TCPConn).CloseWrite()
+		text, err := io.ReadAll(first)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(string(text), convey.ShouldEqual, "hello")
+		_ = first.Close()
+		convey.So(gate.Drain(context.Background()), convey.ShouldBeNil)
+		_ = l.Close()
+		convey.So(<-served, convey.ShouldBeNil)
+	})
+}
+
+func TestDependencyWithoutHealthyServer(t *testing.T) {
+	convey.Convey("A request is refused early when a needed service has no healthy server", t, func() {
+		var ran atomic.Int64
+		backend := httpBackend(t, func(http.ResponseWriter, *http.Request) { ran.Add(1) })
+		b := newBench(t, backend, Options{
+			DependencyHealthy: func() (string, bool) { return "catalogue", false },
+		})
+		got := b.do(http.MethodPost, "/order", "x")
+		convey.So(got.status, convey.ShouldEqual, 503)
+		convey.So(got.header.Get(HeaderError), convey.ShouldEqual, "dependency_unavailable")
+		convey.So(got.header.Get(HeaderRun), convey.ShouldEqual, "not-run")
+		convey.So(got.body, convey.ShouldContainSubstring, "catalogue")
+		convey.So(ran.Load(), convey.ShouldEqual, 0)
+	})
+}
--- /dev/null
+++ b/request/admission/pass.go
@@ -0,0 +1,161 @@
+package admission
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"bergamotbank/errkind"
+	"bergamotbank/request/backend"
+	"bergamotbank/request/lifecycle"
+	"bergamotbank/request/limit"
+)
+
+const (
+	// copyBufferSize is the size in bytes of a buffer between backend server and
+	// caller. It bounds what a slow caller holds in memory.
+	copyBufferSize = 32 << 10
+	// streamBufferSize is the size in bytes of the buffer of an event stream.
+	streamBufferSize = 1 << 10
+	// streamAfter is the time after the header from which an answer counts as a
+	// stream and gives its slot back.
+	streamAfter = time.Second
+	// callerStall is how long a write to the caller may make no progress.
+	callerStall = 60 * time.Second
+	// serverStall is how long the backend server may be silent within an answer
+	// that is no event stream.
+	serverStall = 60 * time.Second
+	// eventStreamType is the media type of an answer that is a stream from its
+	// first byte.
+	eventStreamType = "text/event-stream"
+)
+
+var errCallerGone = errkind.New(errkind.Canceled, "the caller takes no more of the answer")
+
+// pass sends the answer on to the caller. When the backend server breaks off, so
+// does the answer.
+func (x *exchange) pass(answer *backend.Exchange, sample limit.Sample) {
+	x.advance((*lifecycle.Request).BeginAnswer)
+	resp := answer.Response
+	copyHeader(x.w.Header(), resp.Header)
+	if x.gate.draining.Load() {
+		x.w.Header().Set("Connection", "close")
+	}
+	announceTrailers(x.w.Header(), resp)
+	x.w.WriteHeader(resp.StatusCode)
+	if isEventStream(resp) {
+		x.becomeStream(sample)
+	}
+	err := x.copyBody(answer, sample)
+	x.finish(sample, err)
+	if err != nil {
+		x.fail(err)
+		return
+	}
+	for name, values := range resp.Trailer {
+		x.w.Header()[name] = values
+	}
+	x.advance((*lifecycle.Request).EndAnswer)
+	x.gate.counters.answered.Add(1)
+}
+
+func (x *exchange) advance(step func(*lifecycle.Request)) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	step(&x.state)
+}
+
+func announceTrailers(header http.Header, resp *http.Response) {
+	for name := range resp.Trailer {
+		header.Add("Trailer", name)
+	}
+}
+
+// becomeStream gives the slot back; the request stays open.
+func (x *exchange) becomeStream(sample limit.Sample) {
+	if x.streams {
+		return
+	}
+	x.streams = true
+	x.gate.counters.streams.Add(1)
+	x.gate.engine.post(engineEvent{kind: eventStream, id: x.id, sample: sample})
+}
+
+func (x *exchange) finish(sample limit.Sample, err error) {
+	kind := eventFinish
+	if x.streams {
+		kind = eventFinishStream
+		x.gate.counters.streams.Add(-1)
+	}
+	switch {
+	case err == nil:
+	case errkind.Is(err, errkind.Canceled):
+		sample.Outcome = limit.Abandoned
+	default:
+		sample.Outcome = limit.Reset
+	}
+	x.gate.engine.post(engineEvent{kind: kind, id: x.id, sample: sample})
+}
+
+// copyBody copies the body with a buffer of fixed size, so that a slow caller
+// slows the backend server down instead of filling memory.
+func (x *exchange) copyBody(answer *backend.Exchange, sample limit.Sample) error {
+	buffer, done := x.buffer(answer.Response)
+	defer done()
+	control := http.NewResponseController(x.w)
+	if x.streams || answer.Response.ContentLength < 0 {
+		_ = control.Flush()
+	}
+	for {
+		if !isEventStream(answer.Response) {
+			_ = answer.SetReadDeadline(time.Now().Add(serverStall))
+		}
+		n, readErr := answer.Response.Body.Read(buffer)
+		if n > 0 {
+			if err := x.write(control, buffer[:n], answer.Response.ContentLength < 0); err != nil {
+				return err
+			}
+		}
+		if time.Since(x.header) > streamAfter {
+			x.becomeStream(sample)
+		}
+		switch {
+		case errors.Is(readErr, io.EOF):
+			return nil
+		case x.r.Context().Err() != nil:
+			return errCallerGone
+		case readErr != nil:
+			return errkind.Wrap(readErr, errkind.BackendFailed, "the answer broke off")
+		}
+	}
+}
+
+// buffer returns a buffer for the answer and the function that gives it back. An
+// event stream is idle most of the time and gets a small one.
+func (x *exchange) buffer(resp *http.Response) ([]byte, func()) {
+	if isEventStream(resp) {
+		return make([]byte, streamBufferSize), func() {}
+	}
+	buffer := x.gate.buffers.Get().(*[copyBufferSize]byte)
+	return buffer[:], func() { x.gate.buffers.Put(buffer) }
+}
+
+func isEventStream(resp *http.Response) bool {
+	return strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType)
+}
+
+func (x *exchange) write(control *http.ResponseController, p []byte, flush bool) error {
+	_ = control.SetWriteDeadline(time.Now().Add(callerStall))
+	if _, err := x.w.Write(p); err != nil {
+		return errkind.Wrap(err, errkind.Canceled, "write to the caller")
+	}
+	if !flush {
+		return nil
+	}
+	if err := control.Flush(); err != nil {
+		return errkind.Wrap(err, errkind.Canceled, "write to the caller")
+	}
+	return nil
+}
