Hand requests off and agree on keyed requests across agents

A request that its agent cannot start goes to one sibling at most. A keyed request runs only when a majority of the homes of its key has granted a claim; homes grant only keys for whose whole possible age they can vouch.

Ruled out: a claim in the platform's store for each keyed request, as its several hundred writes a second are less than the orders of the fleet; one home per key, as two agents with different views would ask two homes.

--- a/request/admission/counters.go
+++ b/request/admission/counters.go
@@ -9,6 +9,10 @@
 	unknown  atomic.Uint64
 	cut      atomic.Uint64
 	streams  atomic.Int64
+	// handedOff counts the requests given to a sibling.
+	handedOff atomic.Uint64
+	// replayed counts the repeats answered from the ledger.
+	replayed atomic.Uint64
 }
 
 // Counters are the totals of a Gate.
@@ -27,6 +31,12 @@
 	Unknown uint64 `json:"unknown"`
 	// Cut is the number of answers that broke off.
 	Cut uint64 `json:"cut"`
+	// HandedOff is the number of requests given to a sibling.
+	HandedOff uint64 `json:"handed_off"`
+	// Replayed is the number of repeats answered from the ledger.
+	Replayed uint64 `json:"replayed"`
+	// Keys is the number of idempotency keys remembered.
+	Keys int `json:"keys"`
 	// Slots is the configured number of slots.
 	Slots int `json:"slots"`
 	// Limit is the present concurrency limit.
@@ -41,16 +51,19 @@
 func (g *Gate) Counters() Counters {
 	s := g.seen.Load()
 	return Counters{
-		Open:     g.counters.open.Load(),
-		Streams:  g.counters.streams.Load(),
-		Relays:   g.relays.Load(),
-		Answered: g.counters.answered.Load(),
-		Refused:  g.counters.refused.Load(),
-		Unknown:  g.counters.unknown.Load(),
-		Cut:      g.counters.cut.Load(),
-		Slots:    s.slots,
-		Limit:    s.limit,
-		Falls:    s.falls,
-		State:    s.state.String(),
+		Open:      g.counters.open.Load(),
+		Streams:   g.counters.streams.Load(),
+		Relays:    g.relays.Load(),
+		Answered:  g.counters.answered.Load(),
+		Refused:   g.counters.refused.Load(),
+		Unknown:   g.counters.unknown.Load(),
+		Cut:       g.counters.cut.Load(),
+		HandedOff: g.counters.handedOff.Load(),
+		Replayed:  g.counters.replayed.Load(),
+		Keys:      g.keeper.Keys(),
+		Slots:     s.slots,
+		Limit:     s.limit,
+		Falls:     s.falls,
+		State:     s.state.String(),
 	}
 }
--- a/request/admission/engine.go
+++ b/request/admission/engine.go
@@ -51,12 +51,14 @@
 
 // snapshot is what others may read of the engine.
 type snapshot struct {
-	room  int
-	open  int
-	slots int
-	limit int
-	falls uint64
-	state limit.State
+	room   int
+	full   bool
+	paused bool
+	open   int
+	slots  int
+	limit  int
+	falls  uint64
+	state  limit.State
 }
 
 // engine runs the admission controller in one goroutine.
@@ -192,11 +194,13 @@
 func (e *engine) snapshot(now time.Time) snapshot {
 	l := e.controller.Limiter()
 	return snapshot{
-		room:  e.controller.Room(now),
-		open:  e.controller.Open(),
-		slots: l.Slots(),
-		limit: l.Limit(),
-		falls: l.Falls(),
-		state: l.State(),
+		room:   e.controller.Room(now),
+		full:   e.controller.Full(),
+		paused: l.Paused(now),
+		open:   e.controller.Open(),
+		slots:  l.Slots(),
+		limit:  l.Limit(),
+		falls:  l.Falls(),
+		state:  l.State(),
 	}
 }
--- a/request/admission/gate.go
+++ b/request/admission/gate.go
@@ -15,6 +15,7 @@
 	"bergamotbank/errkind"
 	"bergamotbank/event"
 	"bergamotbank/request/backend"
+	"bergamotbank/request/ledgerrpc"
 	"bergamotbank/request/limit"
 	"bergamotbank/request/queue"
 )
@@ -59,8 +60,11 @@
 	// Recorder takes the events for the time line.
 	Recorder event.Recorder
 	// Siblings returns the agents of the service that are alive. It returns nil
-	// while that is not known yet, and an empty slice when there are none. The
-	// agent itself may be among them.
+	// while that is not known yet, and an empty slice when there are none; keyed
+	// requests are refused until it is known. The agent itself may be among them.
+	// An agent that leaves by plan, also with its failure domain, has to be seen
+	// as Draining before it vanishes: one that vanishes otherwise counts for the
+	// majorities of the ledger as long as it may be alive behind a cut.
 	Siblings func() []Sibling
 	// DependencyHealthy tells whether every service that this one depends on has a
 	// healthy backend server, or names one that has none. It may be nil.
@@ -84,6 +88,8 @@
 	draining atomic.Bool
 	seen     atomic.Pointer[snapshot]
 	counters counters
+	picker   *picker
+	keeper   *ledgerrpc.Keeper
 }
 
 // New returns a gate. Until SetLimits is called it admits one request at a time.
@@ -99,6 +105,13 @@
 	g.timeout.Store(int64(defaultTimeout))
 	g.maxOpen.Store(defaultConnections)
 	g.seen.Store(&snapshot{slots: defaultSlots, limit: 1})
+	g.picker = newPicker()
+	g.keeper = ledgerrpc.New(ledgerrpc.Options{
+		Service:    options.Service,
+		Self:       options.Server,
+		PathPrefix: ledgerPrefix,
+		Peers:      g.ledgerPeers,
+	})
 	g.engine = newEngine(options, func(s snapshot) { g.seen.Store(&s) })
 	return g
 }
@@ -130,9 +143,30 @@
 		g.checkReachable(ctx)
 		return nil
 	})
+	group.Go(func() error {
+		g.keeper.Run(ctx)
+		return nil
+	})
 	return group.Wait()
 }
 
+// ledgerPeers returns the siblings as the ledger sees them.
+func (g *Gate) ledgerPeers() []ledgerrpc.Peer {
+	siblings := g.siblings()
+	if siblings == nil {
+		return nil
+	}
+	peers := make([]ledgerrpc.Peer, 0, len(siblings))
+	for _, s := range siblings {
+		peers = append(peers, ledgerrpc.Peer{
+			Name:    s.Server,
+			Control: s.Control.String(),
+			Leaving: s.State == limit.Draining,
+		})
+	}
+	return peers
+}
+
 // checkReachable opens a connection now and then while the backend server takes
 // no requests, as a hint that it can be tried again.
 func (g *Gate) checkReachable(ctx context.Context) {
@@ -144,7 +178,7 @@
 			return
 		case <-ticker.C:
 		}
-		if g.seen.Load().room > 0 {
+		if !g.seen.Load().paused {
 			continue
 		}
 		conn, err := g.client.Dial(ctx)
--- a/request/admission/handler.go
+++ b/request/admission/handler.go
@@ -2,11 +2,20 @@
 
 import "net/http"
 
-// controlPrefix is the path prefix of the calls between agents of a service.
-const controlPrefix = "/request/"
+const (
+	// controlPrefix is the path prefix of the calls between agents of a service.
+	controlPrefix = "/request/"
+	// handOffPath is the path of a request that is handed on.
+	handOffPath = controlPrefix + "handoff"
+	// ledgerPrefix is the path prefix of the calls of the ledger.
+	ledgerPrefix = controlPrefix + "ledger"
+)
 
 // Handler returns the path prefix and the handler of the calls that siblings
 // make on the control address.
 func (g *Gate) Handler() (prefix string, handler http.Handler) {
-	return controlPrefix, http.NotFoundHandler()
+	mux := http.NewServeMux()
+	mux.HandleFunc(handOffPath, g.serveHandOff)
+	mux.Handle(ledgerPrefix+"/", g.keeper.Handler())
+	return controlPrefix, mux
 }
--- a/request/admission/headers.go
+++ b/request/admission/headers.go
@@ -20,10 +20,31 @@
 	HeaderDeadline = "X-Deadline-Ms"
 	// HeaderKey carries the idempotency key.
 	HeaderKey = "Idempotency-Key"
+	// HeaderAttempt carries the number of a try under a key, from 1.
+	HeaderAttempt = "Bergamot-Attempt"
+	// HeaderReplayed marks an answer that was stored for an earlier try.
+	HeaderReplayed = "Bergamot-Replayed"
+	// HeaderOriginalStatus carries the status of an answer that was not kept.
+	HeaderOriginalStatus = "Bergamot-Original-Status"
+	// HeaderTry tells whether this try alone was run, when the request failed.
+	HeaderTry = "Bergamot-Try"
 	// HeaderInstance names the instance of the backend server that answered.
 	HeaderInstance = "X-Instance"
 )
 
+// The headers between the agents of a service.
+const (
+	headerPrefix  = "Bergamot-"
+	headerURI     = "Bergamot-Handoff-Uri"
+	headerHops    = "Bergamot-Handoff-Hops"
+	headerClaimed = "Bergamot-Handoff-Claimed"
+	headerRoom    = "Bergamot-Room"
+	headerTrue    = "true"
+)
+
+// runDone is the value of HeaderRun for a request that was run by an earlier try.
+const runDone = "run"
+
 // retryAfter is the hint given with a refusal, in seconds.
 const retryAfter = 1
 
@@ -48,6 +69,15 @@
 	}
 }
 
+// dropOwnHeaders removes the headers that only the agents set.
+func dropOwnHeaders(header http.Header) {
+	for name := range header {
+		if strings.HasPrefix(name, headerPrefix) {
+			delete(header, name)
+		}
+	}
+}
+
 // deadline returns the time by which the answer is wanted: the caller's budget,
 // but no more than the timeout of the service. A header that is no positive
 // number is an error of the kind Malformed.
--- /dev/null
+++ b/request/admission/keyed.go
@@ -0,0 +1,159 @@
+package admission
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"bergamotbank/errkind"
+	"bergamotbank/event"
+	"bergamotbank/request/ledger"
+	"bergamotbank/request/ledgerrpc"
+)
+
+const (
+	// fingerprintBytes is how many bytes of a body the fingerprint covers, and the
+	// most that is held in memory of the body of a keyed request.
+	fingerprintBytes = 64 << 10
+	// keptBody is the largest body in bytes of an answer that is kept for repeats.
+	keptBody = 16 << 10
+	// firstAttempt is the value of HeaderAttempt that marks a first try.
+	firstAttempt = "1"
+)
+
+// isSafe tells whether a method asks for no effect, so that a key means nothing.
+func isSafe(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace:
+		return true
+	}
+	return false
+}
+
+// claim takes the right to run a keyed request. It tells whether the request has
+// been answered from the result of an earlier try.
+func (x *exchange) claim() (answered bool, err error) {
+	value := x.r.Header.Get(HeaderKey)
+	if value == "" || isSafe(x.r.Method) || x.origin.claimed {
+		return false, nil
+	}
+	key, err := ledger.ParseKey(value, x.r.Header.Get(HeaderAttempt) == firstAttempt, time.Now())
+	if err != nil {
+		return false, err
+	}
+	fingerprint, err := x.fingerprint()
+	if err != nil {
+		return false, err
+	}
+	permit, result, err := x.gate.keeper.Acquire(x.r.Context(), ledgerrpc.Request{
+		Key:         key,
+		Fingerprint: fingerprint,
+		Deadline:    x.deadline,
+	})
+	if err != nil {
+		return false, err
+	}
+	if result != nil {
+		x.gate.record(event.RequestRepeated, x.id, "", "answered from the ledger")
+		return true, x.replay(*result)
+	}
+	x.permit = permit
+	return false, nil
+}
+
+// fingerprint reads the beginning of the body and returns the fingerprint of the
+// request. The body stays whole for the backend server.
+func (x *exchange) fingerprint() (ledger.Fingerprint, error) {
+	control := http.NewResponseController(x.w)
+	_ = control.SetReadDeadline(x.deadline)
+	head, err := io.ReadAll(io.LimitReader(x.r.Body, fingerprintBytes))
+	_ = control.SetReadDeadline(time.Time{})
+	if err != nil {
+		return 0, errkind.Wrap(err, errkind.Malformed, "read the body of a keyed request")
+	}
+	var digest xxhash.Digest
+	digest.Reset()
+	_, _ = digest.WriteString(x.r.Method + " " + x.r.URL.RequestURI() + " " + strconv.FormatInt(x.r.ContentLength, 10) + "\n")
+	_, _ = digest.Write(head)
+	x.r.Body = struct {
+		io.Reader
+		io.Closer
+	}{io.MultiReader(bytes.NewReader(head), x.r.Body), x.r.Body}
+	return ledger.Fingerprint(digest.Sum64()), nil
+}
+
+// replay answers from the stored result of an earlier try.
+func (x *exchange) replay(result ledger.Result) error {
+	if result.Outcome == ledger.OutcomeUnknown {
+		return errkind.New(errkind.KeyUnverifiable, "the first try under this key has an unknown outcome")
+	}
+	header := x.w.Header()
+	if !result.BodyKept {
+		x.gate.counters.replayed.Add(1)
+		header.Set(HeaderRun, runDone)
+		header.Set(HeaderTry, errkind.RunNone.String())
+		header.Set(HeaderError, errkind.KeyUnverifiable.String())
+		header.Set(HeaderOriginalStatus, strconv.Itoa(result.Status))
+		x.w.WriteHeader(errkind.KeyUnverifiable.Answer().HTTPStatus)
+		_, _ = io.WriteString(x.w, "run: the answer of the first try was too large to be kept\n")
+		return nil
+	}
+	x.gate.counters.replayed.Add(1)
+	copyHeader(header, result.Header)
+	header.Set(HeaderReplayed, headerTrue)
+	x.w.WriteHeader(result.Status)
+	_, _ = x.w.Write(result.Body)
+	return nil
+}
+
+// capture keeps the beginning of an answer for repeats.
+type capture struct {
+	body     bytes.Buffer
+	overflow bool
+}
+
+func (c *capture) add(p []byte) {
+	if c == nil || c.overflow {
+		return
+	}
+	if c.body.Len()+len(p) > keptBody {
+		c.overflow = true
+		c.body.Reset()
+		return
+	}
+	c.body.Write(p)
+}
+
+// complete stores the whole answer of a keyed request.
+func (x *exchange) complete(status int, header http.Header) {
+	if x.permit == nil {
+		return
+	}
+	result := ledger.Result{
+		Status:   status,
+		Header:   make(http.Header),
+		Body:     x.captured.body.Bytes(),
+		BodyKept: !x.captured.overflow,
+	}
+	copyHeader(result.Header, header)
+	x.settle(func(p *ledgerrpc.Permit) { p.Complete(result) })
+}
+
+// settle ends the permit in the background. The gate stays open until then, so
+// that a drain waits for it.
+func (x *exchange) settle(end func(*ledgerrpc.Permit)) {
+	permit := x.permit
+	if permit == nil {
+		return
+	}
+	x.permit = nil
+	x.gate.counters.open.Add(1)
+	go func() {
+		defer x.gate.counters.open.Add(-1)
+		end(permit)
+	}()
+}
--- a/request/admission/pass.go
+++ b/request/admission/pass.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -39,7 +40,7 @@
 func (x *exchange) pass(answer *backend.Exchange, sample limit.Sample) {
 	x.advance((*lifecycle.Request).BeginAnswer)
 	resp := answer.Response
-	copyHeader(x.w.Header(), resp.Header)
+	x.copyAnswerHeader(resp.Header)
 	if x.gate.draining.Load() {
 		x.w.Header().Set("Connection", "close")
 	}
@@ -54,6 +55,13 @@
 		x.fail(err)
 		return
 	}
+	if resp.Header.Get(HeaderError) == "" {
+		x.complete(resp.StatusCode, resp.Header)
+	}
+	if x.callerGone != nil {
+		x.fail(x.callerGone)
+		return
+	}
 	for name, values := range resp.Trailer {
 		x.w.Header()[name] = values
 	}
@@ -67,6 +75,19 @@
 	step(&x.state)
 }
 
+// copyAnswerHeader copies the header of an answer. Only a sibling may set the
+// headers that tell about the execution.
+func (x *exchange) copyAnswerHeader(src http.Header) {
+	copyHeader(x.w.Header(), src)
+	if x.placed {
+		dropOwnHeaders(x.w.Header())
+	}
+	x.w.Header().Del(headerRoom)
+	if x.origin.hops > 0 {
+		x.w.Header().Set(headerRoom, strconv.Itoa(x.gate.seen.Load().room))
+	}
+}
+
 func announceTrailers(header http.Header, resp *http.Response) {
 	for name := range resp.Trailer {
 		header.Add("Trailer", name)
@@ -80,7 +101,9 @@
 	}
 	x.streams = true
 	x.gate.counters.streams.Add(1)
-	x.gate.engine.post(engineEvent{kind: eventStream, id: x.id, sample: sample})
+	if x.placed {
+		x.gate.engine.post(engineEvent{kind: eventStream, id: x.id, sample: sample})
+	}
 }
 
 func (x *exchange) finish(sample limit.Sample, err error) {
@@ -96,7 +119,9 @@
 	default:
 		sample.Outcome = limit.Reset
 	}
-	x.gate.engine.post(engineEvent{kind: kind, id: x.id, sample: sample})
+	if x.placed {
+		x.gate.engine.post(engineEvent{kind: kind, id: x.id, sample: sample})
+	}
 }
 
 // copyBody copies the body with a buffer of fixed size, so that a slow caller
@@ -114,7 +139,7 @@
 		}
 		n, readErr := answer.Response.Body.Read(buffer)
 		if n > 0 {
-			if err := x.write(control, buffer[:n], answer.Response.ContentLength < 0); err != nil {
+			if err := x.forward(control, buffer[:n], answer.Response.ContentLength < 0); err != nil {
 				return err
 			}
 		}
@@ -124,7 +149,7 @@
 		switch {
 		case errors.Is(readErr, io.EOF):
 			return nil
-		case x.r.Context().Err() != nil:
+		case x.ctx.Err() != nil:
 			return errCallerGone
 		case readErr != nil:
 			return errkind.Wrap(readErr, errkind.BackendFailed, "the answer broke off")
@@ -146,6 +171,21 @@
 	return strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType)
 }
 
+// forward passes bytes on to the caller. The answer to a keyed request is read to
+// its end also when the caller has gone, so that a repeat can have it.
+func (x *exchange) forward(control *http.ResponseController, p []byte, flush bool) error {
+	x.captured.add(p)
+	if x.callerGone != nil {
+		return nil
+	}
+	err := x.write(control, p, flush)
+	if err != nil && x.permit != nil && !x.captured.overflow {
+		x.callerGone = err
+		return nil
+	}
+	return err
+}
+
 func (x *exchange) write(control *http.ResponseController, p []byte, flush bool) error {
 	_ = control.SetWriteDeadline(time.Now().Add(callerStall))
 	if _, err := x.w.Write(p); err != nil {
--- a/request/admission/serve.go
+++ b/request/admission/serve.go
@@ -11,38 +11,73 @@
 
 	"bergamotbank/errkind"
 	"bergamotbank/event"
+	"bergamotbank/request/ledger"
+	"bergamotbank/request/ledgerrpc"
 	"bergamotbank/request/lifecycle"
 	"bergamotbank/request/limit"
 	"bergamotbank/request/queue"
 )
 
+// origin tells how a request came to the gate. The zero value is a request from a
+// caller.
+type origin struct {
+	hops    int
+	claimed bool
+}
+
 // exchange is one caller's request on its way through the gate.
 type exchange struct {
 	gate     *Gate
 	w        http.ResponseWriter
 	r        *http.Request
+	origin   origin
 	id       queue.ID
 	deadline time.Time
 	mu       sync.Mutex // guards state
 	state    lifecycle.Request
-	streams  bool
-	header   time.Time
+
+	// placed tells that the request holds a place, or streams after it had one.
+	placed  bool
+	streams bool
+	header  time.Time
+
+	// ctx ends the sending and the answer; stopTimer takes its deadline off.
+	ctx       context.Context
+	stopTimer func() bool
+
+	permit     *ledgerrpc.Permit
+	captured   *capture
+	callerGone error
 }
 
 // ServeHTTP admits, sends and answers one caller's request.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.picker.received()
+	g.serve(w, r, origin{})
+}
+
+func (g *Gate) serve(w http.ResponseWriter, r *http.Request, from origin) {
 	g.counters.open.Add(1)
 	defer g.counters.open.Add(-1)
-	x := &exchange{gate: g, w: w, r: r, id: g.nextID()}
-	if err := x.prepare(time.Now()); err != nil {
-		x.fail(err)
-		return
+	x := &exchange{gate: g, w: w, r: r, origin: from, id: g.nextID()}
+	err := x.prepare(time.Now())
+	if err == nil {
+		var answered bool
+		answered, err = x.claim()
+		if answered && err == nil {
+			return
+		}
+	}
+	if err == nil {
+		err = x.admit()
 	}
-	if err := x.admit(); err != nil {
-		x.fail(err)
+	if err == nil {
+		err = x.run()
+	}
+	if err == nil || x.handOff(err) {
 		return
 	}
-	x.run()
+	x.fail(err)
 }
 
 // prepare checks what can be refused without a place.
@@ -56,6 +91,9 @@
 	if x.gate.draining.Load() {
 		return errkind.New(errkind.Draining, "the backend server is leaving")
 	}
+	if x.gate.counters.open.Load() > x.gate.maxOpen.Load() || x.gate.seen.Load().full || !x.acceptsHandOff() {
+		return errkind.New(errkind.Overloaded, "no room for a further request")
+	}
 	if x.gate.options.DependencyHealthy == nil {
 		return nil
 	}
@@ -79,6 +117,7 @@
 			return errkind.New(d.reason, "request refused before its start")
 		}
 		x.state.Start()
+		x.placed = true
 		return nil
 	case <-x.r.Context().Done():
 		x.gate.engine.post(engineEvent{kind: eventCancel, id: x.id, decided: decided})
@@ -88,20 +127,36 @@
 	}
 }
 
-// run sends the request to the backend server and passes the answer on.
-func (x *exchange) run() {
-	ctx, cancel := context.WithCancelCause(x.r.Context())
-	defer cancel(nil)
+// context returns the context of the request with its deadline. A keyed request
+// that has begun goes on without its caller, so that a repeat finds its result.
+func (x *exchange) context() (context.Context, func()) {
+	parent := x.r.Context()
+	if x.permit != nil {
+		parent = context.WithoutCancel(parent)
+		x.captured = &capture{}
+	}
+	ctx, cancel := context.WithCancelCause(parent)
 	timer := time.AfterFunc(time.Until(x.deadline), func() { cancel(context.DeadlineExceeded) })
-	defer timer.Stop()
+	x.ctx = ctx
+	x.stopTimer = timer.Stop
+	return ctx, func() {
+		timer.Stop()
+		cancel(nil)
+	}
+}
+
+// run sends the request to the backend server and passes the answer on. It
+// returns an error only when nothing was sent.
+func (x *exchange) run() error {
+	ctx, stop := x.context()
+	defer stop()
 	started := time.Now()
 	answer, err := x.gate.client.Do(ctx, x.outgoing(), x.send)
 	if err != nil {
-		x.finishFailed(x.refine(ctx, err), time.Since(started))
-		return
+		return x.runFailed(x.refine(ctx, err), time.Since(started))
 	}
 	defer answer.Close()
-	timer.Stop()
+	x.stopTimer()
 	x.header = time.Now()
 	sample := limit.Sample{
 		Outcome:  outcomeOf(answer.Response.StatusCode),
@@ -109,6 +164,7 @@
 		Instance: answer.Response.Header.Get(HeaderInstance),
 	}
 	x.pass(answer, sample)
+	return nil
 }
 
 // send notes that the first byte is about to leave, and tells whether it may.
@@ -146,6 +202,11 @@
 		out.Body = http.NoBody
 	}
 	copyHeader(out.Header, x.r.Header)
+	attempt := x.r.Header.Get(HeaderAttempt)
+	dropOwnHeaders(out.Header)
+	if attempt != "" {
+		out.Header.Set(HeaderAttempt, attempt)
+	}
 	if _, ok := out.Header["User-Agent"]; !ok {
 		out.Header["User-Agent"] = []string{""}
 	}
@@ -156,8 +217,8 @@
 	return out
 }
 
-// finishFailed ends a started request that has no answer.
-func (x *exchange) finishFailed(err error, latency time.Duration) {
+// runFailed ends a started request that has no answer.
+func (x *exchange) runFailed(err error, latency time.Duration) error {
 	sample := limit.Sample{Latency: latency}
 	switch errkind.Of(err) {
 	case errkind.BackendUnavailable:
@@ -170,7 +231,12 @@
 		sample.Outcome = limit.Reset
 	}
 	x.gate.engine.post(engineEvent{kind: eventFinish, id: x.id, sample: sample})
+	x.placed = false
+	if errkind.Is(err, errkind.BackendUnavailable) {
+		return err
+	}
 	x.fail(err)
+	return nil
 }
 
 func outcomeOf(status int) limit.Outcome {
@@ -189,17 +255,35 @@
 	x.mu.Lock()
 	verdict := x.state.Fail(errkind.Of(err))
 	x.mu.Unlock()
+	x.conclude(verdict, err)
+}
+
+// conclude ends a request with a verdict. After the beginning of an answer only
+// an aborted connection tells the truth.
+func (x *exchange) conclude(verdict lifecycle.Verdict, err error) {
 	x.gate.count(verdict, x.id)
+	x.settle(func(p *ledgerrpc.Permit) {
+		if verdict.Try == errkind.RunNone {
+			p.Release()
+			return
+		}
+		p.Complete(ledger.Result{Outcome: ledger.OutcomeUnknown})
+	})
 	if verdict.Abort {
 		panic(http.ErrAbortHandler)
 	}
+	x.writeVerdict(verdict, err)
+}
+
+func (x *exchange) writeVerdict(verdict lifecycle.Verdict, err error) {
 	header := x.w.Header()
 	header.Set(HeaderError, verdict.Kind.String())
 	header.Set(HeaderRun, verdict.Run.String())
+	header.Set(HeaderTry, verdict.Try.String())
 	header.Set("Content-Type", "text/plain; charset=utf-8")
 	header.Set("X-Content-Type-Options", "nosniff")
 	answer := verdict.Kind.Answer()
-	if verdict.Run == errkind.RunNone && answer.Retryable {
+	if verdict.Try == errkind.RunNone && answer.Retryable {
 		header.Set("Retry-After", strconv.Itoa(retryAfter))
 	}
 	if x.gate.draining.Load() {
@@ -220,11 +304,16 @@
 	default:
 		g.counters.unknown.Add(1)
 	}
+	g.record(kind, id, "", verdict.Kind.String())
+}
+
+func (g *Gate) record(kind event.Kind, id queue.ID, peer, detail string) {
 	g.options.Recorder.Record(event.Event{
 		Kind:    kind,
 		Service: g.options.Service,
 		Server:  g.options.Server,
+		Peer:    peer,
 		Request: strconv.FormatUint(uint64(id), 10),
-		Detail:  verdict.Kind.String(),
+		Detail:  detail,
 	})
 }
--- /dev/null
+++ b/request/ledger/round.go
@@ -0,0 +1,95 @@
+package ledger
+
+import "time"
+
+// Decision is what the replies to a claim amount to.
+type Decision uint8
+
+// The decisions about a claim.
+const (
+	// Pending means that further replies are needed.
+	Pending Decision = iota
+	// Run means that the request may run, once.
+	Run
+	// Replay means that the request has ended and its result is known.
+	Replay
+	// Wait means that another try holds the key.
+	Wait
+	// Reject means that the key was used for a different request.
+	Reject
+	// Unvouched means that too few homes could be reached or vouch for the key.
+	Unvouched
+)
+
+// Round collects the replies to one claim. It is not safe for concurrent use.
+type Round struct {
+	open      int
+	grants    int
+	quorum    int
+	held      bool
+	heldUntil time.Time
+	decision  Decision
+	result    Result
+}
+
+// NewRound returns a round over the given number of homes with the number of
+// grants that the claimer itself thinks it needs.
+func NewRound(homes, quorum int) *Round {
+	return &Round{open: homes, quorum: quorum}
+}
+
+// Result returns the result that a decision to replay goes with.
+func (r *Round) Result() Result { return r.result }
+
+// HeldUntil returns the latest time until which another try may run.
+func (r *Round) HeldUntil() time.Time { return r.heldUntil }
+
+// Missing takes note of a home that did not reply.
+func (r *Round) Missing() Decision {
+	r.open--
+	return r.decide()
+}
+
+// Add takes a reply. Once the decision is not Pending, it stays.
+func (r *Round) Add(reply Reply) Decision {
+	r.open--
+	r.quorum = max(r.quorum, reply.Quorum)
+	switch reply.Verdict {
+	case Granted:
+		r.grants++
+	case Held:
+		r.held = true
+		if reply.HeldUntil.After(r.heldUntil) {
+			r.heldUntil = reply.HeldUntil
+		}
+	case Done:
+		r.settle(Replay)
+		r.result = reply.Result
+	case Mismatch:
+		r.settle(Reject)
+	case Abstained:
+	}
+	return r.decide()
+}
+
+func (r *Round) settle(d Decision) {
+	if r.decision == Pending {
+		r.decision = d
+	}
+}
+
+// decide looks for a decision. A key that another try holds is never run, but the
+// round goes on, as a later reply may bring the result.
+func (r *Round) decide() Decision {
+	switch {
+	case r.decision != Pending:
+	case r.held && r.open > 0:
+	case r.held:
+		r.decision = Wait
+	case r.quorum > 0 && r.grants >= r.quorum:
+		r.decision = Run
+	case r.grants+r.open < r.quorum || r.open == 0:
+		r.decision = Unvouched
+	}
+	return r.decision
+}
--- /dev/null
+++ b/request/ledgerrpc/adopt.go
@@ -0,0 +1,87 @@
+package ledgerrpc
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"bergamotbank/request/ledger"
+	"bergamotbank/request/ledger/ledgerpb"
+)
+
+// adopt learns the keys of the peers, so that the agent can vouch for times
+// before its own start.
+func (k *Keeper) adopt(ctx context.Context) {
+	peers, quorum := k.adoptable(time.Now())
+	if len(peers) == 0 {
+		return
+	}
+	replies := exportAll(ctx, k.options.Service, peers)
+	now := time.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	statements := make([]ledger.Statement, 0, len(replies))
+	for _, reply := range replies {
+		k.learn(reply, now)
+		if reply.GetVouches() {
+			statements = append(statements, ledger.Statement{
+				Since:  now.Add(-time.Duration(reply.GetSinceMs()) * time.Millisecond),
+				Quorum: int(reply.GetQuorum()),
+			})
+		}
+	}
+	own, ok := k.book.VouchesSince()
+	plan, enough := ledger.PlanAdoption(statements, quorum)
+	if ok && enough && plan.Since.Before(own.Since) {
+		k.ring.Adopt(plan.Since, plan.Quorum)
+	}
+}
+
+// adoptable returns the peers to learn from once the agent is known to all, while
+// its own memory does not cover the retention.
+func (k *Keeper) adoptable(now time.Time) ([]ledgerpb.Ledger, int) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	own, ok := k.book.VouchesSince()
+	if !ok || now.Before(own.Since) || k.ring.Adopted() {
+		return nil, 0
+	}
+	if now.Sub(own.Since) > ledger.Retention {
+		return nil, 0
+	}
+	var peers []ledgerpb.Ledger
+	for _, name := range k.ring.Members() {
+		if client := k.peers[name]; client != nil && name != k.options.Self {
+			peers = append(peers, client)
+		}
+	}
+	return peers, own.Quorum
+}
+
+func (k *Keeper) learn(reply *ledgerpb.ExportReply, now time.Time) {
+	for _, e := range reply.GetEntries() {
+		claim := claimFromProto(e.GetClaim(), now)
+		k.book.Import(ledger.NewEntry(claim, now, e.GetDone(), resultFromProto(e.GetResult())), now)
+	}
+}
+
+func exportAll(ctx context.Context, service string, peers []ledgerpb.Ledger) []*ledgerpb.ExportReply {
+	ctx, cancel := context.WithTimeout(ctx, exportTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var replies []*ledgerpb.ExportReply
+	var wait sync.WaitGroup
+	for _, peer := range peers {
+		wait.Go(func() {
+			reply, err := peer.Export(ctx, &ledgerpb.ExportRequest{Service: service})
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			replies = append(replies, reply)
+		})
+	}
+	wait.Wait()
+	return replies
+}
--- /dev/null
+++ b/request/ledgerrpc/notify.go
@@ -0,0 +1,34 @@
+package ledgerrpc
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"bergamotbank/request/ledger/ledgerpb"
+)
+
+type notification func(ctx context.Context, client ledgerpb.Ledger, claim *ledgerpb.Claim) error
+
+// notify tells the other homes of the end of the try, side by side.
+func (p *Permit) notify(call notification) {
+	homes, _ := p.keeper.homes(p.claim.Key.Value)
+	var wait sync.WaitGroup
+	for _, h := range homes {
+		if h.client != nil && !h.self {
+			wait.Go(func() { p.notifyOne(h.client, call) })
+		}
+	}
+	wait.Wait()
+}
+
+func (p *Permit) notifyOne(client ledgerpb.Ledger, call notification) {
+	for range notifyAttempts {
+		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+		err := call(ctx, client, claimToProto(p.claim, time.Now()))
+		cancel()
+		if err == nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/request/ledgerrpc/server.go
@@ -0,0 +1,83 @@
+package ledgerrpc
+
+import (
+	"context"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"bergamotbank/request/ledger"
+	"bergamotbank/request/ledger/ledgerpb"
+)
+
+// server answers the calls of peers out of the keeper's book.
+type server struct{ keeper *Keeper }
+
+func (s server) check(service string, claim *ledgerpb.Claim) error {
+	switch {
+	case service != s.keeper.options.Service:
+		return twirp.NewErrorf(twirp.FailedPrecondition, "this agent belongs to service %q, not %q", s.keeper.options.Service, service)
+	case claim.GetKey() == "":
+		return twirp.RequiredArgumentError("claim.key")
+	case claim.GetToken() == "":
+		return twirp.RequiredArgumentError("claim.token")
+	}
+	return nil
+}
+
+// Claim implements ledgerpb.Ledger.
+func (s server) Claim(_ context.Context, req *ledgerpb.ClaimRequest) (*ledgerpb.ClaimReply, error) {
+	if err := s.check(req.GetService(), req.GetClaim()); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	reply := s.keeper.claimLocally(claimFromProto(req.GetClaim(), now), now)
+	return replyToProto(reply, now), nil
+}
+
+// Release implements ledgerpb.Ledger.
+func (s server) Release(_ context.Context, req *ledgerpb.ReleaseRequest) (*ledgerpb.ReleaseReply, error) {
+	if err := s.check(req.GetService(), req.GetClaim()); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	s.keeper.releaseLocally(claimFromProto(req.GetClaim(), now), now)
+	return &ledgerpb.ReleaseReply{}, nil
+}
+
+// Complete implements ledgerpb.Ledger.
+func (s server) Complete(_ context.Context, req *ledgerpb.CompleteRequest) (*ledgerpb.CompleteReply, error) {
+	if err := s.check(req.GetService(), req.GetClaim()); err != nil {
+		return nil, err
+	}
+	now := time.Now()
+	claim := claimFromProto(req.GetClaim(), now)
+	s.keeper.completeLocally(claim, resultFromProto(req.GetResult()), now)
+	return &ledgerpb.CompleteReply{}, nil
+}
+
+// Export implements ledgerpb.Ledger.
+func (s server) Export(_ context.Context, req *ledgerpb.ExportRequest) (*ledgerpb.ExportReply, error) {
+	if req.GetService() != s.keeper.options.Service {
+		return nil, twirp.NewErrorf(twirp.FailedPrecondition, "this agent belongs to service %q", s.keeper.options.Service)
+	}
+	now := time.Now()
+	statement, vouches, entries := s.keeper.export(now)
+	reply := &ledgerpb.ExportReply{
+		Vouches: vouches,
+		SinceMs: now.Sub(statement.Since).Milliseconds(),
+		Quorum:  int32(statement.Quorum),
+	}
+	for _, e := range entries {
+		reply.Entries = append(reply.Entries, entryToProto(e, now))
+	}
+	return reply, nil
+}
+
+func entryToProto(e ledger.Entry, now time.Time) *ledgerpb.Entry {
+	p := &ledgerpb.Entry{Claim: claimToProto(e.Claim, now), Done: e.Done()}
+	if e.Done() {
+		p.Result = resultToProto(e.Result)
+	}
+	return p
+}
--- a/request/lifecycle/controller.go
+++ b/request/lifecycle/controller.go
@@ -79,6 +79,9 @@
 // Waiting returns the number of waiting requests.
 func (c *Controller) Waiting() int { return c.waiting.Len() }
 
+// Full tells whether no further request can wait.
+func (c *Controller) Full() bool { return c.waiting.Full() }
+
 // Open returns the number of requests that wait, run or stream.
 func (c *Controller) Open() int { return c.open }
 
--- a/request/lifecycle/request.go
+++ b/request/lifecycle/request.go
@@ -70,8 +70,11 @@
 type Verdict struct {
 	// Kind is the error kind to answer with.
 	Kind errkind.Kind
-	// Run is the promise about the execution.
+	// Run is the promise about the execution. For a request under an idempotency
+	// key it covers every try under the key.
 	Run errkind.Run
+	// Try is the promise about the execution of this try alone.
+	Try errkind.Run
 	// Abort tells that the answer has begun, so that only a cut connection can
 	// still tell the truth.
 	Abort bool
@@ -79,26 +82,44 @@
 
 // Fail ends the request with an error of the given kind and returns what to tell
 // the caller. A kind that promises "not run" is replaced once a byte has left;
-// a kind that admits "unknown" is strengthened to "not run" before that.
+// a kind that admits "unknown" is strengthened to "not run" before that, unless
+// it speaks of other tries under an idempotency key.
 func (r *Request) Fail(kind errkind.Kind) Verdict {
 	switch {
 	case r.phase.Terminal():
-		return Verdict{Kind: kind, Run: errkind.RunUnknown, Abort: true}
+		return Verdict{Kind: kind, Run: errkind.RunUnknown, Try: errkind.RunUnknown, Abort: true}
 	case r.phase == Answering:
 		r.phase = Cut
-		return Verdict{Kind: kind, Run: errkind.RunUnknown, Abort: true}
+		return Verdict{Kind: kind, Run: errkind.RunUnknown, Try: errkind.RunUnknown, Abort: true}
 	case r.phase == Sent:
 		r.phase = Unknown
 		return unknownVerdict(kind)
 	default:
-		r.phase = Refused
-		return Verdict{Kind: kind, Run: errkind.RunNone}
+		return r.refuse(kind)
 	}
 }
 
+// Disclaim ends a request that was sent to a sibling which has promised that it
+// was not run. It counts as refused with the given kind.
+func (r *Request) Disclaim(kind errkind.Kind) Verdict {
+	if r.phase > Sent {
+		return r.Fail(kind)
+	}
+	return r.refuse(kind)
+}
+
+func (r *Request) refuse(kind errkind.Kind) Verdict {
+	r.phase = Refused
+	run := errkind.RunNone
+	if kind == errkind.KeyInProgress || kind == errkind.KeyUnverifiable {
+		run = errkind.RunUnknown
+	}
+	return Verdict{Kind: kind, Run: run, Try: errkind.RunNone}
+}
+
 func unknownVerdict(kind errkind.Kind) Verdict {
 	if kind.Answer().Run != errkind.RunUnknown {
 		kind = errkind.BackendFailed
 	}
-	return Verdict{Kind: kind, Run: errkind.RunUnknown}
+	return Verdict{Kind: kind, Run: errkind.RunUnknown, Try: errkind.RunUnknown}
 }
