--- /dev/null
+++ b/process/ctl/status.go
@@ -0,0 +1,67 @@
+package ctl
+
+import (
+	"context"
+	"fmt"
+
+	"bergamotbank/errkind"
+	"bergamotbank/version/publish"
+	"bergamotbank/version/spread"
+)
+
+type statusOutput struct {
+	// Stored is the version in the store; 0 when it is unknown.
+	Stored uint64 `json:"stored"`
+	// StoreError tells why the stored version is unknown.
+	StoreError string                 `json:"store_error,omitempty"`
+	Processes  []spread.ProcessStatus `json:"processes"`
+	Missing    []Missing              `json:"missing"`
+}
+
+func (c *command) status(ctx context.Context) error {
+	var output statusOutput
+	stored, err := publish.LoadVersion(ctx, c.store, nil)
+	output.Stored = stored.Root.Version
+	if err != nil {
+		output.StoreError = err.Error()
+	}
+	f := c.survey(ctx, c.findSeeds(ctx))
+	output.Processes = f.processes
+	output.Missing = f.missing
+	if err := c.print(output, output.lines()); err != nil {
+		return err
+	}
+	if err := f.complete(); err != nil {
+		return err
+	}
+	return errkind.Wrap(err, errkind.Of(err), "version in the store")
+}
+
+func (o statusOutput) lines() []string {
+	lines := []string{fmt.Sprintf("stored version %d %s", o.Stored, o.StoreError)}
+	for _, p := range o.Processes {
+		lines = append(lines, processLine(p))
+	}
+	for _, m := range o.Missing {
+		lines = append(lines, fmt.Sprintf("%-16s %-20s %-21s missing", m.Domain, m.Name, m.Control))
+	}
+	return lines
+}
+
+func processLine(p spread.ProcessStatus) string {
+	role := "balancer"
+	if p.Leaf {
+		role = "agent"
+	}
+	line := fmt.Sprintf("%-16s %-20s %-21s %-8s version %d in force %d", p.Domain, p.Name, p.Control, role, p.Version, p.InForce)
+	if !p.Ready {
+		line += " not ready"
+	}
+	if p.Watching {
+		line += " watching"
+	}
+	if p.RejectedVersion > 0 {
+		line += fmt.Sprintf(" rejected version %d: %s", p.RejectedVersion, p.RejectedReason)
+	}
+	return line
+}
--- /dev/null
+++ b/version/spread/fleet_test.go
@@ -0,0 +1,257 @@
+package spread_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"bergamotbank/event"
+	"bergamotbank/version/config"
+	"bergamotbank/version/publish"
+	"bergamotbank/version/spread"
+	"bergamotbank/version/store"
+	"bergamotbank/version/store/storetest"
+)
+
+// patience bounds the wait for a condition.
+const patience = 20 * time.Second
+
+// process is a Spreader behind a loopback address.
+type process struct {
+	peer     spread.Peer
+	spreader *spread.Spreader
+	client   *store.Client
+	cancel   context.CancelFunc
+	done     chan struct{}
+	server   *http.Server
+
+	mu      sync.Mutex
+	applied []uint64
+	at      map[uint64]time.Time
+	events  []event.Event
+}
+
+// Record implements event.Recorder.
+func (p *process) Record(e event.Event) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.events = append(p.events, e)
+}
+
+func (p *process) apply(s config.Snapshot) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.applied = append(p.applied, s.Version)
+	p.at[s.Version] = time.Now()
+}
+
+func (p *process) versions() []uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]uint64{}, p.applied...)
+}
+
+func (p *process) sawEvent(kind event.Kind) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, e := range p.events {
+		if e.Kind == kind {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *process) stop() {
+	p.cancel()
+	<-p.done
+	_ = p.server.Close()
+}
+
+// fleet is a number of processes that know each other.
+type fleet struct {
+	t         testing.TB
+	store     *storetest.Server
+	mu        sync.Mutex
+	processes []*process
+}
+
+func newFleet(t testing.TB) *fleet {
+	f := &fleet{t: t, store: storetest.NewServer()}
+	t.Cleanup(func() {
+		for _, p := range f.all() {
+			p.stop()
+		}
+		f.store.Close()
+	})
+	return f
+}
+
+func (f *fleet) all() []*process {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]*process{}, f.processes...)
+}
+
+func (f *fleet) peers() []spread.Peer {
+	var peers []spread.Peer
+	for _, p := range f.all() {
+		peers = append(peers, p.peer)
+	}
+	return peers
+}
+
+// start adds a process; peers returns whom it knows.
+func (f *fleet) start(name, domain string, leaf bool, peers func() []spread.Peer) *process {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	p := &process{
+		peer: spread.Peer{Name: name, Domain: domain, Control: netip.MustParseAddrPort(listener.Addr().String())},
+		done: make(chan struct{}), at: make(map[uint64]time.Time),
+	}
+	if !leaf {
+		p.client = store.NewClient(store.Options{Address: f.store.Address(), Recorder: p, Timeout: time.Second})
+	}
+	p.spreader = spread.New(spread.Options{
+		Self: p.peer, Store: p.client, Peers: peers, Recorder: p, Apply: p.apply, Tick: 20 * time.Millisecond,
+	})
+	mux := http.NewServeMux()
+	mux.Handle(p.spreader.Handler())
+	p.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
+	go func() { _ = p.server.Serve(listener) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	p.cancel = cancel
+	if !leaf {
+		f.mu.Lock()
+		f.processes = append(f.processes, p)
+		f.mu.Unlock()
+	}
+	go func() {
+		_ = p.spreader.Run(ctx)
+		close(p.done)
+	}()
+	if leaf {
+		f.t.Cleanup(p.stop)
+	}
+	return p
+}
+
+// remove stops a process and forgets it.
+func (f *fleet) remove(p *process) {
+	f.mu.Lock()
+	var kept []*process
+	for _, other := range f.processes {
+		if other != p {
+			kept = append(kept, other)
+		}
+	}
+	f.processes = kept
+	f.mu.Unlock()
+	p.stop()
+}
+
+// startMany adds processes in a number of failure domains.
+func (f *fleet) startMany(domains, each int) {
+	for d := range domains {
+		for i := range each {
+			f.start(fmt.Sprintf("balancer-%d-%d", d, i), fmt.Sprintf("domain-%d", d), false, f.peers)
+		}
+	}
+}
+
+// startTogether adds processes that know each other from their first moment.
+func (f *fleet) startTogether(domains, each int) {
+	known := make(chan struct{})
+	var all []spread.Peer
+	peers := func() []spread.Peer {
+		<-known
+		return all
+	}
+	for d := range domains {
+		for i := range each {
+			f.start(fmt.Sprintf("balancer-%d-%d", d, i), fmt.Sprintf("domain-%d", d), false, peers)
+		}
+	}
+	all = f.peers()
+	close(known)
+}
+
+// watchers returns the processes that watch the store.
+func (f *fleet) watchers() []*process {
+	f.t.Helper()
+	var watchers []*process
+	for _, p := range f.all() {
+		report, err := spread.NewOperator().Report(f.t.Context(), p.peer.Control)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		if report.Self.Watching {
+			watchers = append(watchers, p)
+		}
+	}
+	return watchers
+}
+
+// text returns a configuration whose content depends on n.
+func text(t testing.TB, n int) *config.Config {
+	c, err := config.Parse(fmt.Appendf(nil, `
+[[service]]
+name = "ordering"
+address = "198.18.0.10"
+port = %d
+[[service]]
+name = "catalogue"
+address = "198.18.0.11"
+port = 80
+[[domain]]
+name = "domain-0"
+out = %t
+`, 1000+n, n%2 == 1))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// publishText makes a version and returns its result.
+func (f *fleet) publishText(n int) publish.Result {
+	f.t.Helper()
+	client := store.NewClient(store.Options{Address: f.store.Address()})
+	defer client.Close()
+	result, err := publish.New(client).Publish(f.t.Context(), publish.Request{Config: text(f.t, n)})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return result
+}
+
+// eventually waits for a condition.
+func eventually(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %s: %s", patience, what)
+		}
+		time.Sleep(2 * time.Millisecond)
+	}
+}
+
+// inForce tells whether all processes have put a version in force.
+func (f *fleet) inForce(version uint64) func() bool {
+	return func() bool {
+		for _, p := range f.all() {
+			if p.spreader.InForce() != version {
+				return false
+			}
+		}
+		return true
+	}
+}
