--- a/process/ctl/fleet.go
+++ b/process/ctl/fleet.go
@@ -178,7 +178,7 @@
 		if known.Name != p.Name || known.Control != p.Control {
 			continue
 		}
-		if p.InForce > known.InForce {
+		if p.StatusAgeMillis < known.StatusAgeMillis {
 			f.processes[i] = p
 		}
 		return
--- a/version/spread/learn.go
+++ b/version/spread/learn.go
@@ -118,6 +118,15 @@
 	return append(actions, action{kind: actNotifyLeaves, version: v})
 }
 
+// applied takes the news that a version is in force. A leaf tells a home at
+// once, so that operators see it.
+func (m *machine) applied(time.Time) []action {
+	if !m.leaf || len(m.peers) == 0 {
+		return nil
+	}
+	return m.ask(m.chooseOne())
+}
+
 // rejectedVersion takes a version that is broken.
 func (m *machine) rejectedVersion(version uint64, reason string) []action {
 	m.firstStore = false
--- a/version/spread/operator.go
+++ b/version/spread/operator.go
@@ -35,6 +35,9 @@
 	// StoreAgeMillis is the age of the latest contact with the store that the
 	// process knows of, in milliseconds; negative when it knows of none.
 	StoreAgeMillis int64 `json:"store_age_ms"`
+	// StatusAgeMillis is the age of this status, in milliseconds; 0 when the
+	// process told it itself.
+	StatusAgeMillis int64 `json:"status_age_ms"`
 	// RejectedVersion is the latest version refused; 0 when there is none.
 	RejectedVersion uint64 `json:"rejected_version,omitempty"`
 	// RejectedReason tells why it was refused.
@@ -114,6 +117,7 @@
 		Watching:        wire.GetWatching(),
 		Leaf:            wire.GetLeaf(),
 		StoreAgeMillis:  wire.GetStoreAgeMs(),
+		StatusAgeMillis: wire.GetStatusAgeMs(),
 		RejectedVersion: wire.GetRejectedVersion(),
 		RejectedReason:  wire.GetRejectedReason(),
 	}
--- a/version/spread/perform.go
+++ b/version/spread/perform.go
@@ -139,5 +139,6 @@
 	}
 	s.options.Apply(v.Snapshot())
 	s.inForce.Store(v.Root.Version)
+	s.offer(s.machine.applied)
 	s.options.Recorder.Record(event.Event{Kind: event.VersionInForce, Version: v.Root.Version, Detail: v.Root.Operation})
 }
--- a/version/spread/service.go
+++ b/version/spread/service.go
@@ -138,10 +138,12 @@
 // Status implements spreadpb.Spread.
 func (s *service) Status(_ context.Context, _ *spreadpb.StatusRequest) (*spreadpb.StatusResponse, error) {
 	response := &spreadpb.StatusResponse{Self: s.spreader.processStatus()}
-	for _, l := range s.spreader.leaves.recent(time.Now()) {
+	now := time.Now()
+	for _, l := range s.spreader.leaves.recent(now) {
 		response.Leaves = append(response.Leaves, &spreadpb.ProcessStatus{
 			Peer: peerToWire(l.peer), Version: l.version, InForce: l.inForce, Leaf: true,
 			Ready: l.inForce > 0, StoreAgeMs: unknownAge,
+			StatusAgeMs: ageOf(l.asked, now),
 		})
 	}
 	for _, p := range s.spreader.options.Peers() {
