--- a/process/membership/agentcore.go
+++ b/process/membership/agentcore.go
@@ -15,8 +15,9 @@
 const (
 	// retryPeriod is the period in which an unacknowledged change is repeated.
 	retryPeriod = 200 * time.Millisecond
-	// homeLife is the time without an answer after which a home is left.
-	homeLife = 5 * time.Second
+	// unnamedHeartbeats is the number of heartbeat periods after which a home
+	// that no balancer names any more is left.
+	unnamedHeartbeats = 3
 	// contactCount is the number of balancers tried at once while no home answers.
 	contactCount = 3
 	// contactLimit is the largest number of addresses kept for that case.
@@ -186,9 +187,10 @@
 
 // dropHomes leaves homes that no balancer names any more or that do not answer.
 func (c *agentCore) dropHomes(now time.Time) {
-	for addr, h := range c.homes {
-		unnamed := now.Sub(h.named) > homeLife
-		mute := now.Sub(h.answered) > homeLife
+	for _, h := range c.sortedHomes() {
+		addr := h.peer.Control
+		unnamed := now.Sub(h.named) > unnamedHeartbeats*c.timing.Heartbeat
+		mute := now.Sub(h.answered) > c.timing.SilentAfter
 		if unnamed || mute {
 			delete(c.homes, addr)
 			c.addContacts([]netip.AddrPort{addr})
--- a/process/membership/antientropy.go
+++ b/process/membership/antientropy.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	pb "bergamotbank/process/membership/membershippb"
@@ -35,10 +36,7 @@
 }
 
 func compareDomainDigests(a, b *pb.DomainDigest) int {
-	if a.Domain < b.Domain {
-		return -1
-	}
-	return 1
+	return strings.Compare(a.Domain, b.Domain)
 }
 
 // handleDigest answers with the bucket digests of failure domains that differ.
@@ -147,14 +145,11 @@
 }
 
 func compareKeys(a, b rumorKey) int {
-	if a.server != b.server {
-		if a.server {
-			return 1
-		}
-		return -1
+	if a.server == b.server {
+		return strings.Compare(a.name, b.name)
 	}
-	if a.name < b.name {
-		return -1
+	if a.server {
+		return 1
 	}
-	return 1
+	return -1
 }
--- /dev/null
+++ b/process/membership/faults_test.go
@@ -0,0 +1,271 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"bergamotbank/event"
+)
+
+// settleLimit bounds the virtual time until all views agree.
+const settleLimit = 2 * time.Minute
+
+// newAndes returns a settled fleet of three failure domains with balancers and
+// servers of each.
+func newAndes(seed uint64, balancers, servers int) *fleet {
+	f := newFleet(seed)
+	f.populate([]string{"junin", "huancavelica", "pasco"}, balancers, servers)
+	return f
+}
+
+func (f *fleet) populate(domains []string, balancers, servers int) {
+	for range balancers {
+		for _, domain := range domains {
+			f.addNode(domain)
+		}
+	}
+	for range servers {
+		for _, domain := range domains {
+			f.addAgent("ordering", domain)
+		}
+	}
+}
+
+func (f *fleet) settle() (time.Duration, bool) {
+	return f.runUntil(settleLimit, f.settled)
+}
+
+func (n *testNode) sees(server string) bool {
+	for _, r := range n.core.current.Servers {
+		if r.Server == server {
+			return true
+		}
+	}
+	return false
+}
+
+func (n *testNode) count(kind event.Kind) int {
+	count := 0
+	for _, e := range n.events {
+		if e.event.Kind == kind {
+			count++
+		}
+	}
+	return count
+}
+
+// neverGone runs and tells whether every running balancer kept the server in
+// its view all the time.
+func (f *fleet) neverGone(duration time.Duration, server string) bool {
+	for end := f.now.Add(duration); f.now.Before(end); f.run(tickPeriod) {
+		for _, n := range f.nodes {
+			if !n.stopped && !n.paused && n.core.join.ready && !n.sees(server) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func TestSilentServerIsTakenOut(t *testing.T) {
+	convey.Convey("A server that stops is out everywhere and the others stay", t, func() {
+		f := newAndes(1, 2, 3)
+		_, settled := f.settle()
+		convey.So(settled, convey.ShouldBeTrue)
+		f.agents[0].stopped = true
+		took, settled := f.runUntil(8*time.Second, f.settled)
+		convey.So(settled, convey.ShouldBeTrue)
+		t.Logf("out after %v", took)
+	})
+}
+
+func TestOneWayCutAtOneHomeTakesNobodyOut(t *testing.T) {
+	convey.Convey("Heartbeats that reach two of three homes keep a server in", t, func() {
+		f := newAndes(2, 2, 3)
+		_, settled := f.settle()
+		convey.So(settled, convey.ShouldBeTrue)
+		agent := f.agents[0]
+		home := f.nodeAt(agent.core.homePeers()[0].Control)
+		f.cut = func(from, to *testProcess) bool { return from == agent.testProcess && to == home.testProcess }
+		convey.So(f.neverGone(30*time.Second, agent.name), convey.ShouldBeTrue)
+	})
+}
+
+func TestCutBetweenTwoDomainsTakesNobodyOut(t *testing.T) {
+	convey.Convey("Two failure domains that reach each other only through the third stay in", t, func() {
+		f := newAndes(3, 2, 3)
+		_, settled := f.settle()
+		convey.So(settled, convey.ShouldBeTrue)
+		f.cut = func(from, to *testProcess) bool {
+			return from.domain == "junin" && to.domain == "pasco" || from.domain == "pasco" && to.domain == "junin"
+		}
+		for end := f.now.Add(30 * time.Second); f.now.Before(end); f.run(tickPeriod) {
+			convey.So(f.settled(), convey.ShouldBeTrue)
+		}
+	})
+}
+
+func TestIsolatedDomainKeepsItsLastView(t *testing.T) {
+	convey.Convey("Given a failure domain that is cut off from the two others", t, func() {
+		f := newAndes(4, 2, 3)
+		_, settled := f.settle()
+		convey.So(settled, convey.ShouldBeTrue)
+		f.cut = func(from, to *testProcess) bool { return (from.domain == "junin") != (to.domain == "junin") }
+		f.run(30 * time.Second)
+		convey.Convey("it keeps the others' servers and records the mass silence", func() {
+			for _, n := range f.nodes {
+				if n.domain == "junin" {
+					convey.So(len(n.core.current.Servers), convey.ShouldEqual, 9)
+					convey.So(n.count(event.MassSilence), convey.ShouldBeGreaterThan, 0)
+				}
+			}
+		})
+		convey.Convey("the two others, which agree, take its servers out", func() {
+			for _, n := range f.nodes {
+				if n.domain != "junin" {
+					convey.So(len(n.core.current.Servers), convey.ShouldEqual, 6)
+				}
+			}
+		})
+		convey.Convey("all views agree after the cut", func() {
+			f.cut = func(_, _ *testProcess) bool { return false }
+			_, settled := f.settle()
+			convey.So(settled, convey.ShouldBeTrue)
+		})
+	})
+}
+
+func TestDeafBalancerJudgesNobody(t *testing.T) {
+	convey.Convey("A balancer that receives nothing takes nobody out", t, func() {
+		f := newAndes(5, 2, 3)
+		_, settled := f.settle()
+		convey.So(settled, convey.ShouldBeTrue)
+		deaf := f.nodes[0]
+		f.cut = func(_, to *testProcess) bool { return to == deaf.testProcess }
+		for end := f.now.Add(30 * time.Second); f.now.Before(end); f.run(tickPeriod) {
+			for _, n := range f.nodes {
+				convey.So(len(n.core.current.Servers), convey.ShouldEqual, 9)
+			}
+		}
+	})
+}
+
+func TestPausedBalancer(t *testing.T) {
+	convey.Convey("Given a balancer that is stopped for 10 s while a server ends", t, func() {
+		f := newAndes(6, 2, 3)
+		_, settled := f.settle()
+		convey.So(settled, convey.ShouldBeTrue)
+		paused := f.nodes[0]
+		f.pause(paused.testProcess)
+		f.agents[0].stopped = true
+		f.run(10 * time.Second)
+		f.resume(paused.testProcess)
+		convey.Convey("it is not ready before its view is as good as the others'", func() {
+			convey.So(paused.core.join.ready, convey.ShouldBeFalse)
+			_, ready := f.runUntil(5*time.Second, func() bool { return paused.core.join.ready })
+			convey.So(ready, convey.ShouldBeTrue)
+			convey.So(paused.sees(f.agents[0].name), convey.ShouldBeFalse)
+		})
+		convey.Convey("it takes nobody out and is back with the others", func() {
+			convey.So(f.neverGone(10*time.Second, f.agents[1].name), convey.ShouldBeTrue)
+			_, settled := f.settle()
+			convey.So(settled, convey.ShouldBeTrue)
+		})
+	})
+}
+
+func TestPausedAgent(t *testing.T) {
+	convey.Convey("Given an agent that is stopped for 10 s", t, func() {
+		f := newAndes(7, 2, 3)
+		_, settled := f.settle()
+		convey.So(settled, convey.ShouldBeTrue)
+		agent := f.agents[0]
+		f.pause(agent.testProcess)
+		f.run(10 * time.Second)
+		for _, n := range f.nodes {
+			convey.So(n.sees(agent.name), convey.ShouldBeFalse)
+		}
+		f.resume(agent.testProcess)
+		convey.Convey("its view is not fresh when it resumes", func() {
+			convey.So(agent.core.fetched, convey.ShouldBeFalse)
+		})
+		convey.Convey("it is in again with a higher version", func() {
+			before := agent.core.self.Sequence
+			_, settled := f.runUntil(10*time.Second, f.settled)
+			convey.So(settled, convey.ShouldBeTrue)
+			convey.So(agent.core.self.Sequence, convey.ShouldBeGreaterThan, before)
+		})
+	})
+}
+
+func TestReplacedServerAtTheSameAddress(t *testing.T) {
+	cases := map[string]int64{"later clock": 1000, "earlier clock": -1_000_000}
+	for name, drift := range cases {
+		convey.Convey("A server of another service takes over an address, "+name, t, func() {
+			f := newAndes(8, 2, 3)
+			_, settled := f.settle()
+			convey.So(settled, convey.ShouldBeTrue)
+			old := f.agents[0]
+			replacement := Record{
+				Server: "catalogue-1", Service: "catalogue", Domain: old.domain, Packet: old.addr, Control: old.addr,
+				Incarnation: uint64(f.now.UnixMilli() + drift), State: Cold, Weight: 10,
+			}
+			f.startAgent(old, replacement)
+			oldName := old.name
+			old.name = replacement.Server
+			shared := false
+			took, settled := f.runUntil(10*time.Second, func() bool {
+				for _, n := range f.nodes {
+					shared = shared || n.sees(oldName) && n.sees(replacement.Server)
+				}
+				return f.settled()
+			})
+			convey.So(settled, convey.ShouldBeTrue)
+			convey.So(shared, convey.ShouldBeFalse)
+			t.Logf("%s: settled after %v", name, took)
+		})
+	}
+}
+
+func TestLossDuplicationAndReordering(t *testing.T) {
+	convey.Convey("Given 2% loss, duplication and reordering", t, func() {
+		f := newAndes(9, 3, 10)
+		f.loss, f.duplication, f.reordering = 0.02, 0.02, 0.02
+		_, settled := f.settle()
+		convey.So(settled, convey.ShouldBeTrue)
+		convey.Convey("nobody is taken out in 2 minutes", func() {
+			for end := f.now.Add(2 * time.Minute); f.now.Before(end); f.run(tickPeriod) {
+				for _, n := range f.nodes {
+					convey.So(len(n.core.current.Servers), convey.ShouldEqual, 30)
+				}
+			}
+		})
+		convey.Convey("announced changes and ends reach everyone", func() {
+			for i, a := range f.agents[:10] {
+				a.core.setState(f.now, Draining, uint16(i))
+				a.perform()
+			}
+			f.agents[20].stopped = true
+			_, settled := f.settle()
+			convey.So(settled, convey.ShouldBeTrue)
+		})
+	})
+}
+
+func TestRestartWithEmptyMemory(t *testing.T) {
+	convey.Convey("A restarted balancer is ready only when it sees what its peers see", t, func() {
+		f := newAndes(10, 2, 30)
+		_, settled := f.settle()
+		convey.So(settled, convey.ShouldBeTrue)
+		n := f.nodes[3]
+		f.run(time.Second)
+		f.startNode(n, f.seeds(3))
+		_, ready := f.runUntil(10*time.Second, func() bool { return n.core.join.ready })
+		convey.So(ready, convey.ShouldBeTrue)
+		convey.So(len(n.core.current.Servers), convey.ShouldEqual, 90)
+		_, settled = f.settle()
+		convey.So(settled, convey.ShouldBeTrue)
+	})
+}
--- a/process/membership/gossip.go
+++ b/process/membership/gossip.go
@@ -110,19 +110,24 @@
 // failure domain, or of any other when local is false. Where one kind is
 // missing the other takes its place.
 func (c *nodeCore) chooseTargets(count int, local bool) []*peerEntry {
-	var wanted, other []*peerEntry
+	wanted := c.otherPeers(local)
+	if len(wanted) == 0 {
+		wanted = c.otherPeers(!local)
+	}
+	return wanted[:min(count, len(wanted))]
+}
+
+// otherPeers returns the live balancers inside or outside the own failure
+// domain, in random order.
+func (c *nodeCore) otherPeers(local bool) []*peerEntry {
+	var chosen []*peerEntry
 	for _, entry := range c.livePeers() {
 		if (entry.peer.Domain == c.self.Domain) == local {
-			wanted = append(wanted, entry)
-		} else {
-			other = append(other, entry)
+			chosen = append(chosen, entry)
 		}
 	}
-	if len(wanted) == 0 {
-		wanted = other
-	}
-	c.random.Shuffle(len(wanted), func(i, j int) { wanted[i], wanted[j] = wanted[j], wanted[i] })
-	return wanted[:min(count, len(wanted))]
+	c.random.Shuffle(len(chosen), func(i, j int) { chosen[i], chosen[j] = chosen[j], chosen[i] })
+	return chosen
 }
 
 // gossipBatch is the content of one datagram.
--- a/process/membership/node.go
+++ b/process/membership/node.go
@@ -254,29 +254,5 @@
 
 // FetchView returns the live servers of some services.
 func (s *nodeService) FetchView(_ context.Context, request *pb.FetchViewRequest) (*pb.FetchViewResponse, error) {
-	view := s.node.View()
-	records := selectServices(view.Servers, request.Services)
-	replaced, delta := viewDelta(records, request.Buckets)
-	response := &pb.FetchViewResponse{Replaced: replaced, Ready: s.node.Ready()}
-	for i := range delta {
-		response.Records = append(response.Records, recordToWire(delta[i], statusAlive))
-	}
-	for i := range records {
-		response.Digest ^= recordDigest(records[i])
-	}
-	response.Peers = contactsOf(view.Peers)
-	return response, nil
-}
-
-// fetchContacts is the number of balancers named in an answer.
-const fetchContacts = 8
-
-// contactsOf returns some balancers for the case that the caller's homes end.
-func contactsOf(peers []Peer) []*pb.Peer {
-	contacts := make([]*pb.Peer, 0, fetchContacts)
-	step := max(1, len(peers)/fetchContacts)
-	for i := 0; i < len(peers) && len(contacts) < fetchContacts; i += step {
-		contacts = append(contacts, peerToWire(peers[i], statusAlive))
-	}
-	return contacts
+	return answerFetch(s.node.View(), s.node.Ready(), request), nil
 }
--- a/process/membership/nodecore.go
+++ b/process/membership/nodecore.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"bergamotbank/event"
@@ -185,9 +186,27 @@
 	if st == statusSilent {
 		c.refuteForAgent(now, entry)
 	}
+	if st == statusAlive {
+		c.retireReplaced(now, entry)
+	}
 	return result
 }
 
+// retireReplaced takes out for good the servers whose packet address another
+// server of a higher incarnation has taken over.
+func (c *nodeCore) retireReplaced(now time.Time, entry *serverEntry) {
+	if c.state.superseded(entry) != nil {
+		return
+	}
+	for {
+		replaced := c.state.replacedBy(entry)
+		if replaced == nil {
+			return
+		}
+		c.mergeRecord(now, replaced.record, statusGone)
+	}
+}
+
 // recordServer records what has changed about a server.
 func (c *nodeCore) recordServer(before *serverEntry, wasLive bool, entry *serverEntry) {
 	e := event.Event{
@@ -268,12 +287,11 @@
 // replacePeersAt takes out peers of lower incarnations that had the address of
 // a new peer.
 func (c *nodeCore) replacePeersAt(now time.Time, p Peer) {
-	for _, other := range c.state.peers {
+	for _, other := range c.livePeers() {
 		replaced := other.peer.Control == p.Control &&
 			other.peer.Name != p.Name &&
-			other.peer.Incarnation < p.Incarnation &&
-			other.status <= statusSuspect
-		if replaced && other.peer.Name != c.self.Name {
+			other.peer.Incarnation < p.Incarnation
+		if replaced {
 			c.mergePeer(now, other.peer, statusGone)
 		}
 	}
@@ -287,12 +305,7 @@
 			live = append(live, entry)
 		}
 	}
-	slices.SortFunc(live, func(a, b *peerEntry) int {
-		if a.peer.Name < b.peer.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(live, func(a, b *peerEntry) int { return strings.Compare(a.peer.Name, b.peer.Name) })
 	return live
 }
 
--- a/process/membership/probe.go
+++ b/process/membership/probe.go
@@ -1,7 +1,9 @@
 package membership
 
 import (
+	"maps"
 	"net/netip"
+	"slices"
 	"time"
 
 	pb "bergamotbank/process/membership/membershippb"
@@ -11,9 +13,6 @@
 	// indirectProbes is the number of balancers asked to probe a balancer that
 	// did not answer.
 	indirectProbes = 3
-	// localProbeShare is the share of probes, in percent, that stay in the own
-	// failure domain.
-	localProbeShare = 75
 	// rejoinPeriod is the period in which a balancer that is held for dead, or
 	// an address from the settings, is tried again.
 	rejoinPeriod = 5 * time.Second
@@ -26,6 +25,8 @@
 	nonce      uint64
 	next       time.Time
 	nextRejoin time.Time
+	local      rotation
+	remote     rotation
 	pending    map[uint64]*pendingProbe
 	relays     map[uint64]relay
 }
@@ -51,7 +52,32 @@
 	}
 }
 
-// tickProbes probes one balancer a period and follows up open probes.
+// rotation goes round a set of balancers in random order, so that each is
+// probed within a bounded number of periods.
+type rotation struct {
+	names []string
+}
+
+// next returns the next balancer of the round, or nil when there is none. A
+// new round is drawn from the live balancers, which list returns at random.
+func (r *rotation) next(peers map[string]*peerEntry, list func() []*peerEntry) *peerEntry {
+	for range 2 {
+		for len(r.names) > 0 {
+			entry, ok := peers[r.names[0]]
+			r.names = r.names[1:]
+			if ok && entry.status <= statusSuspect {
+				return entry
+			}
+		}
+		for _, entry := range list() {
+			r.names = append(r.names, entry.peer.Name)
+		}
+	}
+	return nil
+}
+
+// tickProbes probes one balancer of the own failure domain and one of another
+// in each period, and follows up open probes.
 func (c *nodeCore) tickProbes(now time.Time) {
 	c.followProbes(now)
 	if !now.Before(c.probes.nextRejoin) {
@@ -62,7 +88,11 @@
 		return
 	}
 	c.probes.next = now.Add(c.jitter(c.timing.Probe))
-	target := c.probeTarget()
+	c.probe(now, c.probes.local.next(c.state.peers, func() []*peerEntry { return c.otherPeers(true) }))
+	c.probe(now, c.probes.remote.next(c.state.peers, func() []*peerEntry { return c.otherPeers(false) }))
+}
+
+func (c *nodeCore) probe(now time.Time, target *peerEntry) {
 	if target == nil {
 		return
 	}
@@ -84,19 +114,11 @@
 	return jitter(c.random, period)
 }
 
-// probeTarget chooses a live balancer, mostly of the own failure domain.
-func (c *nodeCore) probeTarget() *peerEntry {
-	targets := c.chooseTargets(1, c.random.IntN(100) < localProbeShare)
-	if len(targets) == 0 {
-		return nil
-	}
-	return targets[0]
-}
-
 // followProbes asks others to probe a balancer that did not answer, and
 // suspects it when they get no answer either.
 func (c *nodeCore) followProbes(now time.Time) {
-	for nonce, probe := range c.probes.pending {
+	for _, nonce := range slices.Sorted(maps.Keys(c.probes.pending)) {
+		probe := c.probes.pending[nonce]
 		age := now.Sub(probe.sent)
 		switch {
 		case age >= c.timing.Probe:
@@ -142,8 +164,8 @@
 
 // tickSuspicions holds a suspect that did not refute in time for dead.
 func (c *nodeCore) tickSuspicions(now time.Time) {
-	for name, entry := range c.state.peers {
-		if name == c.self.Name || entry.status != statusSuspect {
+	for _, entry := range c.livePeers() {
+		if entry.status != statusSuspect {
 			continue
 		}
 		if now.Sub(entry.changed) >= c.timing.Suspicion && !c.deaf(now) {
@@ -171,6 +193,7 @@
 			dead = append(dead, candidate.addr)
 		}
 	}
+	slices.SortFunc(dead, netip.AddrPort.Compare)
 	if len(dead) > 0 {
 		c.ping(dead[c.random.IntN(len(dead))], 0)
 	}
--- a/process/membership/serviceview.go
+++ b/process/membership/serviceview.go
@@ -4,6 +4,8 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+
+	pb "bergamotbank/process/membership/membershippb"
 )
 
 // viewBucketCount is the number of digest buckets of a view of some services.
@@ -101,3 +103,34 @@
 	}
 	return append(kept, delta...)
 }
+
+// fetchContacts is the number of balancers named in an answer.
+const fetchContacts = 8
+
+// answerFetch answers an agent's call for the view of some services.
+func answerFetch(view View, ready bool, request *pb.FetchViewRequest) *pb.FetchViewResponse {
+	records := selectServices(view.Servers, request.Services)
+	replaced, delta := viewDelta(records, request.Buckets)
+	response := &pb.FetchViewResponse{
+		Replaced: replaced,
+		Ready:    ready,
+		Peers:    contactsOf(view.Peers),
+	}
+	for i := range delta {
+		response.Records = append(response.Records, recordToWire(delta[i], statusAlive))
+	}
+	for i := range records {
+		response.Digest ^= recordDigest(records[i])
+	}
+	return response
+}
+
+// contactsOf returns some balancers for the case that the caller's homes end.
+func contactsOf(peers []Peer) []*pb.Peer {
+	contacts := make([]*pb.Peer, 0, fetchContacts)
+	step := max(1, len(peers)/fetchContacts)
+	for i := 0; i < len(peers) && len(contacts) < fetchContacts; i += step {
+		contacts = append(contacts, peerToWire(peers[i], statusAlive))
+	}
+	return contacts
+}
--- a/process/membership/silence.go
+++ b/process/membership/silence.go
@@ -1,9 +1,11 @@
 package membership
 
 import (
+	"maps"
 	"math"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -37,7 +39,7 @@
 	watched     map[string]time.Time // server to the time of becoming its home
 	// observed holds when another home last found a server silent.
 	observed map[observationKey]time.Time
-	mass     map[string]bool // failure domains in mass silence
+	held     map[string]int // servers held in the view by failure domain
 }
 
 // heartbeatSeen is the last heartbeat of a server.
@@ -57,7 +59,7 @@
 		heard:    make(map[string]heartbeatSeen),
 		watched:  make(map[string]time.Time),
 		observed: make(map[observationKey]time.Time),
-		mass:     make(map[string]bool),
+		held:     make(map[string]int),
 	}
 }
 
@@ -137,8 +139,8 @@
 	if entry.record.Incarnation > incarnation || entry.status != statusAlive {
 		return entry.record.Incarnation, entry.record.Sequence
 	}
-	if owner, replaced := c.state.superseded(entry); replaced {
-		return owner.incarnation, math.MaxUint64
+	if owner := c.state.superseded(entry); owner != nil {
+		return owner.record.Incarnation, math.MaxUint64
 	}
 	return 0, 0
 }
@@ -191,6 +193,20 @@
 	homes []*peerEntry
 }
 
+// evidence is how far the homes agree that a server is silent.
+type evidence uint8
+
+const (
+	// evidenceOpen: a live home has not confirmed the silence.
+	evidenceOpen evidence = iota
+	// evidenceWeak: all live homes agree, but all sit in one other failure
+	// domain, so that the cut may be theirs.
+	evidenceWeak
+	// evidenceStrong: all live homes agree, one of them in the failure domain
+	// of the server or several in different ones.
+	evidenceStrong
+)
+
 // tickSilence compares with the other homes which servers are silent, and
 // takes out those that all homes find silent.
 func (c *nodeCore) tickSilence(now time.Time) {
@@ -204,12 +220,34 @@
 	}
 	silent, totals := c.silentServers(now)
 	c.tellHomes(silent)
-	held := c.massSilence(silent, totals)
+	mass := c.massSilence(silent, totals)
+	held := make(map[string]int)
 	for _, server := range silent {
-		if c.confirmed(server, held[server.entry.record.Domain]) {
+		domain := server.entry.record.Domain
+		switch c.evidence(server) {
+		case evidenceOpen:
+		case evidenceStrong:
 			c.mergeRecord(now, server.entry.record, statusSilent)
+		case evidenceWeak:
+			if mass[domain] {
+				held[domain]++
+			} else if server.since > c.timing.SilentAfter+weakDelay {
+				c.mergeRecord(now, server.entry.record, statusSilent)
+			}
+		}
+	}
+	c.recordHeld(held)
+}
+
+// recordHeld records the failure domains whose servers stay in the view though
+// they are silent here.
+func (c *nodeCore) recordHeld(held map[string]int) {
+	for _, domain := range slices.Sorted(maps.Keys(held)) {
+		if c.silence.held[domain] == 0 {
+			c.record(event.Event{Kind: event.MassSilence, Domain: domain, Count: uint64(held[domain])})
 		}
 	}
+	c.silence.held = held
 }
 
 func (c *nodeCore) expireObservations(now time.Time) {
@@ -247,10 +285,7 @@
 		}
 	}
 	slices.SortFunc(silent, func(a, b silentServer) int {
-		if a.entry.record.Server < b.entry.record.Server {
-			return -1
-		}
-		return 1
+		return strings.Compare(a.entry.record.Server, b.entry.record.Server)
 	})
 	return silent, totals
 }
@@ -281,32 +316,40 @@
 	}
 }
 
-// massSilence returns the failure domains most of whose servers went silent
-// here, and records the change.
+// massSilence returns the failure domains that this balancer may be cut off
+// from: all of their balancers are dead here, or most of their servers that are
+// watched here went silent.
 func (c *nodeCore) massSilence(silent []silentServer, totals map[string]int) map[string]bool {
 	counts := make(map[string]int)
 	for _, server := range silent {
 		counts[server.entry.record.Domain]++
 	}
-	held := make(map[string]bool)
+	mass := make(map[string]bool)
 	for domain, count := range counts {
-		if count >= massMinimum && 2*count > totals[domain] {
-			held[domain] = true
-		}
+		most := count >= massMinimum && 2*count > totals[domain]
+		mass[domain] = most || c.lostBalancers(domain)
 	}
-	for domain := range held {
-		if !c.silence.mass[domain] {
-			c.record(event.Event{Kind: event.MassSilence, Domain: domain, Count: uint64(counts[domain])})
+	return mass
+}
+
+// lostBalancers tells whether a failure domain has dead balancers and no live
+// one.
+func (c *nodeCore) lostBalancers(domain string) bool {
+	dead := false
+	for _, entry := range c.state.peers {
+		if entry.peer.Domain != domain {
+			continue
+		}
+		if entry.status <= statusSuspect {
+			return false
 		}
+		dead = dead || entry.status == statusSilent
 	}
-	c.silence.mass = held
-	return held
+	return dead
 }
 
-// confirmed tells whether all live homes find a server silent. When all of
-// them sit in one other failure domain, the cut may be ours: the server then
-// stays while most servers of its failure domain are silent too.
-func (c *nodeCore) confirmed(server silentServer, mass bool) bool {
+// evidence tells how far the homes agree that a server is silent.
+func (c *nodeCore) evidence(server silentServer) evidence {
 	domains := make(map[string]bool)
 	for _, home := range server.homes {
 		domains[home.peer.Domain] = true
@@ -315,11 +358,11 @@
 		}
 		key := observationKey{server: server.entry.record.Server, home: home.peer.Name}
 		if _, found := c.silence.observed[key]; !found {
-			return false
+			return evidenceOpen
 		}
 	}
 	if domains[server.entry.record.Domain] || len(domains) > 1 {
-		return true
+		return evidenceStrong
 	}
-	return !mass && server.since > c.timing.SilentAfter+weakDelay
+	return evidenceWeak
 }
--- a/process/membership/state.go
+++ b/process/membership/state.go
@@ -19,6 +19,8 @@
 	status  status
 	hash    uint64
 	changed time.Time
+	// sameAddr is the next live server at the same packet address.
+	sameAddr *serverEntry
 }
 
 func (e *serverEntry) compare(r Record, st status) int {
@@ -60,16 +62,6 @@
 	)
 }
 
-// addrOwner is the newest server seen at a packet address.
-type addrOwner struct {
-	incarnation uint64
-	hash        uint64
-}
-
-func (o addrOwner) compare(other addrOwner) int {
-	return cmp.Or(cmp.Compare(o.incarnation, other.incarnation), cmp.Compare(o.hash, other.hash))
-}
-
 // domainDigest is the digest of the live entries of a failure domain.
 type domainDigest struct {
 	total   uint64
@@ -81,7 +73,7 @@
 type state struct {
 	servers map[string]*serverEntry
 	peers   map[string]*peerEntry
-	owners  map[uint64]addrOwner
+	addrs   map[uint64]*serverEntry // by packed packet address
 	digests map[string]*domainDigest
 	names   map[string]string
 }
@@ -90,7 +82,7 @@
 	return &state{
 		servers: make(map[string]*serverEntry),
 		peers:   make(map[string]*peerEntry),
-		owners:  make(map[uint64]addrOwner),
+		addrs:   make(map[uint64]*serverEntry),
 		digests: make(map[string]*domainDigest),
 		names:   make(map[string]string),
 	}
@@ -114,7 +106,7 @@
 		if order := entry.compare(r, st); order >= 0 {
 			return -order
 		}
-		s.toggleServer(entry)
+		s.unindex(entry)
 	} else {
 		entry = &serverEntry{hash: xxhash.Sum64String(r.Server)}
 		s.servers[r.Server] = entry
@@ -127,35 +119,78 @@
 	entry.record = r
 	entry.status = st
 	entry.changed = now
-	s.claimAddr(entry)
-	s.toggleServer(entry)
+	s.index(entry)
 	return 1
 }
 
-// claimAddr makes the server the owner of its packet address unless a server
-// of a higher incarnation was seen there.
-func (s *state) claimAddr(e *serverEntry) {
+// index puts an alive server into the digests and the addresses.
+func (s *state) index(e *serverEntry) {
+	if e.status != statusAlive {
+		return
+	}
+	s.toggleServer(e)
+	key := packAddr(e.record.Packet)
+	e.sameAddr = s.addrs[key]
+	s.addrs[key] = e
+}
+
+// unindex takes an alive server out of the digests and the addresses.
+func (s *state) unindex(e *serverEntry) {
+	if e.status != statusAlive {
+		return
+	}
+	s.toggleServer(e)
 	key := packAddr(e.record.Packet)
-	claim := addrOwner{incarnation: e.record.Incarnation, hash: e.hash}
-	if owner, ok := s.owners[key]; !ok || owner.compare(claim) < 0 {
-		s.owners[key] = claim
+	next := e.sameAddr
+	e.sameAddr = nil
+	if first := s.addrs[key]; first != e {
+		first.unlink(e, next)
+		return
+	}
+	if next == nil {
+		delete(s.addrs, key)
+		return
 	}
+	s.addrs[key] = next
 }
 
-// superseded returns the owner of the server's packet address when that is
-// another server.
-func (s *state) superseded(e *serverEntry) (addrOwner, bool) {
-	owner := s.owners[packAddr(e.record.Packet)]
-	return owner, owner != addrOwner{incarnation: e.record.Incarnation, hash: e.hash}
+// unlink takes a server that has a predecessor out of the list of an address.
+func (e *serverEntry) unlink(removed, next *serverEntry) {
+	for e.sameAddr != removed {
+		e = e.sameAddr
+	}
+	e.sameAddr = next
+}
+
+// superseded returns the alive server of a higher incarnation at the same
+// packet address, or nil.
+func (s *state) superseded(e *serverEntry) *serverEntry {
+	for other := s.addrs[packAddr(e.record.Packet)]; other != nil; other = other.sameAddr {
+		order := cmp.Or(
+			cmp.Compare(other.record.Incarnation, e.record.Incarnation),
+			cmp.Compare(other.hash, e.hash),
+		)
+		if order > 0 {
+			return other
+		}
+	}
+	return nil
+}
+
+// replacedBy returns an alive server whose packet address the given one has
+// taken over, or nil.
+func (s *state) replacedBy(e *serverEntry) *serverEntry {
+	for other := s.addrs[packAddr(e.record.Packet)]; other != nil; other = other.sameAddr {
+		if other != e && s.superseded(other) != nil {
+			return other
+		}
+	}
+	return nil
 }
 
 // live tells whether a server belongs into the view.
 func (s *state) live(e *serverEntry) bool {
-	if e.status != statusAlive {
-		return false
-	}
-	_, replaced := s.superseded(e)
-	return !replaced
+	return e.status == statusAlive && s.superseded(e) == nil
 }
 
 // mergePeer takes in an announcement of a balancer, with results as those of
@@ -181,11 +216,7 @@
 
 // removeServer drops a server for good.
 func (s *state) removeServer(e *serverEntry) {
-	s.toggleServer(e)
-	key := packAddr(e.record.Packet)
-	if _, replaced := s.superseded(e); !replaced {
-		delete(s.owners, key)
-	}
+	s.unindex(e)
 	delete(s.servers, e.record.Server)
 }
 
@@ -195,11 +226,8 @@
 	delete(s.peers, e.peer.Name)
 }
 
-// toggleServer adds a live server to the digests or takes it out again.
+// toggleServer adds an alive server to the digests or takes it out again.
 func (s *state) toggleServer(e *serverEntry) {
-	if e.status != statusAlive {
-		return
-	}
 	s.toggle(e.record.Domain, e.hash, e.record.Incarnation, e.record.Sequence, uint64(e.status))
 }
 
