Judge each growth of the limit by the latency it brings

A growth on a cold server only makes requests wait, so it is taken back when the latency at the new limit rises. The health endpoint only delays the next try of a server that has failed. Answers of unknown length give their slot back after 50 ms, so that streams do not starve orders.

--- a/request/admission/engine.go
+++ b/request/admission/engine.go
@@ -29,7 +29,7 @@
 	eventFinishStream
 	eventLimits
 	eventDrain
-	eventReachable
+	eventHint
 )
 
 // engineEvent is one input of the engine.
@@ -41,6 +41,7 @@
 	sample      limit.Sample
 	slots       int
 	connections int
+	well        bool
 }
 
 // decision tells whether a request starts or why it is refused.
@@ -129,8 +130,8 @@
 		return c.SetLimits(ev.slots, ev.connections, now)
 	case eventDrain:
 		return c.Drain(now)
-	case eventReachable:
-		return c.Reachable(now)
+	case eventHint:
+		return c.Hint(ev.well, now)
 	}
 	return nil
 }
--- a/request/admission/gate.go
+++ b/request/admission/gate.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/http"
 	"net/netip"
 	"sync"
 	"sync/atomic"
@@ -27,9 +28,13 @@
 	defaultConnections = 2000
 	// defaultTimeout holds until SetLimits is called.
 	defaultTimeout = 10 * time.Second
-	// reachPeriod is the period of the check whether a paused backend server
-	// takes connections.
-	reachPeriod = time.Second
+	// probePeriod is the period of health probes while a backend server that has
+	// failed is not used.
+	probePeriod = 25 * time.Millisecond
+	// probeTimeout bounds one health probe.
+	probeTimeout = 500 * time.Millisecond
+	// healthPath is the path of the health endpoint of a backend server.
+	healthPath = "/health"
 	// drainPoll is the period of the check whether a drain has finished.
 	drainPoll = 10 * time.Millisecond
 )
@@ -140,7 +145,7 @@
 		return nil
 	})
 	group.Go(func() error {
-		g.checkReachable(ctx)
+		g.probeHealth(ctx)
 		return nil
 	})
 	group.Go(func() error {
@@ -167,10 +172,10 @@
 	return peers
 }
 
-// checkReachable opens a connection now and then while the backend server takes
-// no requests, as a hint that it can be tried again.
-func (g *Gate) checkReachable(ctx context.Context) {
-	ticker := time.NewTicker(reachPeriod)
+// probeHealth asks the health endpoint of a backend server that has failed, as a
+// hint whether it can be tried again.
+func (g *Gate) probeHealth(ctx context.Context) {
+	ticker := time.NewTicker(probePeriod)
 	defer ticker.Stop()
 	for {
 		select {
@@ -178,18 +183,29 @@
 			return
 		case <-ticker.C:
 		}
-		if !g.seen.Load().paused {
-			continue
+		if g.seen.Load().paused {
+			g.engine.post(engineEvent{kind: eventHint, well: g.well(ctx)})
 		}
-		conn, err := g.client.Dial(ctx)
-		if err != nil {
-			continue
-		}
-		_ = conn.Close()
-		g.engine.post(engineEvent{kind: eventReachable})
 	}
 }
 
+// well tells whether the health endpoint answers and is not ill. A backend server
+// without such an endpoint counts as well.
+func (g *Gate) well(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+g.options.Backend.String()+healthPath, nil)
+	if err != nil {
+		return false
+	}
+	answer, err := g.client.Do(ctx, req, func() bool { return true })
+	if err != nil {
+		return false
+	}
+	defer answer.Close()
+	return answer.Response.StatusCode < http.StatusInternalServerError
+}
+
 // Drain refuses new work and waits until every open request, stream and relayed
 // connection has ended. It returns an error of the kind Partial when ctx ends
 // first.
--- a/request/admission/handoff.go
+++ b/request/admission/handoff.go
@@ -110,7 +110,6 @@
 	}
 	defer answer.Close()
 	x.stopTimer()
-	x.header = time.Now()
 	if disclaimed(answer.Response) {
 		x.gate.picker.refused(sibling.Server)
 		x.refuse(reason)
--- a/request/admission/pass.go
+++ b/request/admission/pass.go
@@ -18,11 +18,14 @@
 	// copyBufferSize is the size in bytes of a buffer between backend server and
 	// caller. It bounds what a slow caller holds in memory.
 	copyBufferSize = 32 << 10
-	// streamBufferSize is the size in bytes of the buffer of an event stream.
-	streamBufferSize = 1 << 10
-	// streamAfter is the time after the header from which an answer counts as a
-	// stream and gives its slot back.
-	streamAfter = time.Second
+	// smallBufferSize is the size in bytes of the buffer of an answer that comes
+	// in small pieces, as most streams do.
+	smallBufferSize = 1 << 10
+	// openStreamAfter is the time after the header from which an answer of unknown
+	// length counts as a stream and gives its slot back.
+	openStreamAfter = 50 * time.Millisecond
+	// knownStreamAfter is the same for an answer of known length.
+	knownStreamAfter = time.Second
 	// callerStall is how long a write to the caller may make no progress.
 	callerStall = 60 * time.Second
 	// serverStall is how long the backend server may be silent within an answer
@@ -46,10 +49,9 @@
 	}
 	announceTrailers(x.w.Header(), resp)
 	x.w.WriteHeader(resp.StatusCode)
-	if isEventStream(resp) {
-		x.becomeStream(sample)
-	}
-	err := x.copyBody(answer, sample)
+	timer := time.AfterFunc(streamAfter(resp), func() { x.becomeStream(sample) })
+	defer timer.Stop()
+	err := x.copyBody(answer)
 	x.finish(sample, err)
 	if err != nil {
 		x.fail(err)
@@ -88,6 +90,19 @@
 	}
 }
 
+// streamAfter returns the time after the header from which an answer counts as a
+// stream.
+func streamAfter(resp *http.Response) time.Duration {
+	switch {
+	case isEventStream(resp):
+		return 0
+	case resp.ContentLength < 0:
+		return openStreamAfter
+	default:
+		return knownStreamAfter
+	}
+}
+
 func announceTrailers(header http.Header, resp *http.Response) {
 	for name := range resp.Trailer {
 		header.Add("Trailer", name)
@@ -96,7 +111,9 @@
 
 // becomeStream gives the slot back; the request stays open.
 func (x *exchange) becomeStream(sample limit.Sample) {
-	if x.streams {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.state.Phase() != lifecycle.Answering || x.finished {
 		return
 	}
 	x.streams = true
@@ -107,6 +124,9 @@
 }
 
 func (x *exchange) finish(sample limit.Sample, err error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.finished = true
 	kind := eventFinish
 	if x.streams {
 		kind = eventFinishStream
@@ -126,25 +146,35 @@
 
 // copyBody copies the body with a buffer of fixed size, so that a slow caller
 // slows the backend server down instead of filling memory.
-func (x *exchange) copyBody(answer *backend.Exchange, sample limit.Sample) error {
-	buffer, done := x.buffer(answer.Response)
-	defer done()
+func (x *exchange) copyBody(answer *backend.Exchange) error {
+	small := make([]byte, smallBufferSize)
+	full := false
 	control := http.NewResponseController(x.w)
-	if x.streams || answer.Response.ContentLength < 0 {
+	unknown := answer.Response.ContentLength < 0
+	if unknown {
 		_ = control.Flush()
 	}
 	for {
-		if !isEventStream(answer.Response) {
+		if !unknown {
 			_ = answer.SetReadDeadline(time.Now().Add(serverStall))
 		}
+		buffer := small
+		var pooled *[copyBufferSize]byte
+		if full {
+			pooled = x.gate.buffers.Get().(*[copyBufferSize]byte)
+			buffer = pooled[:]
+		}
 		n, readErr := answer.Response.Body.Read(buffer)
+		full = n >= smallBufferSize
+		var err error
 		if n > 0 {
-			if err := x.forward(control, buffer[:n], answer.Response.ContentLength < 0); err != nil {
-				return err
-			}
+			err = x.forward(control, buffer[:n], unknown)
 		}
-		if time.Since(x.header) > streamAfter {
-			x.becomeStream(sample)
+		if pooled != nil {
+			x.gate.buffers.Put(pooled)
+		}
+		if err != nil {
+			return err
 		}
 		switch {
 		case errors.Is(readErr, io.EOF):
@@ -157,16 +187,6 @@
 	}
 }
 
-// buffer returns a buffer for the answer and the function that gives it back. An
-// event stream is idle most of the time and gets a small one.
-func (x *exchange) buffer(resp *http.Response) ([]byte, func()) {
-	if isEventStream(resp) {
-		return make([]byte, streamBufferSize), func() {}
-	}
-	buffer := x.gate.buffers.Get().(*[copyBufferSize]byte)
-	return buffer[:], func() { x.gate.buffers.Put(buffer) }
-}
-
 func isEventStream(resp *http.Response) bool {
 	return strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType)
 }
--- a/request/admission/serve.go
+++ b/request/admission/serve.go
@@ -33,13 +33,13 @@
 	origin   origin
 	id       queue.ID
 	deadline time.Time
-	mu       sync.Mutex // guards state
+	mu       sync.Mutex // guards state, streams and finished
 	state    lifecycle.Request
+	finished bool
 
 	// placed tells that the request holds a place, or streams after it had one.
 	placed  bool
 	streams bool
-	header  time.Time
 
 	// ctx ends the sending and the answer; stopTimer takes its deadline off.
 	ctx       context.Context
@@ -157,10 +157,9 @@
 	}
 	defer answer.Close()
 	x.stopTimer()
-	x.header = time.Now()
 	sample := limit.Sample{
 		Outcome:  outcomeOf(answer.Response.StatusCode),
-		Latency:  x.header.Sub(started),
+		Latency:  time.Since(started),
 		Instance: answer.Response.Header.Get(HeaderInstance),
 	}
 	x.pass(answer, sample)
--- a/request/lifecycle/controller.go
+++ b/request/lifecycle/controller.go
@@ -187,9 +187,9 @@
 	return c.settle(now)
 }
 
-// Reachable passes on the hint that a connection could be opened.
-func (c *Controller) Reachable(now time.Time) []Action {
-	c.limiter.Reachable(now)
+// Hint passes on what the health endpoint of the backend server tells.
+func (c *Controller) Hint(well bool, now time.Time) []Action {
+	c.limiter.Hint(well, now)
 	return c.settle(now)
 }
 
--- a/request/limit/limit.go
+++ b/request/limit/limit.go
@@ -72,30 +72,17 @@
 	// failingWeight is the weight of a backend server that fails its requests.
 	failingWeight = 1
 
-	// initialDwell is the shortest time at one limit before the next growth.
-	initialDwell = 500 * time.Millisecond
-	// maxDwell bounds the dwell after repeated falls.
-	maxDwell = 8 * time.Second
-	// growthSuccesses is the number of successes per unit of the limit that a
-	// growth needs.
-	growthSuccesses = 4
-	// slowFactor times the baseline latency is a slow answer.
-	slowFactor = 3
-	// slowMargin is added to the bound of a slow answer, so that the variation of
-	// very short answers does not count.
-	slowMargin = 20 * time.Millisecond
-	// slowRun is the number of consecutive slow answers that mean a cold server.
-	slowRun = 3
 	// failedRun is the number of consecutive failed answers that mean a failing
 	// server.
 	failedRun = 5
-	// baselineShare is the share (1/n) of a new sample in the baseline latency.
-	baselineShare = 16
 	// initialPause is the first wait before a failing server is tried again.
 	initialPause = 50 * time.Millisecond
 	// maxPause bounds the wait before a failing server is tried again.
 	maxPause = 2 * time.Second
-	// stallFactor times the baseline latency without any answer is a stall.
+	// maxHintedPause bounds the wait when the health endpoint goes on telling that
+	// the server is ill.
+	maxHintedPause = 5 * time.Second
+	// stallFactor times the usual latency without any answer is a stall.
 	stallFactor = 10
 	// stallMargin is added to the bound of a stall.
 	stallMargin = time.Second
@@ -120,25 +107,21 @@
 	inFlight int
 	draining bool
 	warm     bool
+	ramp     ramp
 
-	successes  int
-	slow       int
 	bad        int
-	levelSince time.Time
 	progress   time.Time
-	dwell      time.Duration
-	baseline   time.Duration
 	instance   string
-
 	pause      time.Duration
 	pauseUntil time.Time
+	pauseSince time.Time
 	falls      uint64
 }
 
 // New returns the limiter of a backend server with the given number of slots,
 // at least one. The backend server counts as cold.
 func New(slots int, now time.Time) *Limiter {
-	l := &Limiter{limit: 1, dwell: initialDwell, levelSince: now, progress: now}
+	l := &Limiter{limit: 1, progress: now, ramp: newRamp(now)}
 	l.SetSlots(slots)
 	return l
 }
@@ -164,8 +147,9 @@
 // Falls returns how often the limit has fallen back to one.
 func (l *Limiter) Falls() uint64 { return l.falls }
 
-// Latency returns the usual latency of the backend server, zero when unknown.
-func (l *Limiter) Latency() time.Duration { return l.baseline }
+// Latency returns the latency of the backend server at present, zero when
+// unknown.
+func (l *Limiter) Latency() time.Duration { return l.ramp.recent }
 
 // Drain makes the state Draining for good. It does not change the limit, which
 // requests already admitted still need.
@@ -183,12 +167,6 @@
 	return true
 }
 
-// ResumeAt returns the time until which no request may start, and whether there
-// is one.
-func (l *Limiter) ResumeAt(now time.Time) (time.Time, bool) {
-	return l.pauseUntil, now.Before(l.pauseUntil)
-}
-
 // Paused tells whether the backend server has failed so that nothing may start
 // at present.
 func (l *Limiter) Paused(now time.Time) bool { return now.Before(l.pauseUntil) }
@@ -203,12 +181,17 @@
 
 // Finish gives a place back with the measurement of its request.
 func (l *Limiter) Finish(sample Sample, now time.Time) {
+	saturated := l.inFlight >= l.limit
 	l.Release()
-	l.Observe(sample, now)
+	l.observe(sample, saturated, now)
 }
 
 // Observe takes a measurement without giving a place back.
 func (l *Limiter) Observe(sample Sample, now time.Time) {
+	l.observe(sample, false, now)
+}
+
+func (l *Limiter) observe(sample Sample, saturated bool, now time.Time) {
 	if sample.Outcome == Abandoned {
 		return
 	}
@@ -218,11 +201,13 @@
 	}
 	switch sample.Outcome {
 	case Succeeded:
-		l.succeed(sample.Latency, now)
+		l.bad = 0
+		l.pause = 0
+		l.apply(l.ramp.succeed(sample.Latency, saturated, l.limit, now), now)
+	case TimedOut:
+		l.apply(l.ramp.timeOut(sample.Latency), now)
 	case Failed:
 		l.fail(now)
-	case TimedOut:
-		l.timeOut(sample.Latency, now)
 	case Refused, Reset, Unreachable:
 		l.bad++
 		l.fall(now)
@@ -231,88 +216,68 @@
 	}
 }
 
-// Tick looks for a backend server that holds requests and answers none.
-func (l *Limiter) Tick(now time.Time) {
-	if l.inFlight == 0 || l.limit == 1 || l.baseline == 0 {
-		return
-	}
-	if now.Sub(l.progress) > stallFactor*l.baseline+stallMargin {
+// apply carries out what the ramp has found.
+func (l *Limiter) apply(finding finding, now time.Time) {
+	switch finding {
+	case findingNone:
+	case findingSlow:
 		l.fall(now)
-		l.progress = now
-	}
-}
-
-// Reachable tells the limiter that a connection to the backend server could be
-// opened. It is a hint: it ends a pause early and changes nothing else.
-func (l *Limiter) Reachable(now time.Time) {
-	if l.Paused(now) && l.pause < maxPause {
-		l.pauseUntil = now
-	}
-}
-
-func (l *Limiter) instanceChanged(instance string) bool {
-	if instance == "" || instance == l.instance {
-		return false
+	case findingWorse:
+		l.limit = max(l.limit-1, 1)
+		l.warm = false
+		l.ramp.stepBack(now)
+	case findingBears:
+		l.grow(now)
 	}
-	known := l.instance != ""
-	l.instance = instance
-	return known
 }
 
-func (l *Limiter) succeed(latency time.Duration, now time.Time) {
-	l.bad = 0
-	l.pause = 0
-	if l.isSlow(latency) {
-		l.slow++
-		if l.slow >= slowRun {
-			l.fall(now)
-		}
+func (l *Limiter) grow(now time.Time) {
+	if l.limit == l.slots {
+		l.warm = true
+		l.ramp.settle(now)
 		return
 	}
-	l.slow = 0
-	l.addBaseline(latency)
-	l.successes++
-	l.grow(now)
+	l.limit++
+	l.ramp.stepUp(now)
 }
 
-// timeOut counts an answer that did not come in time as a slow one, unless the
-// caller's deadline was shorter than the usual latency.
-func (l *Limiter) timeOut(waited time.Duration, now time.Time) {
-	if l.baseline > 0 && !l.isSlow(waited) {
+// Tick looks for a backend server that holds requests and answers none.
+func (l *Limiter) Tick(now time.Time) {
+	usual := l.ramp.usual()
+	if l.inFlight == 0 || l.limit == 1 || usual == 0 {
 		return
 	}
-	l.slow++
-	if l.slow >= slowRun {
+	if now.Sub(l.progress) > stallFactor*usual+stallMargin {
 		l.fall(now)
+		l.progress = now
 	}
 }
 
-func (l *Limiter) isSlow(latency time.Duration) bool {
-	return l.baseline > 0 && latency > slowFactor*l.baseline+slowMargin
-}
-
-// addBaseline lets the baseline fall at once, as a warming server gets faster,
-// and rise slowly.
-func (l *Limiter) addBaseline(latency time.Duration) {
-	if l.baseline == 0 {
-		l.baseline = latency
+// Hint takes what the health endpoint of the backend server tells. It may be
+// late or untrue, so it only shifts the end of a pause, within bounds.
+func (l *Limiter) Hint(well bool, now time.Time) {
+	if !l.Paused(now) {
 		return
 	}
-	l.baseline += (latency - l.baseline) / baselineShare
-}
-
-func (l *Limiter) grow(now time.Time) {
-	if l.successes < growthSuccesses*l.limit || now.Sub(l.levelSince) < l.dwell {
+	if well {
 		return
 	}
-	l.successes = 0
-	l.levelSince = now
-	if l.limit < l.slots {
-		l.limit++
-		return
+	extended := now.Add(l.pause)
+	if latest := l.pauseSince.Add(maxHintedPause); extended.After(latest) {
+		extended = latest
+	}
+	if extended.After(l.pauseUntil) {
+		l.pauseUntil = extended
 	}
-	l.warm = true
-	l.dwell = initialDwell
+}
+
+func (l *Limiter) instanceChanged(instance string) bool {
+	if instance == "" || instance == l.instance {
+		return false
+	}
+	known := l.instance != ""
+	l.instance = instance
+	return known
 }
 
 func (l *Limiter) fail(now time.Time) {
@@ -324,31 +289,20 @@
 	l.lengthenPause(now)
 }
 
-// fall returns to one request at a time. A fall soon after a growth lengthens
-// the dwell, so that a server that is not warm yet is tried less often.
+// fall returns to one request at a time.
 func (l *Limiter) fall(now time.Time) {
 	if l.limit > 1 || l.warm {
 		l.falls++
-		l.lengthenDwell()
 	}
+	l.ramp.fall(l.warm, now)
 	l.limit = 1
 	l.warm = false
-	l.successes = 0
-	l.slow = 0
-	l.levelSince = now
-}
-
-func (l *Limiter) lengthenDwell() {
-	if l.warm {
-		l.dwell = initialDwell
-		return
-	}
-	l.dwell = min(2*l.dwell, maxDwell)
 }
 
 func (l *Limiter) lengthenPause(now time.Time) {
 	l.pause = min(max(2*l.pause, initialPause), maxPause)
 	l.pauseUntil = now.Add(l.pause)
+	l.pauseSince = now
 }
 
 // State returns the state to announce.
