--- a/request/admission/gate.go
+++ b/request/admission/gate.go
@@ -95,15 +95,22 @@
 	counters counters
 	picker   *picker
 	keeper   *ledgerrpc.Keeper
+	clock    func() time.Time
 }
 
 // New returns a gate. Until SetLimits is called it admits one request at a time.
 func New(options Options) *Gate {
+	return newGate(options, time.Now)
+}
+
+// newGate returns a gate whose ledger reads the time from clock.
+func newGate(options Options, clock func() time.Time) *Gate {
 	if options.Recorder == nil {
 		options.Recorder = event.Discard{}
 	}
 	g := &Gate{
 		options: options,
+		clock:   clock,
 		client:  backend.NewClient(options.Backend.String()),
 	}
 	g.buffers.New = func() any { return new([copyBufferSize]byte) }
@@ -116,6 +123,7 @@
 		Self:       options.Server,
 		PathPrefix: ledgerPrefix,
 		Peers:      g.ledgerPeers,
+		Now:        clock,
 	})
 	g.engine = newEngine(options, func(s snapshot) { g.seen.Store(&s) })
 	return g
--- a/request/admission/keyed.go
+++ b/request/admission/keyed.go
@@ -41,7 +41,7 @@
 	if value == "" || isSafe(x.r.Method) || x.origin.claimed {
 		return false, nil
 	}
-	key, err := ledger.ParseKey(value, x.r.Header.Get(HeaderAttempt) == firstAttempt, time.Now())
+	key, err := ledger.ParseKey(value, x.r.Header.Get(HeaderAttempt) == firstAttempt, x.gate.clock())
 	if err != nil {
 		return false, err
 	}
@@ -52,7 +52,7 @@
 	permit, result, err := x.gate.keeper.Acquire(x.r.Context(), ledgerrpc.Request{
 		Key:         key,
 		Fingerprint: fingerprint,
-		Deadline:    x.deadline,
+		Timeout:     time.Until(x.deadline),
 	})
 	if err != nil {
 		return false, err
--- a/request/ledgerrpc/acquire.go
+++ b/request/ledgerrpc/acquire.go
@@ -32,8 +32,8 @@
 	Key ledger.Key
 	// Fingerprint is that of the request.
 	Fingerprint ledger.Fingerprint
-	// Deadline is the time after which the request no longer runs.
-	Deadline time.Time
+	// Timeout is the time left until the request no longer runs.
+	Timeout time.Duration
 }
 
 // Permit is the right to run one keyed request once. Exactly one of Release and
@@ -48,12 +48,10 @@
 // caller marked the request as its first and too few homes could be reached;
 // Canceled when ctx ends.
 func (k *Keeper) Acquire(ctx context.Context, req Request) (*Permit, *ledger.Result, error) {
-	end := time.Now().Add(waitForOther)
-	if req.Deadline.Before(end) {
-		end = req.Deadline
-	}
+	deadline := k.options.Now().Add(req.Timeout)
+	end := k.options.Now().Add(min(waitForOther, req.Timeout))
 	for {
-		claim := k.newClaim(req)
+		claim := k.newClaim(req, deadline)
 		round, decision := k.round(ctx, claim)
 		permit := &Permit{keeper: k, claim: claim}
 		if decision != ledger.Run && decision != ledger.Replay {
@@ -71,19 +69,19 @@
 			return nil, nil, unvouched(ctx, req.Key)
 		case ledger.Wait:
 		}
-		if err := waitOn(ctx, req.Key, round.HeldUntil(), end); err != nil {
+		if err := k.waitOn(ctx, req.Key, round.HeldUntil(), end); err != nil {
 			return nil, nil, err
 		}
 	}
 }
 
-func (k *Keeper) newClaim(req Request) ledger.Claim {
+func (k *Keeper) newClaim(req Request, deadline time.Time) ledger.Claim {
 	return ledger.Claim{
 		Key:         req.Key,
 		Fingerprint: req.Fingerprint,
 		Token:       rand.Text(),
 		Executor:    k.options.Self,
-		Deadline:    req.Deadline,
+		Deadline:    deadline,
 	}
 }
 
@@ -99,8 +97,8 @@
 }
 
 // waitOn waits before the next look at a key that another try holds.
-func waitOn(ctx context.Context, key ledger.Key, heldUntil, end time.Time) error {
-	now := time.Now()
+func (k *Keeper) waitOn(ctx context.Context, key ledger.Key, heldUntil, end time.Time) error {
+	now := k.options.Now()
 	if now.After(heldUntil.Add(heldMargin)) {
 		return errkind.New(errkind.KeyUnverifiable, "the first try of key %q never reported its end", key.Value)
 	}
@@ -159,7 +157,7 @@
 
 // claimAt makes the claim at one home; nil means that the home did not answer.
 func (k *Keeper) claimAt(ctx context.Context, h home, claim ledger.Claim) *ledger.Reply {
-	now := time.Now()
+	now := k.options.Now()
 	if h.self {
 		reply := k.claimLocally(claim, now)
 		return &reply
@@ -176,14 +174,14 @@
 	if err != nil {
 		return nil
 	}
-	reply := replyFromProto(answer, time.Now())
+	reply := replyFromProto(answer, k.options.Now())
 	return &reply
 }
 
 // Release gives the permit back: nothing was run. It returns when every home has
 // been told or given up.
 func (p *Permit) Release() {
-	p.keeper.releaseLocally(p.claim, time.Now())
+	p.keeper.releaseLocally(p.claim, p.keeper.options.Now())
 	p.notify(func(ctx context.Context, client ledgerpb.Ledger, c *ledgerpb.Claim) error {
 		_, err := client.Release(ctx, &ledgerpb.ReleaseRequest{Service: p.keeper.options.Service, Claim: c})
 		return err
@@ -207,7 +205,7 @@
 // Complete stores the result of the request at the homes. It returns when every
 // home has been told or given up.
 func (p *Permit) Complete(result ledger.Result) {
-	p.keeper.completeLocally(p.claim, result, time.Now())
+	p.keeper.completeLocally(p.claim, result, p.keeper.options.Now())
 	encoded := resultToProto(result)
 	p.notify(func(ctx context.Context, client ledgerpb.Ledger, c *ledgerpb.Claim) error {
 		_, err := client.Complete(ctx, &ledgerpb.CompleteRequest{
--- a/request/ledgerrpc/adopt.go
+++ b/request/ledgerrpc/adopt.go
@@ -12,12 +12,12 @@
 // adopt learns the keys of the peers, so that the agent can vouch for times
 // before its own start.
 func (k *Keeper) adopt(ctx context.Context) {
-	peers, quorum := k.adoptable(time.Now())
+	peers, quorum := k.adoptable(k.options.Now())
 	if len(peers) == 0 {
 		return
 	}
 	replies := exportAll(ctx, k.options.Service, peers)
-	now := time.Now()
+	now := k.options.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	statements := make([]ledger.Statement, 0, len(replies))
--- a/request/ledgerrpc/keeper.go
+++ b/request/ledgerrpc/keeper.go
@@ -49,6 +49,8 @@
 	PathPrefix string
 	// Peers returns the agents that are alive, nil while they are not known.
 	Peers func() []Peer
+	// Now returns the time; time.Now when not given.
+	Now func() time.Time
 }
 
 // Keeper holds the agent's part of the ledger. It is safe for concurrent use.
@@ -66,6 +68,9 @@
 
 // New returns a keeper that knows nothing yet.
 func New(options Options) *Keeper {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
 	ring := ledger.NewRing(options.Self)
 	return &Keeper{
 		options: options,
@@ -92,13 +97,13 @@
 	adopt := time.NewTicker(adoptPeriod)
 	defer adopt.Stop()
 	defer k.client.CloseIdleConnections()
-	k.update(time.Now())
+	k.update(k.options.Now())
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-update.C:
-			k.update(now)
+		case <-update.C:
+			k.update(k.options.Now())
 		case <-adopt.C:
 			k.adopt(ctx)
 		}
--- a/request/ledgerrpc/notify.go
+++ b/request/ledgerrpc/notify.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"time"
 
 	"bergamotbank/request/ledger/ledgerpb"
 )
@@ -25,7 +24,7 @@
 func (p *Permit) notifyOne(client ledgerpb.Ledger, call notification) {
 	for range notifyAttempts {
 		ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-		err := call(ctx, client, claimToProto(p.claim, time.Now()))
+		err := call(ctx, client, claimToProto(p.claim, p.keeper.options.Now()))
 		cancel()
 		if err == nil {
 			return
--- a/request/ledgerrpc/server.go
+++ b/request/ledgerrpc/server.go
@@ -30,7 +30,7 @@
 	if err := s.check(req.GetService(), req.GetClaim()); err != nil {
 		return nil, err
 	}
-	now := time.Now()
+	now := s.keeper.options.Now()
 	reply := s.keeper.claimLocally(claimFromProto(req.GetClaim(), now), now)
 	return replyToProto(reply, now), nil
 }
@@ -40,7 +40,7 @@
 	if err := s.check(req.GetService(), req.GetClaim()); err != nil {
 		return nil, err
 	}
-	now := time.Now()
+	now := s.keeper.options.Now()
 	s.keeper.releaseLocally(claimFromProto(req.GetClaim(), now), now)
 	return &ledgerpb.ReleaseReply{}, nil
 }
@@ -50,7 +50,7 @@
 	if err := s.check(req.GetService(), req.GetClaim()); err != nil {
 		return nil, err
 	}
-	now := time.Now()
+	now := s.keeper.options.Now()
 	claim := claimFromProto(req.GetClaim(), now)
 	s.keeper.completeLocally(claim, resultFromProto(req.GetResult()), now)
 	return &ledgerpb.CompleteReply{}, nil
@@ -61,7 +61,7 @@
 	if req.GetService() != s.keeper.options.Service {
 		return nil, twirp.NewErrorf(twirp.FailedPrecondition, "this agent belongs to service %q", s.keeper.options.Service)
 	}
-	now := time.Now()
+	now := s.keeper.options.Now()
 	statement, vouches, entries := s.keeper.export(now)
 	reply := &ledgerpb.ExportReply{
 		Vouches: vouches,
