--- a/version/publish/publish.go
+++ b/version/publish/publish.go
@@ -254,6 +254,7 @@
 	case err == nil:
 		result.accept(made.Root.Version)
 		result.Made = &made
+		p.collectRarely(ctx, made.Root.Version)
 		return false, nil
 	case errkind.Is(err, errkind.Conflict), errkind.Is(err, errkind.OutcomeUnknown):
 		return p.settle(ctx, b, made, result)
@@ -262,6 +263,14 @@
 	}
 }
 
+// collectRarely removes unreferenced sections now and then. A failure changes
+// nothing about the operation.
+func (p *Publisher) collectRarely(ctx context.Context, version uint64) {
+	if version%collectInterval == 0 {
+		_, _ = p.Collect(ctx)
+	}
+}
+
 // pauseBefore waits before a repeated call and tells whether ctx is open.
 func pauseBefore(ctx context.Context, try int) bool {
 	timer := time.NewTimer(time.Duration(try) * repeatPause)
--- /dev/null
+++ b/version/publish/publish_test.go
@@ -0,0 +1,246 @@
+package publish
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"bergamotbank/errkind"
+	"bergamotbank/version/config"
+	"bergamotbank/version/store"
+	"bergamotbank/version/store/storetest"
+)
+
+// services returns a configuration with a number of services; the first has the
+// given port.
+func services(t testing.TB, count, port int) *config.Config {
+	text := []byte("[[domain]]\nname = \"junin\"\n")
+	for i := range count {
+		p := 80
+		if i == 0 {
+			p = port
+		}
+		text = fmt.Appendf(text, "[[service]]\nname = \"service-%d\"\naddress = \"198.18.%d.%d\"\nport = %d\n", i, i/250, i%250+1, p)
+	}
+	c, err := config.Parse(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func newPublisher(t testing.TB, server *storetest.Server) *Publisher {
+	client := store.NewClient(store.Options{Address: server.Address(), Timeout: time.Second, CallsPerSecond: 10000, Burst: 10000})
+	t.Cleanup(client.Close)
+	return New(client)
+}
+
+func newServer(t testing.TB) *storetest.Server {
+	server := storetest.NewServer()
+	t.Cleanup(server.Close)
+	return server
+}
+
+func TestPublishAndLoad(t *testing.T) {
+	convey.Convey("Versions rise, a change moves one section, the same text changes nothing", t, func() {
+		server := newServer(t)
+		p := newPublisher(t, server)
+		snapshot, err := Load(t.Context(), p.client)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(snapshot.Version, convey.ShouldEqual, 0)
+		result, err := p.Publish(t.Context(), Request{Config: services(t, 100, 80)})
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(result.Version, convey.ShouldEqual, 1)
+		sections := len(server.Keys(SectionPrefix))
+		result, err = p.Publish(t.Context(), Request{Config: services(t, 100, 81)})
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(result.Version, convey.ShouldEqual, 2)
+		convey.So(result.Fresh, convey.ShouldHaveLength, 1)
+		convey.So(result.Changes, convey.ShouldHaveLength, 1)
+		convey.So(server.Keys(SectionPrefix), convey.ShouldHaveLength, sections+1)
+		result, err = p.Publish(t.Context(), Request{Config: services(t, 100, 81)})
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(result.Outcome, convey.ShouldEqual, Unchanged)
+		snapshot, err = Load(t.Context(), p.client)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(snapshot.Version, convey.ShouldEqual, 2)
+		convey.So(config.Diff(snapshot.Config, services(t, 100, 81)), convey.ShouldBeEmpty)
+	})
+	convey.Convey("An expected version that is not current, and a floor", t, func() {
+		p := newPublisher(t, newServer(t))
+		expected := uint64(3)
+		result, err := p.Publish(t.Context(), Request{Config: services(t, 1, 80), Expect: &expected})
+		convey.So(errkind.Of(err), convey.ShouldEqual, errkind.Conflict)
+		convey.So(result.Outcome, convey.ShouldEqual, Refused)
+		result, err = p.Publish(t.Context(), Request{Config: services(t, 1, 80), Floor: 41})
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(result.Version, convey.ShouldEqual, 42)
+	})
+}
+
+func TestLostAnswer(t *testing.T) {
+	convey.Convey("An answer lost after the write took effect is found out by the operation", t, func() {
+		server := newServer(t)
+		p := newPublisher(t, server)
+		server.SetFaults(storetest.Faults{LoseWrites: 1, LoseKey: RootKey})
+		result, err := p.Publish(t.Context(), Request{Config: services(t, 3, 80)})
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(result.Outcome, convey.ShouldEqual, Accepted)
+		convey.So(result.Version, convey.ShouldEqual, 1)
+	})
+	convey.Convey("A write without effect is fenced off and made again, once", t, func() {
+		server := newServer(t)
+		p := newPublisher(t, server)
+		p.beforeRoot = func() {
+			server.SetFaults(storetest.Faults{Delay: 3 * time.Second, Down: true})
+			p.beforeRoot = func() {}
+			time.AfterFunc(time.Second, func() { server.SetFaults(storetest.Faults{}) })
+		}
+		result, err := p.Publish(t.Context(), Request{Config: services(t, 3, 80)})
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(result.Version, convey.ShouldEqual, 1)
+		root, err := DecodeRoot(server.Value(RootKey))
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(root.Recent, convey.ShouldHaveLength, 1)
+		convey.So(root.Epoch, convey.ShouldBeGreaterThan, 0)
+	})
+	convey.Convey("Lost answer, store down: unknown; the operator repeats after another has published", t, func() {
+		server := newServer(t)
+		p := newPublisher(t, server)
+		lost := newPublisher(t, server)
+		server.SetFaults(storetest.Faults{LoseWrites: 1, LoseKey: RootKey, DownAfterLoss: true})
+		ctx, cancel := context.WithTimeout(t.Context(), 500*time.Millisecond)
+		defer cancel()
+		result, err := lost.Publish(ctx, Request{Config: services(t, 3, 80), Operation: "mine"})
+		convey.So(errkind.Of(err), convey.ShouldEqual, errkind.OutcomeUnknown)
+		convey.So(result.Outcome, convey.ShouldEqual, Unknown)
+
+		server.SetFaults(storetest.Faults{})
+		_, err = p.Publish(t.Context(), Request{Config: services(t, 3, 81)})
+		convey.So(err, convey.ShouldBeNil)
+		again, err := p.Publish(t.Context(), Request{Config: services(t, 3, 80), Operation: "mine"})
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(again.Version, convey.ShouldEqual, 1)
+		convey.So(again.Current, convey.ShouldEqual, 2)
+		snapshot, err := Load(t.Context(), p.client)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(config.Diff(snapshot.Config, services(t, 3, 81)), convey.ShouldBeEmpty)
+	})
+}
+
+func TestOperatorsRace(t *testing.T) {
+	convey.Convey("Of two operators at once one wins, the other gets the difference, ten times", t, func() {
+		server := newServer(t)
+		for round := range 10 {
+			start := make(chan struct{})
+			var results [2]Result
+			var errs [2]error
+			var wait sync.WaitGroup
+			var both sync.WaitGroup
+			both.Add(2)
+			for i := range 2 {
+				p := newPublisher(t, server)
+				// Both have read the root before either writes it.
+				p.beforeRoot = sync.OnceFunc(func() {
+					both.Done()
+					both.Wait()
+				})
+				wait.Go(func() {
+					<-start
+					results[i], errs[i] = p.Publish(t.Context(), Request{Config: services(t, 5, 100*(round+1)+i)})
+				})
+			}
+			close(start)
+			wait.Wait()
+			winner, loser := 0, 1
+			if errs[0] != nil {
+				winner, loser = 1, 0
+			}
+			convey.So(errs[winner], convey.ShouldBeNil)
+			convey.So(errkind.Of(errs[loser]), convey.ShouldEqual, errkind.Conflict)
+			convey.So(results[winner].Version, convey.ShouldEqual, round+1)
+			convey.So(results[loser].Outcome, convey.ShouldEqual, Refused)
+			convey.So(results[loser].Current, convey.ShouldEqual, round+1)
+			convey.So(results[loser].Changes, convey.ShouldHaveLength, 1)
+			convey.So(results[loser].Changes[0].Old, convey.ShouldEqual, fmt.Sprint(100*(round+1)+winner))
+			snapshot, err := Load(t.Context(), newPublisher(t, server).client)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(config.Diff(snapshot.Config, services(t, 5, 100*(round+1)+winner)), convey.ShouldBeEmpty)
+		}
+	})
+}
+
+func TestPausedWriter(t *testing.T) {
+	convey.Convey("A writer paused past its lease does not overwrite what came meanwhile", t, func() {
+		server := newServer(t)
+		paused := newPublisher(t, server)
+		other := newPublisher(t, server)
+		session, err := paused.client.CreateSession(t.Context(), 10*time.Second, store.BehaviorRelease)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(paused.client.CompareAndSwapHeld(t.Context(), "config/lock", nil, 0, session), convey.ShouldBeNil)
+		paused.beforeRoot = func() {
+			paused.beforeRoot = func() {}
+			server.Lapse(session)
+			_, err := other.Publish(t.Context(), Request{Config: services(t, 3, 81)})
+			convey.So(err, convey.ShouldBeNil)
+		}
+		result, err := paused.Publish(t.Context(), Request{Config: services(t, 3, 82)})
+		convey.So(errkind.Of(err), convey.ShouldEqual, errkind.Conflict)
+		convey.So(result.Outcome, convey.ShouldEqual, Refused)
+		snapshot, err := Load(t.Context(), other.client)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(config.Diff(snapshot.Config, services(t, 3, 81)), convey.ShouldBeEmpty)
+	})
+}
+
+func TestCollect(t *testing.T) {
+	convey.Convey("Unreferenced sections go, and an operation under way starts over", t, func() {
+		server := newServer(t)
+		p := newPublisher(t, server)
+		for port := range 5 {
+			_, err := p.Publish(t.Context(), Request{Config: services(t, 2, 80+port)})
+			convey.So(err, convey.ShouldBeNil)
+		}
+		other := newPublisher(t, server)
+		other.beforeRoot = sync.OnceFunc(func() {
+			removed, err := p.Collect(t.Context())
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(removed, convey.ShouldEqual, 5)
+		})
+		result, err := other.Publish(t.Context(), Request{Config: services(t, 2, 90)})
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(result.Version, convey.ShouldEqual, 6)
+		snapshot, err := Load(t.Context(), p.client)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(config.Diff(snapshot.Config, services(t, 2, 90)), convey.ShouldBeEmpty)
+	})
+}
+
+func TestUpdate(t *testing.T) {
+	convey.Convey("A change is applied anew after a conflict", t, func() {
+		server := newServer(t)
+		p := newPublisher(t, server)
+		_, err := p.Publish(t.Context(), Request{Config: services(t, 2, 80)})
+		convey.So(err, convey.ShouldBeNil)
+		other := newPublisher(t, server)
+		p.beforeRoot = sync.OnceFunc(func() {
+			_, err := other.Publish(t.Context(), Request{Config: services(t, 2, 81)})
+			convey.So(err, convey.ShouldBeNil)
+		})
+		result, err := p.Update(t.Context(), 0, func(c *config.Config) (*config.Config, error) {
+			changed, _ := c.WithDomainOut("junin", true)
+			return changed, nil
+		})
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(result.Version, convey.ShouldEqual, 3)
+		snapshot, err := Load(t.Context(), p.client)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(snapshot.Config.DomainOut("junin"), convey.ShouldBeTrue)
+		service, _ := snapshot.Config.Service("service-0")
+		convey.So(service.Port, convey.ShouldEqual, 81)
+	})
+}
--- a/version/spread/failure_test.go
+++ b/version/spread/failure_test.go
@@ -13,6 +13,7 @@
 	"github.com/smartystreets/goconvey/convey"
 
 	"bergamotbank/event"
+	"bergamotbank/version/config"
 	"bergamotbank/version/publish"
 	"bergamotbank/version/spread"
 	"bergamotbank/version/store"
@@ -121,7 +122,7 @@
 			f.startMany(1, 3)
 			f.publishText(0)
 			eventually(t, "version 1 in force", f.inForce(1))
-			f.store.Put("config/section/foreign", []byte("[[domain]]\nname = \"other\"\n"))
+			f.store.Put("config/section/foreign", config.Render(text(t, 3)))
 			f.store.Put(publish.RootKey, []byte(b.root))
 			eventually(t, "rejection reported", func() bool {
 				return slices.ContainsFunc(f.all(), func(p *process) bool { return p.sawEvent(event.VersionRejected) })
--- a/version/store/client_test.go
+++ b/version/store/client_test.go
@@ -144,6 +144,16 @@
 	}
 }
 
+// awaitCalls returns when the server has got a number of calls.
+func awaitCalls(t *testing.T, server *storetest.Server, calls int) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); server.Calls() < calls; time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("the silent connection was not replaced")
+		}
+	}
+}
+
 func TestWatch(t *testing.T) {
 	options := store.Options{Wait: 200 * time.Millisecond, Grace: 100 * time.Millisecond}
 	convey.Convey("A watch sees a key from before its creation through an outage", t, func() {
@@ -163,10 +173,7 @@
 		await(t, values, "")
 		server.SetFaults(storetest.Faults{SilentWatches: true})
 		server.Put("k", []byte("1"))
-		calls := server.Calls()
-		for server.Calls() < calls+1 {
-			time.Sleep(time.Millisecond)
-		}
+		awaitCalls(t, server, server.Calls()+1)
 		server.SetFaults(storetest.Faults{})
 		await(t, values, "1")
 	})
--- a/version/store/storetest/fake.go
+++ b/version/store/storetest/fake.go
@@ -24,6 +24,8 @@
 	LoseWrites int
 	// LoseKey limits LoseWrites to keys with this prefix.
 	LoseKey string
+	// DownAfterLoss turns Down on with the first lost answer.
+	DownAfterLoss bool
 	// Limited answers this many calls with 429.
 	Limited int
 	// Delay is the time before each call takes effect.
@@ -194,7 +196,9 @@
 }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	if !s.admit(w) {
+	// A delayed write takes effect though its sender has gone.
+	value, err := io.ReadAll(r.Body)
+	if err != nil || !s.admit(w) {
 		return
 	}
 	key, isKV := strings.CutPrefix(r.URL.Path, "/v1/kv/")
@@ -202,7 +206,7 @@
 	case isKV && r.Method == http.MethodGet:
 		s.read(w, r, key)
 	case isKV:
-		s.write(w, r, key)
+		s.write(w, r, pair{Key: key, Value: value})
 	default:
 		s.session(w, r)
 	}
@@ -269,16 +273,13 @@
 	}
 }
 
-func (s *Server) write(w http.ResponseWriter, r *http.Request, key string) {
-	value, err := io.ReadAll(r.Body)
-	if err != nil {
-		return
-	}
+func (s *Server) write(w http.ResponseWriter, r *http.Request, p pair) {
 	s.mu.Lock()
-	done := s.swap(r, pair{Key: key, Value: value})
-	lost := done && s.faults.LoseWrites > 0 && strings.HasPrefix(key, s.faults.LoseKey)
+	done := s.swap(r, p)
+	lost := done && s.faults.LoseWrites > 0 && strings.HasPrefix(p.Key, s.faults.LoseKey)
 	if lost {
 		s.faults.LoseWrites--
+		s.faults.Down = s.faults.Down || s.faults.DownAfterLoss
 	}
 	s.mu.Unlock()
 	if lost {
