Tell paused processes at once and bound the fetches of views

Ready of a process that was paused stayed true until its core ran again, up to one tick; it now looks at the age of the last tick. Agents fetched their view up to three times a second while it was growing; one second between fetches is enough and leaves single changes as fast as before.

--- a/process/membership/agentcore.go
+++ b/process/membership/agentcore.go
@@ -25,7 +25,7 @@
 	// raisePeriod is the shortest time between two raises of the incarnation.
 	raisePeriod = time.Second
 	// fetchPeriod is the shortest time between two fetches of the view.
-	fetchPeriod = 300 * time.Millisecond
+	fetchPeriod = time.Second
 	// leaveRepeats is the number of times that the end of a server is told.
 	leaveRepeats = 3
 	// directoryPeriod is the shortest time between two reads of the directory.
--- a/process/membership/announcer.go
+++ b/process/membership/announcer.go
@@ -57,6 +57,7 @@
 	view      atomic.Pointer[View]
 	homes     atomic.Pointer[[]Peer]
 	ready     atomic.Bool
+	pulse     pulse
 }
 
 // NewAnnouncer opens the UDP side of the control address. Errors are of kind
@@ -84,6 +85,7 @@
 	}
 	a.core.version = options.Version
 	a.core.stamp = options.Clock.Stamp
+	a.pulse.limit = a.core.timing.PauseAfter
 	a.view.Store(&View{})
 	a.homes.Store(&[]Peer{})
 	return a, nil
@@ -130,7 +132,7 @@
 // Ready tells whether the view was fetched since the start or the last pause of
 // the process.
 func (a *Announcer) Ready() bool {
-	return a.ready.Load()
+	return a.ready.Load() && !a.pulse.stopped(time.Now())
 }
 
 // Homes returns the present home balancers.
@@ -182,6 +184,7 @@
 		case call := <-a.calls:
 			call()
 		case <-ticker.C:
+			a.pulse.beat(time.Now())
 			a.core.setDepends(a.options.DependsOn())
 			a.core.tick(time.Now())
 		}
--- a/process/membership/calls.go
+++ b/process/membership/calls.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync/atomic"
+	"time"
 
 	"bergamotbank/errkind"
 )
@@ -61,3 +63,20 @@
 		}
 	}
 }
+
+// pulse remembers the last tick of a core, so that others see at once that the
+// process was paused, even before the core's goroutine runs again.
+type pulse struct {
+	last  atomic.Pointer[time.Time]
+	limit time.Duration
+}
+
+func (p *pulse) beat(now time.Time) {
+	p.last.Store(&now)
+}
+
+// stopped tells whether the last tick is too long ago.
+func (p *pulse) stopped(now time.Time) bool {
+	last := p.last.Load()
+	return last == nil || now.Sub(*last) > p.limit
+}
--- a/process/membership/faults_test.go
+++ b/process/membership/faults_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -101,9 +102,13 @@
 		f.cut = func(from, to *testProcess) bool {
 			return from.domain == "junin" && to.domain == "pasco" || from.domain == "pasco" && to.domain == "junin"
 		}
+		incarnation := f.nodes[0].core.self.Incarnation
 		for end := f.now.Add(30 * time.Second); f.now.Before(end); f.run(tickPeriod) {
 			convey.So(f.settled(), convey.ShouldBeTrue)
 		}
+		convey.Convey("and no balancer had to refute, as the third domain probes for both", func() {
+			convey.So(f.nodes[0].core.self.Incarnation, convey.ShouldEqual, incarnation)
+		})
 	})
 }
 
@@ -182,12 +187,15 @@
 		_, settled := f.settle()
 		convey.So(settled, convey.ShouldBeTrue)
 		agent := f.agents[0]
+		_, fetched := f.runUntil(5*time.Second, func() bool { return agent.core.fetched })
+		convey.So(fetched, convey.ShouldBeTrue)
 		f.pause(agent.testProcess)
 		f.run(10 * time.Second)
 		for _, n := range f.nodes {
 			convey.So(n.sees(agent.name), convey.ShouldBeFalse)
 		}
 		f.resume(agent.testProcess)
+		agent.tick()
 		convey.Convey("its view is not fresh when it resumes", func() {
 			convey.So(agent.core.fetched, convey.ShouldBeFalse)
 		})
@@ -269,3 +277,107 @@
 		convey.So(settled, convey.ShouldBeTrue)
 	})
 }
+
+func TestMissedChangeIsRepaired(t *testing.T) {
+	convey.Convey("A change that is pushed while a balancer is cut off reaches it later", t, func() {
+		f := newAndes(11, 3, 3)
+		_, settled := f.settle()
+		convey.So(settled, convey.ShouldBeTrue)
+		deaf := f.nodes[0]
+		f.cut = func(from, to *testProcess) bool { return to == deaf.testProcess || from == deaf.testProcess }
+		for _, a := range f.agents {
+			a.core.setState(f.now, Draining, 0)
+			a.perform()
+		}
+		f.run(1500 * time.Millisecond)
+		convey.So(f.settled(), convey.ShouldBeFalse)
+		f.cut = func(_, _ *testProcess) bool { return false }
+		_, settled = f.runUntil(5*time.Second, f.settled)
+		convey.So(settled, convey.ShouldBeTrue)
+	})
+}
+
+func TestAnnouncedChangeIsRepeated(t *testing.T) {
+	convey.Convey("A change whose first messages are lost is everywhere within a second", t, func() {
+		f := newAndes(12, 2, 3)
+		_, settled := f.settle()
+		convey.So(settled, convey.ShouldBeTrue)
+		agent := f.agents[0]
+		f.cut = func(from, _ *testProcess) bool { return from == agent.testProcess }
+		agent.core.setState(f.now, Draining, 0)
+		agent.perform()
+		f.run(300 * time.Millisecond)
+		f.cut = func(_, _ *testProcess) bool { return false }
+		_, settled = f.runUntil(700*time.Millisecond, f.settled)
+		convey.So(settled, convey.ShouldBeTrue)
+	})
+}
+
+func TestDeadBalancersHomesMove(t *testing.T) {
+	convey.Convey("Servers keep their place when all of their homes end at once", t, func() {
+		f := newAndes(13, 4, 3)
+		_, settled := f.settle()
+		convey.So(settled, convey.ShouldBeTrue)
+		agent := f.agents[0]
+		for _, peer := range agent.core.homePeers() {
+			f.nodeAt(peer.Control).stopped = true
+		}
+		convey.So(f.neverGone(30*time.Second, agent.name), convey.ShouldBeTrue)
+		convey.So(f.settled(), convey.ShouldBeTrue)
+		convey.So(len(agent.core.homePeers()), convey.ShouldEqual, homeCount)
+	})
+}
+
+func TestLongSilentServerDoesNotComeBackFromAnOldPeer(t *testing.T) {
+	convey.Convey("A balancer that was cut off brings back nobody who ended meanwhile", t, func() {
+		f := newAndes(14, 2, 3)
+		_, settled := f.settle()
+		convey.So(settled, convey.ShouldBeTrue)
+		old := f.nodes[0]
+		f.cut = func(from, to *testProcess) bool { return from == old.testProcess || to == old.testProcess }
+		gone := f.agents[1]
+		gone.stopped = true
+		f.run(2 * time.Minute)
+		f.cut = func(_, _ *testProcess) bool { return false }
+		for end := f.now.Add(20 * time.Second); f.now.Before(end); f.run(tickPeriod) {
+			for _, n := range f.nodes[1:] {
+				convey.So(n.sees(gone.name), convey.ShouldBeFalse)
+			}
+		}
+		convey.So(f.settled(), convey.ShouldBeTrue)
+	})
+}
+
+func TestMassRestart(t *testing.T) {
+	convey.Convey("1,000 servers that start at once are seen everywhere within seconds", t, func() {
+		f := newFleet(15)
+		f.populate(hokkaido, 5, 0)
+		_, settled := f.settle()
+		convey.So(settled, convey.ShouldBeTrue)
+		f.resetBytes()
+		for i := range 1000 {
+			f.addAgent(fmt.Sprintf("service-%02d", i%25), hokkaido[i%len(hokkaido)])
+		}
+		took, settled := f.runUntil(10*time.Second, f.settled)
+		convey.So(settled, convey.ShouldBeTrue)
+		datagrams, calls := f.nodeBytes()
+		t.Logf("settled after %v, a balancer moved %d bytes in datagrams, %d in calls", took, datagrams, calls)
+	})
+}
+
+var hokkaido = []string{"sapporo", "asahikawa", "hakodate", "kushiro"}
+
+func (f *fleet) resetBytes() {
+	for _, p := range f.procs {
+		p.bytes, p.callBytes = 0, 0
+	}
+}
+
+// nodeBytes returns the bytes sent and received by a balancer on average.
+func (f *fleet) nodeBytes() (datagrams, calls int) {
+	for _, n := range f.nodes {
+		datagrams += n.bytes
+		calls += n.callBytes
+	}
+	return datagrams / len(f.nodes), calls / len(f.nodes)
+}
--- a/process/membership/fleet_test.go
+++ b/process/membership/fleet_test.go
@@ -43,7 +43,8 @@
 type testProcess struct {
 	name, domain string
 	addr         netip.AddrPort
-	bytes        int
+	bytes        int // in datagrams, sent and received
+	callBytes    int // in calls, sent and received
 	stopped      bool
 	paused       bool
 	backlog      []func()
@@ -158,7 +159,7 @@
 	n.perform = func() { f.performNode(n) }
 }
 
-func (f *fleet) addAgent(service, domain string) *testAgent {
+func (f *fleet) addAgent(service, domain string) {
 	a := &testAgent{testProcess: f.process(fmt.Sprintf("%s-%05d", service, len(f.agents)), domain)}
 	self := Record{
 		Server: a.name, Incarnation: uint64(f.now.UnixMilli()), Service: service, Domain: domain,
@@ -167,7 +168,6 @@
 	f.startAgent(a, self)
 	f.agents = append(f.agents, a)
 	f.loop(a.testProcess)
-	return a
 }
 
 func (f *fleet) startAgent(a *testAgent, self Record) {
@@ -290,8 +290,8 @@
 		for {
 			page := source.core.page(cursor)
 			size := proto.Size(page) + callHeaders
-			n.bytes += size
-			source.bytes += size
+			n.callBytes += size
+			source.callBytes += size
 			core.mergePage(f.now, page)
 			cursor = page.Next
 			if cursor == "" {
@@ -315,8 +315,8 @@
 		request := &pb.FetchViewRequest{Services: fetch.services, Buckets: fetch.buckets}
 		response := answerFetch(source.core.current, source.core.join.ready, request)
 		size := proto.Size(request) + proto.Size(response) + callHeaders
-		a.bytes += size
-		source.bytes += size
+		a.callBytes += size
+		source.callBytes += size
 		core.fetchDone(f.now, response, nil)
 	})
 }
--- a/process/membership/node.go
+++ b/process/membership/node.go
@@ -66,6 +66,7 @@
 	pulls   chan netip.AddrPort
 	view    atomic.Pointer[View]
 	ready   atomic.Bool
+	pulse   pulse
 }
 
 // NewNode opens the UDP side of the control address. Errors are of kind
@@ -93,6 +94,7 @@
 	n.core.version = options.Version
 	n.core.stamp = options.Clock.Stamp
 	n.core.join.directoryPending = options.Directory != nil
+	n.pulse.limit = n.core.timing.PauseAfter
 	n.view.Store(&View{})
 	return n, nil
 }
@@ -133,7 +135,7 @@
 
 // Ready tells whether the view is as good as that of the other balancers.
 func (n *Node) Ready() bool {
-	return n.ready.Load()
+	return n.ready.Load() && !n.pulse.stopped(time.Now())
 }
 
 // Handler returns the twirp service for the control address.
@@ -174,6 +176,7 @@
 		case call := <-n.calls:
 			call()
 		case <-ticker.C:
+			n.pulse.beat(time.Now())
 			n.core.tick(time.Now())
 		}
 		n.perform()
