Test keyed requests and hand-off over several agents

Fleets of agents with fake backend servers: repeats at other agents, tries at the same moment, homes that change, lost memory, cuts, killed agents, hand-offs that fail in each way. A backend server that set Bergamot-Error kept its answer out of the ledger; only a sibling's header counts now.

--- /dev/null
+++ b/request/admission/fleet_test.go
@@ -0,0 +1,448 @@
+package admission
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"bergamotbank/request/ledger"
+	"bergamotbank/request/limit"
+)
+
+// fleet is a service of several agents, each with a fake backend server. Its
+// agents share a clock that a test can advance.
+type fleet struct {
+	t      *testing.T
+	offset atomic.Int64
+	mu     sync.Mutex
+	agents map[string]*agent
+	// cut tells that agents on different sides neither see nor reach each other.
+	cut    bool
+	runs   map[string]int
+	serve  func(agent string, w http.ResponseWriter, r *http.Request)
+	issued uint64
+}
+
+type agent struct {
+	name    string
+	fleet   *fleet
+	gate    *Gate
+	front   *httptest.Server
+	control *httptest.Server
+	far     *httptest.Server // the control address as seen from the other side
+	backend *httptest.Server
+	stop    context.CancelFunc
+	stopped chan struct{}
+	once    sync.Once
+}
+
+func newFleet(t *testing.T, size int) *fleet {
+	f := &fleet{
+		t:      t,
+		agents: make(map[string]*agent),
+		runs:   make(map[string]int),
+	}
+	t.Cleanup(func() {
+		for _, a := range f.list() {
+			a.kill()
+		}
+	})
+	for i := range size {
+		f.add(fmt.Sprintf("s%d", i+1))
+	}
+	f.settle()
+	return f
+}
+
+func (f *fleet) now() time.Time { return time.Now().Add(time.Duration(f.offset.Load())) }
+
+func (f *fleet) advance(d time.Duration) { f.offset.Add(int64(d)) }
+
+// settle waits until every agent knows its peers and lets the ledger settle. The
+// time that it takes counts as a day in which no key was used.
+func (f *fleet) settle() {
+	f.t.Helper()
+	for _, a := range f.list() {
+		waitFor(f.t, "the members are known", func() bool { return a.gate.keeper.Members() == len(f.list()) })
+	}
+	f.advance(24 * time.Hour)
+}
+
+func (f *fleet) list() []*agent {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all := make([]*agent, 0, len(f.agents))
+	for _, a := range f.agents {
+		all = append(all, a)
+	}
+	return all
+}
+
+// leftSide tells on which side of a possible cut an agent is.
+func leftSide(name string) bool { return name == "s1" || name == "s2" }
+
+func (f *fleet) add(name string) {
+	a := &agent{name: name, fleet: f, stopped: make(chan struct{})}
+	a.backend = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		text, _ := io.ReadAll(r.Body)
+		f.mu.Lock()
+		f.runs[r.Header.Get(HeaderKey)]++
+		serve := f.serve
+		f.mu.Unlock()
+		if serve != nil {
+			serve(name, w, r)
+			return
+		}
+		fmt.Fprintf(w, "%s ran %s", name, text)
+	}))
+	a.gate = newGate(Options{
+		Service:  "ordering",
+		Server:   name,
+		Backend:  netip.MustParseAddrPort(a.backend.Listener.Addr().String()),
+		Siblings: func() []Sibling { return f.view(name) },
+	}, f.now)
+	_, control := a.gate.Handler()
+	a.control = httptest.NewServer(control)
+	a.far = httptest.NewServer(control)
+	a.front = httptest.NewServer(a.gate)
+	ctx, cancel := context.WithCancel(context.Background())
+	a.stop = cancel
+	f.mu.Lock()
+	f.agents[name] = a
+	f.mu.Unlock()
+	go func() {
+		defer close(a.stopped)
+		_ = a.gate.Run(ctx)
+	}()
+	a.gate.SetLimits(4, 100, 3*time.Second)
+}
+
+func (f *fleet) view(viewer string) []Sibling {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	siblings := []Sibling{}
+	for name, a := range f.agents {
+		across := leftSide(name) != leftSide(viewer)
+		if name == viewer || across && f.cut {
+			continue
+		}
+		control := a.control
+		if across {
+			control = a.far
+		}
+		state := limit.Warm
+		if a.gate.draining.Load() {
+			state = limit.Draining
+		}
+		siblings = append(siblings, Sibling{
+			Server:  name,
+			Control: netip.MustParseAddrPort(control.Listener.Addr().String()),
+			State:   state,
+			Weight:  limit.FullWeight,
+		})
+	}
+	return siblings
+}
+
+// separate cuts the two sides off from each other.
+func (f *fleet) separate() {
+	f.mu.Lock()
+	f.cut = true
+	f.mu.Unlock()
+	for _, a := range f.list() {
+		_ = a.far.Listener.Close()
+		a.far.CloseClientConnections()
+	}
+}
+
+func (f *fleet) agent(name string) *agent {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.agents[name]
+}
+
+// kill ends the agent at once, with all connections and its memory.
+func (a *agent) kill() {
+	a.once.Do(func() {
+		a.fleet.mu.Lock()
+		if a.fleet.agents[a.name] == a {
+			delete(a.fleet.agents, a.name)
+		}
+		a.fleet.mu.Unlock()
+		for _, s := range []*httptest.Server{a.control, a.far, a.front, a.backend} {
+			_ = s.Listener.Close()
+			s.CloseClientConnections()
+		}
+		a.stop()
+		<-a.stopped
+		for _, s := range []*httptest.Server{a.control, a.far, a.front, a.backend} {
+			s.Close()
+		}
+	})
+}
+
+// leave ends the agent by plan: it is seen draining before it goes.
+func (a *agent) leave() {
+	_ = a.gate.Drain(context.Background())
+	for _, other := range a.fleet.list() {
+		if other != a {
+			other.gate.keeper.Refresh()
+		}
+	}
+	a.kill()
+}
+
+// key returns a fresh UUID of version 7 by the clock of the fleet.
+func (f *fleet) key() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.issued++
+	millis := f.now().UnixMilli()
+	return fmt.Sprintf("%08x-%04x-7000-8000-%012x", millis>>16, millis&0xffff, f.issued)
+}
+
+func (f *fleet) ran(key string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.runs[key]
+}
+
+func (a *agent) post(body string, headers ...string) reply {
+	req, err := http.NewRequest(http.MethodPost, a.front.URL+"/orders", strings.NewReader(body))
+	if err != nil {
+		a.fleet.t.Error(err)
+		return reply{err: err}
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(text), err: err}
+}
+
+func (r reply) promise() string {
+	return fmt.Sprintf("%d %s %s %s", r.status, r.header.Get(HeaderError), r.header.Get(HeaderRun), r.header.Get(HeaderTry))
+}
+
+func TestRepeatAtAnotherAgent(t *testing.T) {
+	convey.Convey("A repeat at another agent gets the stored answer of the first try", t, func() {
+		f := newFleet(t, 5)
+		key := f.key()
+		first := f.agent("s1").post("tags", HeaderKey, key)
+		convey.So(first.status, convey.ShouldEqual, 200)
+		convey.So(first.body, convey.ShouldEqual, "s1 ran tags")
+		for _, name := range []string{"s1", "s2", "s3", "s4", "s5"} {
+			again := f.agent(name).post("tags", HeaderKey, key)
+			convey.So(again.status, convey.ShouldEqual, 200)
+			convey.So(again.body, convey.ShouldEqual, first.body)
+			convey.So(again.header.Get(HeaderReplayed), convey.ShouldEqual, "true")
+		}
+		convey.So(f.ran(key), convey.ShouldEqual, 1)
+		other := f.agent("s3").post("other tags", HeaderKey, key)
+		convey.So(other.promise(), convey.ShouldEqual, "422 key_mismatch not-run not-run")
+		convey.So(f.ran(key), convey.ShouldEqual, 1)
+	})
+	convey.Convey("An answer too large to keep is told as run", t, func() {
+		f := newFleet(t, 3)
+		f.serve = func(_ string, w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, strings.Repeat("x", keptBody+1))
+		}
+		key := f.key()
+		convey.So(len(f.agent("s1").post("tags", HeaderKey, key).body), convey.ShouldEqual, keptBody+1)
+		again := f.agent("s2").post("tags", HeaderKey, key)
+		convey.So(again.promise(), convey.ShouldEqual, "502 key_unverifiable run not-run")
+		convey.So(again.header.Get(HeaderOriginalStatus), convey.ShouldEqual, "200")
+		convey.So(f.ran(key), convey.ShouldEqual, 1)
+	})
+}
+
+func TestBothTriesAtOnce(t *testing.T) {
+	convey.Convey("Tries at the same moment at different agents run once", t, func() {
+		f := newFleet(t, 5)
+		for range 20 {
+			key := f.key()
+			replies := make(chan reply, 5)
+			for _, a := range f.list() {
+				go func() { replies <- a.post("tags", HeaderKey, key) }()
+			}
+			answered := 0
+			for range 5 {
+				got := <-replies
+				if got.status == 200 {
+					answered++
+					continue
+				}
+				convey.So(got.promise(), convey.ShouldEqual, "409 key_in_progress unknown not-run")
+			}
+			convey.So(answered, convey.ShouldBeGreaterThan, 0)
+			convey.So(f.ran(key), convey.ShouldEqual, 1)
+		}
+	})
+}
+
+func TestHomesChangeBetweenTries(t *testing.T) {
+	convey.Convey("Planned replacement of agents one by one keeps the stored answer", t, func() {
+		f := newFleet(t, 5)
+		key := f.key()
+		convey.So(f.agent("s1").post("tags", HeaderKey, key).status, convey.ShouldEqual, 200)
+		for i := range 5 {
+			f.add(fmt.Sprintf("n%d", i+1))
+			waitFor(t, "the new agent knows its peers", func() bool { return f.agent(fmt.Sprintf("n%d", i+1)).gate.keeper.Members() == 6 })
+			f.advance(ledger.Settle + time.Second)
+			waitFor(t, "the new agent has learned the keys", f.agent(fmt.Sprintf("n%d", i+1)).gate.keeper.Adopted)
+			f.agent(fmt.Sprintf("s%d", i+1)).leave()
+			waitFor(t, "the old agent is gone", func() bool { return f.agent("n1").gate.keeper.Members() == 5 })
+		}
+		again := f.agent("n5").post("tags", HeaderKey, key)
+		convey.So(again.status, convey.ShouldEqual, 200)
+		convey.So(again.body, convey.ShouldEqual, "s1 ran tags")
+		convey.So(f.ran(key), convey.ShouldEqual, 1)
+	})
+	convey.Convey("More agents than homes: the key is never run twice, whoever joins or goes", t, func() {
+		f := newFleet(t, 9)
+		var keys []string
+		for range 10 {
+			keys = append(keys, f.key())
+			convey.So(f.agent("s1").post("tags", HeaderKey, keys[len(keys)-1]).status, convey.ShouldEqual, 200)
+		}
+		for i := range 4 {
+			f.add(fmt.Sprintf("n%d", i+1))
+			f.agent(fmt.Sprintf("s%d", i+2)).leave()
+		}
+		for _, a := range f.list() {
+			waitFor(t, "the members are known", func() bool { return a.gate.keeper.Members() == 9 })
+		}
+		f.advance(ledger.Settle + ledger.MaxSkew)
+		for _, key := range keys {
+			got := f.agent("n1").post("tags", HeaderKey, key)
+			if got.status != 200 {
+				convey.So(got.promise(), convey.ShouldEqual, "502 key_unverifiable unknown not-run")
+			}
+			convey.So(f.ran(key), convey.ShouldEqual, 1)
+		}
+		fresh := f.key()
+		f.advance(ledger.MaxSkew)
+		convey.So(f.agent("n1").post("tags", HeaderKey, fresh, HeaderAttempt, "1").status, convey.ShouldEqual, 200)
+	})
+}
+
+func TestMemoryLost(t *testing.T) {
+	convey.Convey("After all agents were replaced, an old key is unverifiable and a new one runs", t, func() {
+		f := newFleet(t, 3)
+		key := f.key()
+		convey.So(f.agent("s1").post("tags", HeaderKey, key).status, convey.ShouldEqual, 200)
+		for _, a := range f.list() {
+			a.kill()
+		}
+		for i := range 3 {
+			f.add(fmt.Sprintf("s%d", i+1))
+		}
+		for _, a := range f.list() {
+			waitFor(t, "the members are known", func() bool { return a.gate.keeper.Members() == 3 })
+		}
+		f.advance(ledger.Settle + ledger.MaxSkew + time.Second)
+		got := f.agent("s2").post("tags", HeaderKey, key)
+		convey.So(got.promise(), convey.ShouldEqual, "502 key_unverifiable unknown not-run")
+		convey.So(f.agent("s2").post("tags", HeaderKey, "opaque").promise(), convey.ShouldEqual, "502 key_unverifiable unknown not-run")
+		convey.So(f.ran(key), convey.ShouldEqual, 1)
+		convey.So(f.agent("s2").post("tags", HeaderKey, "opaque", HeaderAttempt, "1").status, convey.ShouldEqual, 200)
+		f.advance(ledger.Settle + ledger.MaxSkew)
+		convey.So(f.agent("s3").post("tags", HeaderKey, f.key()).status, convey.ShouldEqual, 200)
+	})
+	convey.Convey("A first try is refused truthfully while too few agents are left", t, func() {
+		f := newFleet(t, 3)
+		f.agent("s2").kill()
+		f.agent("s3").kill()
+		got := f.agent("s1").post("tags", HeaderKey, f.key(), HeaderAttempt, "1")
+		convey.So(got.promise(), convey.ShouldEqual, "503 peer_unavailable not-run not-run")
+	})
+}
+
+func TestCutBetweenAgents(t *testing.T) {
+	convey.Convey("Both sides of a cut never run one key, also after a long time", t, func() {
+		f := newFleet(t, 5)
+		f.separate()
+		for _, a := range f.list() {
+			a.gate.keeper.Refresh()
+		}
+		f.advance(time.Hour)
+		for _, a := range f.list() {
+			a.gate.keeper.Refresh()
+		}
+		f.advance(ledger.MaxSkew + ledger.Settle)
+		waitFor(t, "the larger side goes on alone", func() bool { return f.agent("s3").gate.keeper.Members() == 3 })
+		convey.So(f.agent("s1").gate.keeper.Members(), convey.ShouldEqual, 5)
+		key := f.key()
+		convey.So(f.agent("s4").post("tags", HeaderKey, key).status, convey.ShouldEqual, 200)
+		convey.So(f.agent("s1").post("tags", HeaderKey, key).promise(), convey.ShouldEqual, "502 key_unverifiable unknown not-run")
+		convey.So(f.ran(key), convey.ShouldEqual, 1)
+	})
+}
+
+func TestExecutorKilled(t *testing.T) {
+	convey.Convey("The agent dies while its backend server runs the request", t, func() {
+		f := newFleet(t, 5)
+		running := make(chan struct{})
+		f.serve = func(_ string, _ http.ResponseWriter, r *http.Request) {
+			running <- struct{}{}
+			<-r.Context().Done()
+		}
+		key := f.key()
+		first := make(chan reply, 1)
+		go func() { first <- f.agent("s1").post("tags", HeaderKey, key, HeaderDeadline, "300") }()
+		<-running
+		f.agent("s1").kill()
+		convey.So((<-first).err, convey.ShouldNotBeNil)
+		early := f.agent("s2").post("tags", HeaderKey, key, HeaderDeadline, "300")
+		convey.So(early.header.Get(HeaderRun), convey.ShouldEqual, "unknown")
+		f.advance(5 * time.Second)
+		late := f.agent("s3").post("tags", HeaderKey, key)
+		convey.So(late.promise(), convey.ShouldEqual, "502 key_unverifiable unknown not-run")
+		convey.So(f.ran(key), convey.ShouldEqual, 1)
+	})
+}
+
+func TestCallerGoneKeepsKeyedRequest(t *testing.T) {
+	convey.Convey("A keyed request ends without its caller, and the repeat gets its answer", t, func() {
+		f := newFleet(t, 3)
+		running := make(chan struct{}, 1)
+		release := make(chan struct{})
+		f.serve = func(_ string, w http.ResponseWriter, _ *http.Request) {
+			running <- struct{}{}
+			<-release
+			_, _ = io.WriteString(w, "done")
+		}
+		key := f.key()
+		conn, err := net.Dial("tcp", f.agent("s1").front.Listener.Addr().String())
+		convey.So(err, convey.ShouldBeNil)
+		fmt.Fprintf(conn, "POST /orders HTTP/1.1\r\nHost: x\r\nIdempotency-Key: %s\r\nContent-Length: 4\r\n\r\ntags", key)
+		<-running
+		_ = conn.Close()
+		close(release)
+		var again reply
+		waitFor(t, "the answer is stored", func() bool {
+			again = f.agent("s2").post("tags", HeaderKey, key)
+			return again.status == 200
+		})
+		convey.So(again.body, convey.ShouldEqual, "done")
+		convey.So(again.header.Get(HeaderReplayed), convey.ShouldEqual, "true")
+		convey.So(f.ran(key), convey.ShouldEqual, 1)
+	})
+}
--- a/request/admission/keyed.go
+++ b/request/admission/keyed.go
@@ -140,6 +140,7 @@
 		BodyKept: !x.captured.overflow,
 	}
 	copyHeader(result.Header, header)
+	dropOwnHeaders(result.Header)
 	x.settle(func(p *ledgerrpc.Permit) { p.Complete(result) })
 }
 
--- a/request/admission/pass.go
+++ b/request/admission/pass.go
@@ -57,7 +57,7 @@
 		x.fail(err)
 		return
 	}
-	if resp.Header.Get(HeaderError) == "" {
+	if x.placed || resp.Header.Get(HeaderError) == "" {
 		x.complete(resp.StatusCode, resp.Header)
 	}
 	if x.callerGone != nil {
--- a/request/ledgerrpc/adopt.go
+++ b/request/ledgerrpc/adopt.go
@@ -10,11 +10,11 @@
 )
 
 // adopt learns the keys of the peers, so that the agent can vouch for times
-// before its own start.
-func (k *Keeper) adopt(ctx context.Context) {
+// before its own start. It tells whether it has asked them.
+func (k *Keeper) adopt(ctx context.Context) bool {
 	peers, quorum := k.adoptable(k.options.Now())
 	if len(peers) == 0 {
-		return
+		return false
 	}
 	replies := exportAll(ctx, k.options.Service, peers)
 	now := k.options.Now()
@@ -35,6 +35,7 @@
 	if ok && enough && plan.Since.Before(own.Since) {
 		k.ring.Adopt(plan.Since, plan.Quorum)
 	}
+	return true
 }
 
 // adoptable returns the peers to learn from once the agent is known to all, while
--- a/request/ledgerrpc/keeper.go
+++ b/request/ledgerrpc/keeper.go
@@ -17,8 +17,10 @@
 const (
 	// updatePeriod is the period at which the members are read.
 	updatePeriod = 100 * time.Millisecond
-	// adoptPeriod is the period of the attempts to learn the keys of the peers.
-	adoptPeriod = time.Second
+	// minAdoptPause and maxAdoptPause bound the time between two attempts to learn
+	// the keys of the peers.
+	minAdoptPause = 200 * time.Millisecond
+	maxAdoptPause = 10 * time.Second
 	// callTimeout bounds one call to a home.
 	callTimeout = 400 * time.Millisecond
 	// exportTimeout bounds the transfer of all keys from a peer.
@@ -94,7 +96,8 @@
 func (k *Keeper) Run(ctx context.Context) {
 	update := time.NewTicker(updatePeriod)
 	defer update.Stop()
-	adopt := time.NewTicker(adoptPeriod)
+	pause := minAdoptPause
+	adopt := time.NewTimer(pause)
 	defer adopt.Stop()
 	defer k.client.CloseIdleConnections()
 	k.update(k.options.Now())
@@ -105,7 +108,10 @@
 		case <-update.C:
 			k.update(k.options.Now())
 		case <-adopt.C:
-			k.adopt(ctx)
+			if k.adopt(ctx) {
+				pause = min(2*pause, maxAdoptPause)
+			}
+			adopt.Reset(pause)
 		}
 	}
 }
@@ -184,3 +190,23 @@
 	defer k.mu.Unlock()
 	return k.book.Len()
 }
+
+// Members returns the number of members of the service as the ledger counts
+// them.
+func (k *Keeper) Members() int {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.ring.Members())
+}
+
+// Adopted tells whether the agent has learned the keys of its peers.
+func (k *Keeper) Adopted() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ring.Adopted()
+}
+
+// Refresh reads the members at once.
+func (k *Keeper) Refresh() {
+	k.update(k.options.Now())
+}
