--- a/process/ctl/apply.go
+++ b/process/ctl/apply.go
@@ -85,7 +85,10 @@
 }
 
 func (c *command) refuse(output applyOutput, err error) error {
-	lines := []string{fmt.Sprintf("%s: operation %s", output.Outcome, output.Operation)}
+	lines := []string{"refused: nothing was changed"}
+	if output.Outcome == publish.Unknown {
+		lines = []string{"unknown: repeat with --operation " + output.Operation + " to find out"}
+	}
 	if errkind.Is(err, errkind.Conflict) {
 		lines = append(lines, fmt.Sprintf("version %d is current; the text would change:", output.Current))
 		lines = append(lines, changeLines(output.Changes)...)
--- a/process/ctl/args.go
+++ b/process/ctl/args.go
@@ -78,7 +78,10 @@
 type TimelineCommand struct {
 	Since   time.Duration `arg:"--since" default:"10m" help:"age of the oldest event shown"`
 	Service string        `arg:"--service" help:"only events of this service"`
-	Kind    string        `arg:"--kind" help:"only events of this kind"`
+	Server  string        `arg:"--server" help:"only events of this backend server"`
+	Domain  string        `arg:"--domain" help:"only events of this failure domain"`
+	Request string        `arg:"--request" help:"only events of this request"`
+	Kind    []string      `arg:"--kind,separate" help:"only events of this kind; may be repeated"`
 }
 
 // parsed is what came of a command line.
--- a/process/ctl/ctl_test.go
+++ b/process/ctl/ctl_test.go
@@ -18,6 +18,7 @@
 
 	"bergamotbank/errkind"
 	"bergamotbank/process/ctl"
+	"bergamotbank/process/timeline"
 	"bergamotbank/version/spread"
 	"bergamotbank/version/store"
 	"bergamotbank/version/store/storetest"
@@ -61,7 +62,8 @@
 		w.t.Fatal(err)
 	}
 	self := spread.Peer{Name: name, Domain: "junin", Control: netip.MustParseAddrPort(listener.Addr().String())}
-	options := spread.Options{Self: self, Peers: w.known, Tick: 20 * time.Millisecond}
+	ring := timeline.NewRing(timeline.Options{Process: name, Capacity: 100})
+	options := spread.Options{Self: self, Peers: w.known, Recorder: ring, Tick: 20 * time.Millisecond}
 	if !leaf {
 		options.Store = store.NewClient(store.Options{Address: w.store.Address()})
 		w.mu.Lock()
@@ -71,6 +73,7 @@
 	spreader := spread.New(options)
 	mux := http.NewServeMux()
 	mux.Handle(spreader.Handler())
+	mux.Handle(ring.Handler())
 	mux.HandleFunc("POST /drain", func(http.ResponseWriter, *http.Request) {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -226,6 +229,23 @@
 		convey.So(w.drained, convey.ShouldResemble, []string{"server-1"})
 		convey.So(w.run("", "drain", "server-9").code, convey.ShouldEqual, code(errkind.NotFound))
 	})
+	convey.Convey("timeline shows the events of all processes", t, func() {
+		got := w.run("", "timeline", "--kind", "version_in_force")
+		convey.So(got.stderr, convey.ShouldBeEmpty)
+		convey.So(strings.Count(got.stdout, "version_in_force version=2"), convey.ShouldEqual, 3)
+	})
+	convey.Convey("During an outage nothing is accepted, and that is true", t, func() {
+		w.store.SetFaults(storetest.Faults{Down: true})
+		before := string(w.store.Value("config/root"))
+		got := w.run("", "--balancer", w.known()[0].Control.String(), "domain", "in", "junin")
+		convey.So(got.code, convey.ShouldEqual, code(errkind.StoreUnavailable))
+		convey.So(got.stdout, convey.ShouldStartWith, "refused: ")
+		status := w.run("", "--balancer", w.known()[0].Control.String(), "status")
+		convey.So(strings.Count(status.stdout, "version 2 in force 2"), convey.ShouldEqual, 3)
+		convey.So(status.code, convey.ShouldEqual, code(errkind.Partial))
+		w.store.SetFaults(storetest.Faults{})
+		convey.So(string(w.store.Value("config/root")), convey.ShouldEqual, before)
+	})
 	convey.Convey("A process that does not answer is named", t, func() {
 		stop()
 		status := w.run("", "status")
--- a/process/ctl/timeline.go
+++ b/process/ctl/timeline.go
@@ -2,28 +2,63 @@
 
 import (
 	"context"
+	"net/netip"
+	"strings"
+	"time"
 
 	"bergamotbank/errkind"
+	"bergamotbank/event"
+	"bergamotbank/process/timeline"
 )
 
-// timelineFunc shows the events of the processes at the given control
-// addresses.
-type timelineFunc func(ctx context.Context, c *command, a *TimelineCommand, controls []string) error
-
-// showTimeline is set once the time line can be collected.
-var showTimeline timelineFunc
-
+// timeline shows the events of all processes that answer, in the order of
+// cause. With --json it writes one object a line. Errors: Partial naming the
+// processes whose events are missing.
 func (c *command) timeline(ctx context.Context, a *TimelineCommand) error {
-	if showTimeline == nil {
-		return errkind.New(errkind.NotFound, "this program was built without the time line")
-	}
 	f := c.survey(ctx, c.findSeeds(ctx))
-	var controls []string
+	var controls []netip.AddrPort
 	for _, p := range f.processes {
-		controls = append(controls, p.Control)
+		if control, err := parseControl(p.Control); err == nil {
+			controls = append(controls, control)
+		}
+	}
+	entries, missing := timeline.Collect(ctx, controls, a.filter(time.Now()))
+	write := timeline.WriteText
+	if c.arguments.JSON {
+		write = timeline.WriteJSON
 	}
-	if err := showTimeline(ctx, c, a, controls); err != nil {
+	if err := write(c.streams.Out, entries); err != nil {
+		return err
+	}
+	if err := incomplete(missing); err != nil {
 		return err
 	}
 	return f.complete()
 }
+
+func (a *TimelineCommand) filter(now time.Time) timeline.Filter {
+	filter := timeline.Filter{
+		Service: a.Service, Server: a.Server, Domain: a.Domain, Request: a.Request,
+		Since: timeline.StampAt(now.Add(-a.Since)),
+	}
+	for _, kind := range a.Kind {
+		filter.Kinds = append(filter.Kinds, event.Kind(kind))
+	}
+	return filter
+}
+
+// incomplete returns the error of a time line from which events are missing.
+func incomplete(missing []timeline.Missing) error {
+	var names []string
+	for _, m := range missing {
+		name := strings.TrimSpace(m.Process + " " + m.Addr.String())
+		if m.Err == nil {
+			name += " (its oldest events are no longer kept)"
+		}
+		names = append(names, name)
+	}
+	if len(names) == 0 {
+		return nil
+	}
+	return errkind.New(errkind.Partial, "the time line lacks events of: %s", strings.Join(names, ", "))
+}
--- a/version/publish/collect.go
+++ b/version/publish/collect.go
@@ -41,7 +41,7 @@
 func unreferenced(root Root, entries []store.Entry) []store.Entry {
 	referenced := make(map[string]bool, len(root.Sections))
 	for _, s := range root.Sections {
-		referenced[s.Key] = true
+		referenced[s.Key()] = true
 	}
 	var garbage []store.Entry
 	for _, entry := range entries {
--- a/version/publish/load.go
+++ b/version/publish/load.go
@@ -81,7 +81,7 @@
 		return texts, listTexts(ctx, client, missing, texts)
 	}
 	for _, s := range missing {
-		entry, err := client.Get(ctx, s.Key)
+		entry, err := client.Get(ctx, s.Key())
 		if err != nil {
 			return nil, err
 		}
@@ -102,7 +102,7 @@
 		byKey[entry.Key] = entry.Value
 	}
 	for _, s := range missing {
-		if text, found := byKey[s.Key]; found {
+		if text, found := byKey[s.Key()]; found {
 			texts[s.Hash] = text
 		}
 	}
--- a/version/publish/publish.go
+++ b/version/publish/publish.go
@@ -166,7 +166,7 @@
 	previous := make(map[Hash]string)
 	if b.version.Config != nil {
 		for _, s := range b.version.Root.Sections {
-			previous[s.Hash] = s.Key
+			previous[s.Hash] = s.Writer
 		}
 	}
 	root := Root{
@@ -180,18 +180,18 @@
 	var fresh []section
 	// A key of its own for each attempt: neither another writer nor the
 	// collection of unreferenced sections touches it.
-	suffix := "-" + NewOperation()
-	for _, s := range split(req.Config) {
+	writer := NewOperation()
+	for _, s := range split(req.Config, serviceGroups) {
 		if len(s.text) > store.MaxValueBytes {
 			return Version{}, nil, errkind.New(errkind.TooLarge, "section %s: %d bytes, at most %d are allowed", s.name, len(s.text), store.MaxValueBytes)
 		}
-		key, found := previous[s.hash]
-		if !found {
-			key = SectionPrefix + s.hash.String() + suffix
+		ref := SectionRef{Name: s.name, Hash: s.hash, Writer: previous[s.hash]}
+		if ref.Writer == "" {
+			ref.Writer = writer
 			fresh = append(fresh, s)
 		}
 		texts[s.hash] = s.text
-		root.Sections = append(root.Sections, SectionRef{Name: s.name, Hash: s.hash, Key: key})
+		root.Sections = append(root.Sections, ref)
 	}
 	made, err := Assemble(root, texts)
 	return made, fresh, err
@@ -214,7 +214,7 @@
 func (p *Publisher) writeSections(ctx context.Context, root Root, fresh []section) error {
 	keys := make(map[Hash]string, len(root.Sections))
 	for _, s := range root.Sections {
-		keys[s.Hash] = s.Key
+		keys[s.Hash] = s.Key()
 	}
 	for _, s := range fresh {
 		if err := p.writeSection(ctx, keys[s.hash], s.text); err != nil {
--- a/version/publish/root.go
+++ b/version/publish/root.go
@@ -68,8 +68,14 @@
 	Name string `json:"name"`
 	// Hash is the hash of its text.
 	Hash Hash `json:"hash"`
-	// Key is the key of its text in the store.
-	Key string `json:"key"`
+	// Writer identifies the attempt that wrote the text, and makes its key one
+	// of its own.
+	Writer string `json:"writer"`
+}
+
+// Key returns the key of the text in the store.
+func (s SectionRef) Key() string {
+	return SectionPrefix + s.Hash.String() + "-" + s.Writer
 }
 
 // Operation is one accepted write of the root.
--- a/version/publish/section.go
+++ b/version/publish/section.go
@@ -23,9 +23,10 @@
 	text []byte
 }
 
-// split cuts the configuration into its sections: the failure domains, then
-// groups of services by the hash of the name. Empty sections are left out.
-func split(c *config.Config) []section {
+// split cuts the configuration into its sections: the failure domains, then the
+// given number of groups of services by the hash of the name. Empty sections
+// are left out.
+func split(c *config.Config, groupCount uint64) []section {
 	var sections []section
 	add := func(name string, text []byte) {
 		if len(text) > 0 {
@@ -33,13 +34,13 @@
 		}
 	}
 	add(domainsName, config.RenderDomains(c.Domains))
-	groups := make([][]config.Service, serviceGroups)
+	groups := make([][]config.Service, groupCount)
 	for _, s := range c.Services {
-		group := xxhash.Sum64String(s.Name) % serviceGroups
+		group := xxhash.Sum64String(s.Name) % groupCount
 		groups[group] = append(groups[group], s)
 	}
 	for i, services := range groups {
-		add(fmt.Sprintf("services/%02d", i), config.RenderServices(services))
+		add(fmt.Sprintf("services/%d", i), config.RenderServices(services))
 	}
 	return sections
 }
--- a/version/spread/failure_test.go
+++ b/version/spread/failure_test.go
@@ -114,7 +114,7 @@
 	}{
 		{"a root that is not JSON", "[[service]]"},
 		{"a root with a text that does not match its hash", `{"format":1,"version":9,"operation":"x","sections":[` +
-			`{"name":"domains","hash":"00112233445566778899aabbccddeeff","key":"config/section/foreign"}]}`},
+			`{"name":"domains","hash":"00112233445566778899aabbccddeeff","writer":"foreign"}]}`},
 	}
 	for _, b := range breakages {
 		convey.Convey("The last good version stays in force with "+b.name, t, func() {
@@ -122,7 +122,7 @@
 			f.startMany(1, 3)
 			f.publishText(0)
 			eventually(t, "version 1 in force", f.inForce(1))
-			f.store.Put("config/section/foreign", config.Render(text(t, 3)))
+			f.store.Put("config/section/00112233445566778899aabbccddeeff-foreign", config.Render(text(t, 3)))
 			f.store.Put(publish.RootKey, []byte(b.root))
 			eventually(t, "rejection reported", func() bool {
 				return slices.ContainsFunc(f.all(), func(p *process) bool { return p.sawEvent(event.VersionRejected) })
--- a/version/spread/learn.go
+++ b/version/spread/learn.go
@@ -60,13 +60,15 @@
 	if s.synchronized && s.version <= m.version() {
 		m.synchronized = true
 	}
-	return append(m.followNext(from), m.release()...)
+	actions := append(m.followNext(from), m.tellNext(from)...)
+	return append(actions, m.release()...)
 }
 
 // failed takes the failure of a question.
 func (m *machine) failed(_ time.Time, from Peer) []action {
 	delete(m.open, from.Name)
 	delete(m.firstOpen, from.Name)
+	delete(m.untold, from.Name)
 	return append(m.followNext(from), m.release()...)
 }
 
@@ -118,13 +120,31 @@
 	return append(actions, action{kind: actNotifyLeaves, version: v})
 }
 
-// applied takes the news that a version is in force. A leaf tells a home at
-// once, so that operators see it.
+// applied takes the news that a version is in force. A leaf tells its homes at
+// once, so that operators see it; one that is being asked gets told after its
+// answer.
 func (m *machine) applied(time.Time) []action {
-	if !m.leaf || len(m.peers) == 0 {
+	if !m.leaf {
+		return nil
+	}
+	var actions []action
+	for _, p := range m.choose(openQuestions, openQuestions) {
+		if m.open[p.Name] {
+			m.untold[p.Name] = true
+		}
+		actions = append(actions, m.ask(p)...)
+	}
+	return actions
+}
+
+// tellNext asks a home again that could not be told when a version came into
+// force.
+func (m *machine) tellNext(answered Peer) []action {
+	if !m.untold[answered.Name] {
 		return nil
 	}
-	return m.ask(m.chooseOne())
+	delete(m.untold, answered.Name)
+	return m.ask(answered)
 }
 
 // rejectedVersion takes a version that is broken.
--- a/version/spread/machine.go
+++ b/version/spread/machine.go
@@ -108,6 +108,9 @@
 	storeBehind bool
 	// open holds the names of the peers with a question under way.
 	open map[string]bool
+	// untold holds the names of the homes that a leaf has yet to tell about the
+	// version in force.
+	untold map[string]bool
 	// fetching is the hint being followed, waiting the best one after it.
 	fetching hint
 	waiting  hint
@@ -139,6 +142,7 @@
 		random:    o.random,
 		firstOpen: make(map[string]bool),
 		open:      make(map[string]bool),
+		untold:    make(map[string]bool),
 	}
 }
 
--- a/version/store/storetest/fake.go
+++ b/version/store/storetest/fake.go
@@ -48,6 +48,7 @@
 
 	mu       sync.Mutex
 	faults   Faults
+	onWrite  func(key string)
 	pairs    map[string]pair
 	sessions map[string]bool
 	index    uint64
@@ -87,6 +88,13 @@
 	s.wake()
 }
 
+// OnWrite sets a function that is called before a write takes effect.
+func (s *Server) OnWrite(f func(key string)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.onWrite = f
+}
+
 // Calls returns the number of calls so far, a watch counting as one.
 func (s *Server) Calls() int {
 	s.mu.Lock()
@@ -274,6 +282,12 @@
 }
 
 func (s *Server) write(w http.ResponseWriter, r *http.Request, p pair) {
+	s.mu.Lock()
+	onWrite := s.onWrite
+	s.mu.Unlock()
+	if onWrite != nil {
+		onWrite(p.Key)
+	}
 	s.mu.Lock()
 	done := s.swap(r, p)
 	lost := done && s.faults.LoseWrites > 0 && strings.HasPrefix(p.Key, s.faults.LoseKey)
