Measure membership and take the cost of large fleets out of the tick

Peers, suspects and the order of servers are now kept between changes and homes rank only what they need.

--- /dev/null
+++ b/process/membership/bench_test.go
@@ -0,0 +1,286 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	pb "bergamotbank/process/membership/membershippb"
+)
+
+// serversPerBalancer is the ratio of servers to balancers at the target size.
+const serversPerBalancer = 10
+
+// changesPerServer is the number of record changes a server makes in a second:
+// 3,200 replacements a day among 26,000 servers, each with five changes (new,
+// cold, warming, warm, draining) and one end.
+const changesPerServer = 3200.0 * 6 / 26000 / 86400
+
+// report prints one figure in the common form.
+func report(name string, value float64, unit string) {
+	fmt.Printf("bench %s %.4g %s\n", name, value, unit)
+}
+
+// heapBytes returns the live heap after a collection.
+func heapBytes() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc
+}
+
+// largeFleetRecord returns the record of a server as it comes from the wire.
+func largeFleetRecord(index, services, domains int) Record {
+	service := fmt.Sprintf("service-%04d", index%services)
+	domain := fmt.Sprintf("failure-domain-%02d", index%domains)
+	octets := [4]byte{10, byte(index >> 16), byte(index >> 8), byte(index)}
+	addr := netip.AddrFrom4(octets)
+	m := recordToWire(Record{
+		Server:      fmt.Sprintf("%s-%s-%05d", domain, service, index),
+		Incarnation: 1_800_000_000_000 + uint64(index), Sequence: 3,
+		Service: service, Domain: domain,
+		Packet: netip.AddrPortFrom(addr, 7001), Control: netip.AddrPortFrom(addr, 7000),
+		State: Warm, Weight: 100, MinProtocol: 1, MaxProtocol: 1,
+	}, statusAlive)
+	record, _, _ := recordFromWire(overTheWire(m))
+	return record
+}
+
+func overTheWire(m *pb.Record) *pb.Record {
+	datagram, _ := proto.Marshal(m)
+	copied := &pb.Record{}
+	_ = proto.Unmarshal(datagram, copied)
+	return copied
+}
+
+// loadCore returns a core that knows a fleet of the given size.
+func loadCore(balancers, servers, services, domains int) *nodeCore {
+	now := time.Unix(1_800_000_000, 0)
+	addr := func(i int) netip.AddrPort {
+		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{11, byte(i >> 16), byte(i >> 8), byte(i)}), 7000)
+	}
+	peer := func(i int) Peer {
+		return Peer{
+			Name: fmt.Sprintf("balancer-%05d", i), Domain: fmt.Sprintf("failure-domain-%02d", i%domains),
+			Incarnation: 1_800_000_000_000, Packet: addr(i), Control: addr(i), MinProtocol: 1, MaxProtocol: 1,
+		}
+	}
+	core := newNodeCore(peer(0), nil, Timing{}, rand.New(rand.NewPCG(1, 1)), now)
+	for i := 1; i < balancers; i++ {
+		core.mergePeer(now, peer(i), statusAlive)
+	}
+	for i := range servers {
+		core.mergeRecord(now, largeFleetRecord(i, services, domains), statusAlive)
+	}
+	core.rumors = newRumors()
+	core.take()
+	core.tick(now)
+	core.take()
+	return core
+}
+
+// BenchmarkMemory measures the live heap of a balancer's whole membership state
+// with its view, and with a second view while the first is still in use.
+func BenchmarkMemory(b *testing.B) {
+	for range b.N {
+		before := heapBytes()
+		core := loadCore(2600, 26000, 1600, 13)
+		one := heapBytes()
+		old := core.current
+		core.viewStale = true
+		core.tick(core.last.Add(tickPeriod))
+		core.take()
+		two := heapBytes()
+		report("membership_memory_2600_nodes_26000_servers", float64(one-before)/1e6, "MB")
+		report("membership_memory_with_second_view", float64(two-before)/1e6, "MB")
+		runtime.KeepAlive(old)
+		runtime.KeepAlive(core)
+	}
+}
+
+// BenchmarkViewAfterChange measures one record change with its new view at the
+// target size.
+func BenchmarkViewAfterChange(b *testing.B) {
+	core := loadCore(2600, 26000, 1600, 13)
+	record := largeFleetRecord(77, 1600, 13)
+	now := core.last
+	for b.Loop() {
+		record.Sequence++
+		core.mergeRecord(now, record, statusAlive)
+		core.refreshView()
+		core.take()
+	}
+	report("membership_view_after_change", float64(b.Elapsed().Microseconds())/float64(b.N), "us")
+}
+
+// BenchmarkTableAfterChange measures one change of a balancer with the new homes
+// of all servers at the target size.
+func BenchmarkTableAfterChange(b *testing.B) {
+	core := loadCore(2600, 26000, 1600, 13)
+	for b.Loop() {
+		core.tableStale = true
+		core.refreshTable(core.last)
+	}
+	report("membership_homes_after_balancer_change", float64(b.Elapsed().Microseconds())/float64(b.N), "us")
+}
+
+// BenchmarkHeartbeat measures a heartbeat with its answer at the target size.
+func BenchmarkHeartbeat(b *testing.B) {
+	core := loadCore(2600, 26000, 1600, 13)
+	record := largeFleetRecord(13, 1600, 13)
+	envelope := &pb.Envelope{
+		Format: datagramFormat, Sender: record.Server,
+		Body: &pb.Envelope_Heartbeat{Heartbeat: &pb.Heartbeat{
+			Incarnation: record.Incarnation, Sequence: record.Sequence, Homes: 1, DependsOn: []string{"service-0001"},
+		}},
+	}
+	datagram, _ := encodeEnvelope(envelope)
+	now := core.last
+	for b.Loop() {
+		decoded, err := decodeEnvelope(datagram)
+		if err != nil {
+			b.Fatal(err)
+		}
+		core.handle(now, record.Control, decoded)
+		for _, a := range core.take() {
+			if send, ok := a.(sendAction); ok {
+				_, _ = encodeEnvelope(send.envelope)
+			}
+		}
+	}
+	report("membership_heartbeat", float64(b.Elapsed().Nanoseconds())/float64(b.N), "ns")
+}
+
+// steadyFleet returns a settled fleet with record changes at the daily rate.
+func steadyFleet(balancers int, timing Timing) *fleet {
+	f := newFleet(uint64(balancers))
+	f.timing = timing
+	for i := range balancers {
+		f.addNode(fmt.Sprintf("domain-%02d", i%13))
+	}
+	f.settle()
+	for i := range balancers * serversPerBalancer {
+		f.addAgent(fmt.Sprintf("service-%04d", i/16), fmt.Sprintf("domain-%02d", i%13))
+	}
+	f.settle()
+	f.run(10 * time.Second)
+	return f
+}
+
+// churn lets random servers announce changes at the daily rate.
+func (f *fleet) churn() {
+	rate := changesPerServer * float64(len(f.agents))
+	var step func()
+	step = func() {
+		a := f.agents[f.random.IntN(len(f.agents))]
+		a.core.setState(f.now, a.core.self.State, a.core.self.Weight%100+1)
+		a.perform()
+		f.after(time.Duration(f.random.ExpFloat64()/rate*float64(time.Second)), step)
+	}
+	f.after(0, step)
+}
+
+// BenchmarkControlTraffic measures the control bytes and the processor time of
+// a balancer and an agent in a steady fleet of several sizes, and the slope.
+func BenchmarkControlTraffic(b *testing.B) {
+	const seconds = 60
+	for range b.N {
+		var sizes, bytes, processor []float64
+		for _, balancers := range []int{26, 52, 104, 208} {
+			f := steadyFleet(balancers, Timing{})
+			f.churn()
+			f.resetBytes()
+			f.meter = true
+			f.run(seconds * time.Second)
+			datagrams, calls := f.nodeBytes()
+			agents := 0
+			for _, a := range f.agents {
+				agents += a.bytes + a.callBytes
+			}
+			perNode := float64(datagrams+calls) / seconds
+			busy := f.busy.Seconds() / float64(balancers) / seconds * 100
+			report(fmt.Sprintf("membership_bytes_balancer_%d", balancers), perNode, "B/s")
+			report(fmt.Sprintf("membership_bytes_agent_%d", balancers), float64(agents)/float64(len(f.agents))/seconds, "B/s")
+			report(fmt.Sprintf("membership_processor_balancer_%d", balancers), busy, "percent_of_core")
+			sizes = append(sizes, float64(balancers))
+			bytes = append(bytes, perNode)
+			processor = append(processor, busy)
+		}
+		reportSlope("membership_bytes_balancer", sizes, bytes, "B/s")
+		reportSlope("membership_processor_balancer", sizes, processor, "percent_of_core")
+	}
+}
+
+// reportSlope prints the least-squares slope for each balancer and the value
+// that it gives at the target size.
+func reportSlope(name string, sizes, values []float64, unit string) {
+	var meanX, meanY float64
+	for i := range sizes {
+		meanX += sizes[i] / float64(len(sizes))
+		meanY += values[i] / float64(len(sizes))
+	}
+	var covariance, variance float64
+	for i := range sizes {
+		covariance += (sizes[i] - meanX) * (values[i] - meanY)
+		variance += (sizes[i] - meanX) * (sizes[i] - meanX)
+	}
+	slope := covariance / variance
+	report(name+"_slope", slope, unit+"_per_balancer")
+	report(name+"_at_2600", meanY+slope*(2600-meanX), unit)
+}
+
+// BenchmarkDetection measures, for several heartbeat periods, the time until a
+// stopped server is out everywhere and the bytes of a balancer.
+func BenchmarkDetection(b *testing.B) {
+	for range b.N {
+		for _, period := range []time.Duration{250, 500, 1000, 2000, 4000} {
+			period *= time.Millisecond
+			timing := Timing{Heartbeat: period, SilentAfter: period * 7 / 2}
+			f := steadyFleet(26, timing)
+			f.resetBytes()
+			f.run(20 * time.Second)
+			datagrams, calls := f.nodeBytes()
+			var worst, total time.Duration
+			const trials = 10
+			for i := range trials {
+				f.agents[i].stopped = true
+				took, _ := f.runUntil(time.Minute, f.settled)
+				worst = max(worst, took)
+				total += took
+			}
+			name := fmt.Sprintf("membership_heartbeat_%dms", period.Milliseconds())
+			report(name+"_detection_mean", (total / trials).Seconds(), "s")
+			report(name+"_detection_worst", worst.Seconds(), "s")
+			report(name+"_balancer", float64(datagrams+calls)/20, "B/s")
+		}
+	}
+}
+
+// BenchmarkMassRestart measures a restart of 1,000 servers at once: of many
+// services, and of one.
+func BenchmarkMassRestart(b *testing.B) {
+	for range b.N {
+		for _, services := range []int{62, 1} {
+			f := newFleet(15)
+			f.populate(hokkaido, 5, 0)
+			f.settle()
+			f.resetBytes()
+			for i := range 1000 {
+				f.addAgent(fmt.Sprintf("service-%02d", i%services), hokkaido[i%len(hokkaido)])
+			}
+			took, _ := f.runUntil(time.Minute, f.settled)
+			f.run(10*time.Second - took)
+			datagrams, calls := f.nodeBytes()
+			name := fmt.Sprintf("membership_restart_1000_servers_%d_services", services)
+			report(name+"_settled", took.Seconds(), "s")
+			report(name+"_balancer_datagrams", float64(datagrams)/1000, "kB")
+			report(name+"_balancer_calls", float64(calls)/1000, "kB")
+		}
+	}
+}
--- a/process/membership/fleet_test.go
+++ b/process/membership/fleet_test.go
@@ -32,6 +32,10 @@
 	agents []*testAgent
 	procs  map[netip.AddrPort]*testProcess
 
+	// meter measures the time that the balancers' cores are busy.
+	meter bool
+	busy  time.Duration
+
 	latency time.Duration
 	// loss, duplication and reordering are shares of the datagrams.
 	loss, duplication, reordering float64
@@ -154,11 +158,24 @@
 	self := Peer{Name: n.name, Domain: n.domain, Incarnation: uint64(f.now.UnixMilli()), Packet: n.addr, Control: n.addr}
 	core := newNodeCore(self, seeds, f.timing, f.random, f.now)
 	n.core = core
-	n.tick = func() { core.tick(f.now) }
-	n.handle = func(from netip.AddrPort, envelope *pb.Envelope) { core.handle(f.now, from, envelope) }
+	n.tick = func() { f.measure(func() { core.tick(f.now) }) }
+	n.handle = func(from netip.AddrPort, envelope *pb.Envelope) {
+		f.measure(func() { core.handle(f.now, from, envelope) })
+	}
 	n.perform = func() { f.performNode(n) }
 }
 
+// measure adds the time that a balancer's core takes.
+func (f *fleet) measure(run func()) {
+	if !f.meter {
+		run()
+		return
+	}
+	start := time.Now()
+	run()
+	f.busy += time.Since(start)
+}
+
 func (f *fleet) addAgent(service, domain string) {
 	a := &testAgent{testProcess: f.process(fmt.Sprintf("%s-%05d", service, len(f.agents)), domain)}
 	self := Record{
--- a/process/membership/homes.go
+++ b/process/membership/homes.go
@@ -54,11 +54,14 @@
 	if own >= 0 {
 		chosen = t.domains[own].best(serverHash, localHomes, chosen)
 	}
-	for _, i := range t.rankOthers(serverHash, own) {
-		if len(chosen) == homeCount {
-			return chosen
+	last := -1
+	for len(chosen) < homeCount {
+		next := t.nextDomain(serverHash, own, last)
+		if next < 0 {
+			break
 		}
-		chosen = t.domains[i].best(serverHash, 1, chosen)
+		chosen = t.domains[next].best(serverHash, 1, chosen)
+		last = next
 	}
 	if own >= 0 && len(chosen) < homeCount {
 		chosen = t.domains[own].best(serverHash, homeCount, chosen)
@@ -66,21 +69,26 @@
 	return chosen
 }
 
-// rankOthers returns the indexes of all failure domains but own, best first.
-func (t *homeTable) rankOthers(serverHash uint64, own int) []int {
-	ranked := make([]int, 0, len(t.domains))
+// nextDomain returns the index of the best failure domain but own that ranks
+// below last, or -1. A last of -1 asks for the best of all.
+func (t *homeTable) nextDomain(serverHash uint64, own, last int) int {
+	best := -1
 	for i := range t.domains {
-		if i != own {
-			ranked = append(ranked, i)
+		below := last < 0 || t.ranksBelow(serverHash, i, last)
+		if i != own && below && (best < 0 || t.ranksBelow(serverHash, best, i)) {
+			best = i
 		}
 	}
-	slices.SortFunc(ranked, func(a, b int) int {
-		return cmp.Or(
-			cmp.Compare(mix(serverHash, t.domains[b].hash), mix(serverHash, t.domains[a].hash)),
-			cmp.Compare(t.domains[a].name, t.domains[b].name),
-		)
-	})
-	return ranked
+	return best
+}
+
+// ranksBelow tells whether a failure domain comes after another one for a
+// server.
+func (t *homeTable) ranksBelow(serverHash uint64, domain, other int) bool {
+	return cmp.Or(
+		cmp.Compare(mix(serverHash, t.domains[domain].hash), mix(serverHash, t.domains[other].hash)),
+		cmp.Compare(t.domains[domain].name, t.domains[other].name),
+	) < 0
 }
 
 // best appends the balancers with the highest scores that are not yet chosen,
--- a/process/membership/nodecore.go
+++ b/process/membership/nodecore.go
@@ -32,6 +32,8 @@
 	silence  silenceWatch
 	exchange time.Time // last anti-entropy exchange
 
+	live        []*peerEntry        // cache of livePeers, nil when stale
+	suspects    map[string]struct{} // names of suspected balancers
 	table       *homeTable
 	tableStale  bool
 	viewStale   bool
@@ -44,14 +46,15 @@
 // memory.
 func newNodeCore(self Peer, seeds []netip.AddrPort, timing Timing, random *rand.Rand, now time.Time) *nodeCore {
 	c := &nodeCore{
-		self:    self,
-		timing:  timing.orDefaults(),
-		random:  random,
-		version: func() uint64 { return 0 },
-		stamp:   func() uint64 { return 0 },
-		state:   newState(),
-		started: now,
-		last:    now,
+		self:     self,
+		timing:   timing.orDefaults(),
+		random:   random,
+		version:  func() uint64 { return 0 },
+		stamp:    func() uint64 { return 0 },
+		state:    newState(),
+		suspects: make(map[string]struct{}),
+		started:  now,
+		last:     now,
 	}
 	c.join.add(seeds, self.Control)
 	c.silence = newSilenceWatch()
@@ -109,9 +112,11 @@
 	}
 	if gap > c.timing.TombstoneLife {
 		c.state = newState()
+		c.suspects = make(map[string]struct{})
 		c.self.Incarnation++
 		c.state.mergePeer(c.self, statusAlive, now)
 	}
+	c.live = nil
 	c.silence.restart(now)
 	c.probes = newProber()
 	c.rumors = newRumors()
@@ -248,6 +253,11 @@
 		return result
 	}
 	c.rumors.add(rumorKey{name: p.Name})
+	c.live = nil
+	delete(c.suspects, p.Name)
+	if st == statusSuspect {
+		c.suspects[p.Name] = struct{}{}
+	}
 	isLive := st <= statusSuspect
 	if !wasLive || !isLive {
 		c.tableStale = true
@@ -297,8 +307,12 @@
 	}
 }
 
-// livePeers returns the peers that are alive or suspect, without this one.
+// livePeers returns the peers that are alive or suspect, without this one, by
+// name. The result must not be modified.
 func (c *nodeCore) livePeers() []*peerEntry {
+	if c.live != nil {
+		return c.live
+	}
 	live := make([]*peerEntry, 0, len(c.state.peers))
 	for name, entry := range c.state.peers {
 		if name != c.self.Name && entry.status <= statusSuspect {
@@ -306,6 +320,7 @@
 		}
 	}
 	slices.SortFunc(live, func(a, b *peerEntry) int { return strings.Compare(a.peer.Name, b.peer.Name) })
+	c.live = live
 	return live
 }
 
@@ -316,7 +331,7 @@
 		return
 	}
 	c.tableStale = false
-	members := append(c.livePeers(), c.state.peers[c.self.Name])
+	members := append(slices.Clone(c.livePeers()), c.state.peers[c.self.Name])
 	c.table = newHomeTable(members)
 	for _, entry := range c.state.servers {
 		c.watch(now, entry)
@@ -378,6 +393,7 @@
 		age := now.Sub(entry.changed)
 		if entry.status > statusSuspect && age > c.timing.TombstoneLife {
 			c.state.removePeer(entry)
+			c.live = nil
 		}
 	}
 }
--- a/process/membership/probe.go
+++ b/process/membership/probe.go
@@ -164,10 +164,8 @@
 
 // tickSuspicions holds a suspect that did not refute in time for dead.
 func (c *nodeCore) tickSuspicions(now time.Time) {
-	for _, entry := range c.livePeers() {
-		if entry.status != statusSuspect {
-			continue
-		}
+	for _, name := range slices.Sorted(maps.Keys(c.suspects)) {
+		entry := c.state.peers[name]
 		if now.Sub(entry.changed) >= c.timing.Suspicion && !c.deaf(now) {
 			c.mergePeer(now, entry.peer, statusSilent)
 		}
--- a/process/membership/state.go
+++ b/process/membership/state.go
@@ -76,6 +76,7 @@
 	addrs   map[uint64]*serverEntry // by packed packet address
 	digests map[string]*domainDigest
 	names   map[string]string
+	order   []*serverEntry // all servers by name; nil when stale
 }
 
 func newState() *state {
@@ -110,6 +111,7 @@
 	} else {
 		entry = &serverEntry{hash: xxhash.Sum64String(r.Server)}
 		s.servers[r.Server] = entry
+		s.order = nil
 	}
 	r.Service = s.intern(r.Service)
 	r.Domain = s.intern(r.Domain)
@@ -218,6 +220,7 @@
 func (s *state) removeServer(e *serverEntry) {
 	s.unindex(e)
 	delete(s.servers, e.record.Server)
+	s.order = nil
 }
 
 // removePeer drops a peer for good.
@@ -274,32 +277,42 @@
 	return sum
 }
 
+// sorted returns all servers by name. The result must not be modified.
+func (s *state) sorted() []*serverEntry {
+	if s.order != nil {
+		return s.order
+	}
+	s.order = make([]*serverEntry, 0, len(s.servers))
+	for _, e := range s.servers {
+		s.order = append(s.order, e)
+	}
+	slices.SortFunc(s.order, func(a, b *serverEntry) int { return strings.Compare(a.record.Server, b.record.Server) })
+	return s.order
+}
+
 // view returns a snapshot of what is alive, without the peer named self.
 func (s *state) view(self string) View {
-	view := View{}
+	order := s.sorted()
 	live := 0
-	for _, e := range s.servers {
+	for _, e := range order {
 		if s.live(e) {
 			live++
 		}
 	}
-	view.Servers = make([]Record, 0, live)
-	for _, e := range s.servers {
+	view := View{
+		Servers: make([]Record, 0, live),
+		Peers:   make([]Peer, 0, len(s.peers)),
+	}
+	for _, e := range order {
 		if s.live(e) {
 			view.Servers = append(view.Servers, e.record)
 		}
 	}
-	view.Peers = make([]Peer, 0, len(s.peers))
 	for name, e := range s.peers {
 		if name != self && e.status <= statusSuspect {
 			view.Peers = append(view.Peers, e.peer)
 		}
 	}
-	sortView(&view)
-	return view
-}
-
-func sortView(view *View) {
-	slices.SortFunc(view.Servers, func(a, b Record) int { return strings.Compare(a.Server, b.Server) })
 	slices.SortFunc(view.Peers, func(a, b Peer) int { return strings.Compare(a.Name, b.Name) })
+	return view
 }
