Let a new agent learn which members its peers count

A random history found two sides of a cut that each consisted of agents started during it: their rings held the living only, so a majority of three new agents on the minority's side could grant a key that the majority had run. A new agent now takes the members from its peers, with those that are silent, before it vouches.

The same test found a key without a time repeated after the retention, which no memory can tell from a new one; docs/CALLERS.md says that callers must not do so.

--- a/request/admission/fleet_test.go
+++ b/request/admission/fleet_test.go
@@ -69,14 +69,30 @@
 
 func (f *fleet) advance(d time.Duration) { f.offset.Add(int64(d)) }
 
-// settle waits until every agent knows its peers and lets the ledger settle. The
-// time that it takes counts as a day in which no key was used.
+// settle waits until every agent counts the same members and lets the ledger
+// settle. The time that it takes counts as a day in which no key was used.
 func (f *fleet) settle() {
+	f.t.Helper()
+	f.meet()
+	f.advance(24 * time.Hour)
+	f.confirmed()
+}
+
+// meet waits until every agent counts all others.
+func (f *fleet) meet() {
+	f.t.Helper()
+	all := f.list()
+	for _, a := range all {
+		waitFor(f.t, "the members are known", func() bool { return a.gate.keeper.Members() == len(all) })
+	}
+}
+
+// confirmed waits until every agent has confirmed the members.
+func (f *fleet) confirmed() {
 	f.t.Helper()
 	for _, a := range f.list() {
-		waitFor(f.t, "the members are known", func() bool { return a.gate.keeper.Members() == len(f.list()) })
+		waitFor(f.t, "the members are confirmed", a.gate.keeper.Confirmed)
 	}
-	f.advance(24 * time.Hour)
 }
 
 func (f *fleet) list() []*agent {
@@ -326,9 +342,8 @@
 			f.add(fmt.Sprintf("n%d", i+1))
 			f.agent(fmt.Sprintf("s%d", i+2)).leave()
 		}
-		for _, a := range f.list() {
-			waitFor(t, "the members are known", func() bool { return a.gate.keeper.Members() == 9 })
-		}
+		f.meet()
+		f.confirmed()
 		f.advance(ledger.Settle + ledger.MaxSkew)
 		for _, key := range keys {
 			got := f.agent("n1").post("tags", HeaderKey, key)
@@ -354,9 +369,8 @@
 		for i := range 3 {
 			f.add(fmt.Sprintf("s%d", i+1))
 		}
-		for _, a := range f.list() {
-			waitFor(t, "the members are known", func() bool { return a.gate.keeper.Members() == 3 })
-		}
+		f.meet()
+		f.confirmed()
 		f.advance(ledger.Settle + ledger.MaxSkew + time.Second)
 		got := f.agent("s2").post("tags", HeaderKey, key)
 		convey.So(got.promise(), convey.ShouldEqual, "502 key_unverifiable unknown not-run")
--- a/request/admission/serve.go
+++ b/request/admission/serve.go
@@ -166,10 +166,14 @@
 	return nil
 }
 
-// send notes that the first byte is about to leave, and tells whether it may.
+// send notes that the first byte is about to leave, and tells whether it may: not
+// past the deadline, when the ledger no longer holds the key for this try.
 func (x *exchange) send() bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
+	if !time.Now().Before(x.deadline) {
+		return false
+	}
 	return x.state.Send()
 }
 
--- a/request/ledger/ring.go
+++ b/request/ledger/ring.go
@@ -41,6 +41,9 @@
 	leaving map[string]bool
 	missing map[string]time.Time
 
+	present   map[string]bool
+	confirmed bool
+
 	adoptedSince  time.Time
 	adoptedQuorum int
 }
@@ -73,12 +76,68 @@
 		present[m.Name] = true
 		r.leaving[m.Name] = m.Leaving
 	}
+	r.present = present
 	r.noteMissing(present, now)
 	next := r.next(present, now)
 	if !r.Known() || !slices.Equal(next, r.Members()) {
 		r.history = append(r.history, change{at: now, members: next})
 	}
 	r.forget(now)
+	if len(r.Members()) == 1 && now.Sub(r.history[0].at) >= Settle {
+		r.confirmed = true
+	}
+}
+
+// Confirmed tells whether the members that peers remember are known too. Before
+// that the agent vouches for nothing.
+func (r *Ring) Confirmed() bool { return r.confirmed }
+
+// Present returns the other members that are seen alive.
+func (r *Ring) Present() []string {
+	var others []string
+	for _, name := range r.Members() {
+		if r.present[name] && name != r.self {
+			others = append(others, name)
+		}
+	}
+	return others
+}
+
+// Knowledge is what a peer says about the members.
+type Knowledge struct {
+	// Members are the members that the peer counts.
+	Members []string
+	// Confirmed tells whether the peer has confirmed them itself.
+	Confirmed bool
+}
+
+// Confirm takes the members that peers count, so that an agent which has just
+// started also counts those that it has never seen alive. One confirmed peer is
+// enough; in a service that has just started, every peer has to answer.
+func (r *Ring) Confirm(replies []Knowledge, now time.Time) {
+	if !r.Known() || r.confirmed {
+		return
+	}
+	settled := len(replies) >= len(r.Present())
+	members := slices.Clone(r.Members())
+	for _, reply := range replies {
+		settled = settled || reply.Confirmed
+		members = append(members, reply.Members...)
+	}
+	if !settled {
+		return
+	}
+	slices.Sort(members)
+	members = slices.Compact(members)
+	for _, name := range members {
+		if !r.present[name] {
+			r.missing[name] = now
+		}
+	}
+	if !slices.Equal(members, r.Members()) {
+		r.history = append(r.history, change{at: now, members: members})
+	}
+	r.confirmed = true
 }
 
 func (r *Ring) noteMissing(present map[string]bool, now time.Time) {
@@ -148,7 +207,7 @@
 // Vouch tells whether the agent has been a home of the key since the given time,
 // and the largest number of grants that a claim has needed since then.
 func (r *Ring) Vouch(key string, since, now time.Time) (quorum int, ok bool) {
-	if !r.Known() {
+	if !r.confirmed {
 		return 0, false
 	}
 	start := since.Add(-Settle)
@@ -179,7 +238,7 @@
 // key, and the largest number of grants needed since then. It tells false in a
 // service with more agents than homes, where it differs from key to key.
 func (r *Ring) VouchesSince() (since time.Time, quorum int, ok bool) {
-	if !r.Known() {
+	if !r.confirmed {
 		return time.Time{}, 0, false
 	}
 	for _, c := range r.history {
--- /dev/null
+++ b/request/ledgerrpc/confirm.go
@@ -0,0 +1,62 @@
+package ledgerrpc
+
+import (
+	"context"
+	"sync"
+
+	"bergamotbank/request/ledger"
+	"bergamotbank/request/ledger/ledgerpb"
+)
+
+// maxAsked is the number of peers that are asked for the members.
+const maxAsked = 16
+
+// confirm learns which members the peers count, once after the start.
+func (k *Keeper) confirm(ctx context.Context) {
+	peers := k.confirmable()
+	if len(peers) == 0 {
+		return
+	}
+	replies := askMembers(ctx, k.options.Service, peers)
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.ring.Confirm(replies, k.options.Now())
+}
+
+// confirmable returns the peers to ask for the members, none when they are
+// confirmed.
+func (k *Keeper) confirmable() []ledgerpb.Ledger {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.ring.Confirmed() {
+		return nil
+	}
+	var peers []ledgerpb.Ledger
+	for _, name := range k.ring.Present() {
+		if client := k.peers[name]; client != nil && len(peers) < maxAsked {
+			peers = append(peers, client)
+		}
+	}
+	return peers
+}
+
+func askMembers(ctx context.Context, service string, peers []ledgerpb.Ledger) []ledger.Knowledge {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var replies []ledger.Knowledge
+	var wait sync.WaitGroup
+	for _, peer := range peers {
+		wait.Go(func() {
+			reply, err := peer.Members(ctx, &ledgerpb.MembersRequest{Service: service})
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			replies = append(replies, ledger.Knowledge{Members: reply.GetMembers(), Confirmed: reply.GetConfirmed()})
+		})
+	}
+	wait.Wait()
+	return replies
+}
--- a/request/ledgerrpc/keeper.go
+++ b/request/ledgerrpc/keeper.go
@@ -108,6 +108,7 @@
 		case <-update.C:
 			k.update(k.options.Now())
 		case <-adopt.C:
+			k.confirm(ctx)
 			if k.adopt(ctx) {
 				pause = min(2*pause, maxAdoptPause)
 			}
@@ -159,6 +160,12 @@
 	k.book.Complete(c, r, now)
 }
 
+func (k *Keeper) members() (members []string, confirmed bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.ring.Members(), k.ring.Confirmed()
+}
+
 func (k *Keeper) export(now time.Time) (ledger.Statement, bool, []ledger.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -199,6 +206,12 @@
 	return len(k.ring.Members())
 }
 
+// Confirmed tells whether the agent counts the members as its peers do.
+func (k *Keeper) Confirmed() bool {
+	_, confirmed := k.members()
+	return confirmed
+}
+
 // Adopted tells whether the agent has learned the keys of its peers.
 func (k *Keeper) Adopted() bool {
 	k.mu.Lock()
--- a/request/ledgerrpc/server.go
+++ b/request/ledgerrpc/server.go
@@ -14,9 +14,10 @@
 type server struct{ keeper *Keeper }
 
 func (s server) check(service string, claim *ledgerpb.Claim) error {
+	if err := s.checkService(service); err != nil {
+		return err
+	}
 	switch {
-	case service != s.keeper.options.Service:
-		return twirp.NewErrorf(twirp.FailedPrecondition, "this agent belongs to service %q, not %q", s.keeper.options.Service, service)
 	case claim.GetKey() == "":
 		return twirp.RequiredArgumentError("claim.key")
 	case claim.GetToken() == "":
@@ -25,6 +26,13 @@
 	return nil
 }
 
+func (s server) checkService(service string) error {
+	if service == s.keeper.options.Service {
+		return nil
+	}
+	return twirp.NewErrorf(twirp.FailedPrecondition, "this agent belongs to service %q, not %q", s.keeper.options.Service, service)
+}
+
 // Claim implements ledgerpb.Ledger.
 func (s server) Claim(_ context.Context, req *ledgerpb.ClaimRequest) (*ledgerpb.ClaimReply, error) {
 	if err := s.check(req.GetService(), req.GetClaim()); err != nil {
@@ -56,10 +64,19 @@
 	return &ledgerpb.CompleteReply{}, nil
 }
 
+// Members implements ledgerpb.Ledger.
+func (s server) Members(_ context.Context, req *ledgerpb.MembersRequest) (*ledgerpb.MembersReply, error) {
+	if err := s.checkService(req.GetService()); err != nil {
+		return nil, err
+	}
+	members, confirmed := s.keeper.members()
+	return &ledgerpb.MembersReply{Members: members, Confirmed: confirmed}, nil
+}
+
 // Export implements ledgerpb.Ledger.
 func (s server) Export(_ context.Context, req *ledgerpb.ExportRequest) (*ledgerpb.ExportReply, error) {
-	if req.GetService() != s.keeper.options.Service {
-		return nil, twirp.NewErrorf(twirp.FailedPrecondition, "this agent belongs to service %q", s.keeper.options.Service)
+	if err := s.checkService(req.GetService()); err != nil {
+		return nil, err
 	}
 	now := s.keeper.options.Now()
 	statement, vouches, entries := s.keeper.export(now)
