Demo: wait for the fabric's health check, repeat keyed orders whose outcome is unknown

Ruled out: balancers without a view (0 NoServer). The unknown outcomes are answers 409 key_in_progress to repeats that overtake the release of their key; the contract for callers is to repeat these.

--- a/demo/scenario.go
+++ b/demo/scenario.go
@@ -61,7 +61,7 @@
 		"--streams", statusStreams,
 		"--downloads", catalogue + "/download",
 		"--downloads-per-second", downloadsPerSec,
-		"--repeat", "not-run",
+		"--repeat", "unknown",
 		"--service", s.fleet.ServiceAddress("ordering").String() + "=ordering",
 		"--service", s.fleet.ServiceAddress("catalogue").String() + "=catalogue",
 		"--report", report,
--- a/fleet/start.go
+++ b/fleet/start.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"time"
 
@@ -159,7 +160,8 @@
 	return err
 }
 
-// WaitReady waits until every balancer and agent reports that it is ready.
+// WaitReady waits until every balancer and agent reports that it is ready and
+// the fabric, whose health check lags, sends to every balancer.
 func (f *Fleet) WaitReady(ctx context.Context) error {
 	for _, vm := range f.Balancers() {
 		if err := f.waitHTTP(ctx, vm.Name, vm.Control, "/readyz"); err != nil {
@@ -171,7 +173,33 @@
 			return err
 		}
 	}
-	return nil
+	return f.waitFabric(ctx)
+}
+
+// balancerStatus is what the fabric tells of a balancer.
+type balancerStatus struct {
+	Name  string `json:"name"`
+	Alive bool   `json:"alive"`
+}
+
+// waitFabric waits until the fabric takes every balancer for alive.
+func (f *Fleet) waitFabric(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		var balancers []balancerStatus
+		if err := f.ReadJSON(limited, f.FabricControl(), "/balancers", &balancers); err != nil {
+			return err
+		}
+		if !slices.ContainsFunc(balancers, func(b balancerStatus) bool { return !b.Alive }) {
+			return nil
+		}
+		select {
+		case <-limited.Done():
+			return errkind.New(errkind.PeerUnavailable, "the fabric does not take every balancer for alive")
+		case <-time.After(pollInterval):
+		}
+	}
 }
 
 // waitHTTP waits until a GET of path at addr is answered with 200.
