--- a/process/membership/agentcore.go
+++ b/process/membership/agentcore.go
@@ -26,8 +26,6 @@
 	raisePeriod = time.Second
 	// fetchPeriod is the shortest time between two fetches of the view.
 	fetchPeriod = time.Second
-	// leaveRepeats is the number of times that the end of a server is told.
-	leaveRepeats = 3
 	// directoryPeriod is the shortest time between two reads of the directory.
 	directoryPeriod = 5 * time.Second
 )
@@ -144,25 +142,33 @@
 	c.tickHeartbeats(now)
 }
 
-// leave tells the homes that the server has gone.
-func (c *agentCore) leave() {
+// leave announces that the server has gone, until the homes have it.
+func (c *agentCore) leave(now time.Time) {
+	if c.leaving {
+		return
+	}
 	c.leaving = true
-	c.self.Sequence++
-	gone := recordToWire(c.self, statusGone)
-	for range leaveRepeats {
-		for _, h := range c.sortedHomes() {
-			c.send(h.peer.Control, &pb.Envelope{Body: &pb.Envelope_Gossip{Gossip: &pb.Gossip{Records: []*pb.Record{gone}}}})
+	c.raise(now)
+}
+
+// left tells whether all homes know that the server has gone.
+func (c *agentCore) left() bool {
+	for _, h := range c.homes {
+		if !h.acked(c.self) {
+			return false
 		}
 	}
+	return c.leaving
 }
 
 // tick lets time pass.
 func (c *agentCore) tick(now time.Time) {
 	c.notice(now)
+	c.dropHomes(now)
 	if c.leaving {
+		c.tickHeartbeats(now)
 		return
 	}
-	c.dropHomes(now)
 	c.tickContacts(now)
 	c.tickHeartbeats(now)
 	c.tickFetch(now)
@@ -235,6 +241,9 @@
 			continue
 		}
 		acked := h.acked(c.self)
+		if acked && c.leaving {
+			continue
+		}
 		period := retryPeriod
 		if acked {
 			period = c.timing.Heartbeat
@@ -256,11 +265,18 @@
 		DependsOn:   c.depends,
 	}
 	if withRecord {
-		heartbeat.Record = recordToWire(c.self, statusAlive)
+		heartbeat.Record = recordToWire(c.self, c.status())
 	}
 	c.send(to, &pb.Envelope{Body: &pb.Envelope_Heartbeat{Heartbeat: heartbeat}})
 }
 
+func (c *agentCore) status() status {
+	if c.leaving {
+		return statusGone
+	}
+	return statusAlive
+}
+
 func (c *agentCore) homesHash() uint64 {
 	names := make([]string, 0, len(c.homes))
 	for _, h := range c.homes {
@@ -283,7 +299,7 @@
 func (c *agentCore) handle(now time.Time, from netip.AddrPort, envelope *pb.Envelope) {
 	c.notice(now)
 	body, ok := envelope.Body.(*pb.Envelope_HeartbeatReply)
-	if !ok || body.HeartbeatReply.Server != serverCheck(c.self.Server) || c.leaving {
+	if !ok || body.HeartbeatReply.Server != serverCheck(c.self.Server) {
 		return
 	}
 	reply := body.HeartbeatReply
@@ -292,6 +308,9 @@
 		sender = h.peer
 		c.acknowledge(now, h, reply)
 	}
+	if c.leaving {
+		return
+	}
 	c.takeHomes(now, from, reply)
 	c.refute(now, reply)
 	c.noteView(reply)
@@ -325,7 +344,7 @@
 	}
 	for _, m := range reply.Homes {
 		peer, _, err := peerFromWire(m)
-		if err != nil {
+		if err != nil || !c.speaks(peer) {
 			continue
 		}
 		h, known := c.homes[peer.Control]
@@ -342,6 +361,13 @@
 	c.tickHeartbeats(now)
 }
 
+// speaks tells whether this agent and a balancer have a protocol version in
+// common.
+func (c *agentCore) speaks(peer Peer) bool {
+	_, ok := AgreeProtocol(c.self.MinProtocol, c.self.MaxProtocol, peer.MinProtocol, peer.MaxProtocol)
+	return ok
+}
+
 // refute raises the version when the balancers hold the server for silent or
 // replaced.
 func (c *agentCore) refute(now time.Time, reply *pb.HeartbeatReply) {
@@ -451,9 +477,16 @@
 	}
 }
 
-// view returns the snapshot of the needed services and the homes.
+// view returns the snapshot of the needed services and the homes. Servers that
+// support no protocol version of this one are left out.
 func (c *agentCore) view() View {
-	return View{Servers: slices.Clone(c.servers), Peers: c.homePeers()}
+	servers := make([]Record, 0, len(c.servers))
+	for _, r := range c.servers {
+		if _, ok := AgreeProtocol(c.self.MinProtocol, c.self.MaxProtocol, r.MinProtocol, r.MaxProtocol); ok {
+			servers = append(servers, r)
+		}
+	}
+	return View{Servers: servers, Peers: c.homePeers()}
 }
 
 func (c *agentCore) homePeers() []Peer {
--- a/process/membership/announcer.go
+++ b/process/membership/announcer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -54,6 +55,8 @@
 	changed   chan struct{}
 	fetches   chan fetchAction
 	directory chan struct{}
+	left      chan struct{}
+	leftOnce  sync.Once
 	view      atomic.Pointer[View]
 	homes     atomic.Pointer[[]Peer]
 	ready     atomic.Bool
@@ -82,6 +85,7 @@
 		changed:   make(chan struct{}, 1),
 		fetches:   make(chan fetchAction, 1),
 		directory: make(chan struct{}, 1),
+		left:      make(chan struct{}),
 	}
 	a.core.version = options.Version
 	a.core.stamp = options.Clock.Stamp
@@ -148,12 +152,14 @@
 	_ = a.calls.enqueue(ctx, func() { a.core.setState(time.Now(), state, weight) })
 }
 
-// Leave tells the homes that the server has gone. No heartbeat follows.
+// Leave tells the homes that the server has gone and waits until they know or
+// the context ends. No heartbeat follows.
 func (a *Announcer) Leave(ctx context.Context) {
-	_ = a.calls.do(ctx, func() {
-		a.core.leave()
-		a.perform()
-	})
+	_ = a.calls.do(ctx, func() { a.core.leave(time.Now()) })
+	select {
+	case <-a.left:
+	case <-ctx.Done():
+	}
 }
 
 // Run announces the server until the context ends.
@@ -215,6 +221,9 @@
 	homes := a.core.homePeers()
 	a.homes.Store(&homes)
 	a.ready.Store(a.core.fetched)
+	if a.core.left() {
+		a.leftOnce.Do(func() { close(a.left) })
+	}
 }
 
 // startFetch hands a fetch over; the core asks again when one is still running.
--- a/process/membership/antientropy.go
+++ b/process/membership/antientropy.go
@@ -15,6 +15,9 @@
 	exchangePeriod = time.Second
 	// exchangeDomains is the number of failure domains compared in one exchange.
 	exchangeDomains = 2
+	// maxDigestDomains is the number of failure domains whose digests fit into
+	// one datagram. Where there are more, each exchange takes others.
+	maxDigestDomains = (maxDatagram - envelopeOverhead) / (maxName + 16)
 	// exchangeDatagrams is the largest number of datagrams with entries that
 	// one message of an exchange brings.
 	exchangeDatagrams = 6
@@ -32,6 +35,10 @@
 		digest.Domains = append(digest.Domains, &pb.DomainDigest{Domain: domain, Digest: d.total})
 	}
 	slices.SortFunc(digest.Domains, compareDomainDigests)
+	c.random.Shuffle(len(digest.Domains), func(i, j int) {
+		digest.Domains[i], digest.Domains[j] = digest.Domains[j], digest.Domains[i]
+	})
+	digest.Domains = digest.Domains[:min(maxDigestDomains, len(digest.Domains))]
 	c.send(to, &pb.Envelope{Body: &pb.Envelope_Digest{Digest: digest}})
 }
 
@@ -45,10 +52,8 @@
 	for _, d := range digest.Domains {
 		theirs[d.Domain] = d.Digest
 	}
-	for domain := range c.state.digests {
-		if _, ok := theirs[domain]; !ok {
-			theirs[domain] = 0
-		}
+	if len(digest.Domains) < maxDigestDomains {
+		c.addUnknownDomains(theirs)
 	}
 	differing := make([]string, 0, len(theirs))
 	for domain, value := range theirs {
@@ -63,6 +68,16 @@
 	}
 }
 
+// addUnknownDomains adds the failure domains of which the other side, which has
+// told all of its own, knows nothing.
+func (c *nodeCore) addUnknownDomains(theirs map[string]uint64) {
+	for domain := range c.state.digests {
+		if _, ok := theirs[domain]; !ok {
+			theirs[domain] = 0
+		}
+	}
+}
+
 func (c *nodeCore) domainDigest(domain string) *domainDigest {
 	if digest, ok := c.state.digests[domain]; ok {
 		return digest
--- a/process/membership/bench_test.go
+++ b/process/membership/bench_test.go
@@ -59,8 +59,9 @@
 	return copied
 }
 
-// loadCore returns a core that knows a fleet of the given size.
-func loadCore(balancers, servers, services, domains int) *nodeCore {
+// loadTargetSize returns a core that knows a fleet of the target size.
+func loadTargetSize() *nodeCore {
+	const balancers, servers, services, domains = 2600, 26000, 1600, 13
 	now := time.Unix(1_800_000_000, 0)
 	addr := func(i int) netip.AddrPort {
 		return netip.AddrPortFrom(netip.AddrFrom4([4]byte{11, byte(i >> 16), byte(i >> 8), byte(i)}), 7000)
@@ -90,7 +91,7 @@
 func BenchmarkMemory(b *testing.B) {
 	for range b.N {
 		before := heapBytes()
-		core := loadCore(2600, 26000, 1600, 13)
+		core := loadTargetSize()
 		one := heapBytes()
 		old := core.current
 		core.viewStale = true
@@ -107,7 +108,7 @@
 // BenchmarkViewAfterChange measures one record change with its new view at the
 // target size.
 func BenchmarkViewAfterChange(b *testing.B) {
-	core := loadCore(2600, 26000, 1600, 13)
+	core := loadTargetSize()
 	record := largeFleetRecord(77, 1600, 13)
 	now := core.last
 	for b.Loop() {
@@ -122,7 +123,7 @@
 // BenchmarkTableAfterChange measures one change of a balancer with the new homes
 // of all servers at the target size.
 func BenchmarkTableAfterChange(b *testing.B) {
-	core := loadCore(2600, 26000, 1600, 13)
+	core := loadTargetSize()
 	for b.Loop() {
 		core.tableStale = true
 		core.refreshTable(core.last)
@@ -132,7 +133,7 @@
 
 // BenchmarkHeartbeat measures a heartbeat with its answer at the target size.
 func BenchmarkHeartbeat(b *testing.B) {
-	core := loadCore(2600, 26000, 1600, 13)
+	core := loadTargetSize()
 	record := largeFleetRecord(13, 1600, 13)
 	envelope := &pb.Envelope{
 		Format: datagramFormat, Sender: record.Server,
--- a/process/membership/faults_test.go
+++ b/process/membership/faults_test.go
@@ -313,6 +313,47 @@
 	})
 }
 
+func TestLeaveIsRepeated(t *testing.T) {
+	convey.Convey("A server whose first messages at its end are lost is out within a second", t, func() {
+		f := newAndes(16, 2, 3)
+		_, settled := f.settle()
+		convey.So(settled, convey.ShouldBeTrue)
+		agent := f.agents[0]
+		f.cut = func(from, _ *testProcess) bool { return from == agent.testProcess }
+		agent.core.leave(f.now)
+		agent.perform()
+		f.run(300 * time.Millisecond)
+		convey.So(agent.core.left(), convey.ShouldBeFalse)
+		f.cut = func(_, _ *testProcess) bool { return false }
+		_, left := f.runUntil(700*time.Millisecond, agent.core.left)
+		convey.So(left, convey.ShouldBeTrue)
+		agent.stopped = true
+		_, settled = f.runUntil(time.Second, f.settled)
+		convey.So(settled, convey.ShouldBeTrue)
+	})
+}
+
+func TestNoCommonProtocolVersion(t *testing.T) {
+	convey.Convey("A server that supports no common protocol version is told and not used", t, func() {
+		f := newAndes(17, 2, 3)
+		_, settled := f.settle()
+		convey.So(settled, convey.ShouldBeTrue)
+		agent := f.agents[0]
+		self := agent.core.self
+		self.Incarnation++
+		self.MinProtocol, self.MaxProtocol = 7, 9
+		f.startAgent(agent, self)
+		f.run(5 * time.Second)
+		for _, n := range f.nodes {
+			convey.So(n.sees(agent.name), convey.ShouldBeFalse)
+			convey.So(n.count(event.ViewChanged), convey.ShouldEqual, 1)
+		}
+		for _, a := range f.agents[1:] {
+			convey.So(len(a.core.view().Servers), convey.ShouldEqual, 8)
+		}
+	})
+}
+
 func TestDeadBalancersHomesMove(t *testing.T) {
 	convey.Convey("Servers keep their place when all of their homes end at once", t, func() {
 		f := newAndes(13, 4, 3)
--- a/process/membership/fleet_test.go
+++ b/process/membership/fleet_test.go
@@ -145,12 +145,11 @@
 	return seeds
 }
 
-func (f *fleet) addNode(domain string) *testNode {
+func (f *fleet) addNode(domain string) {
 	n := &testNode{testProcess: f.process(fmt.Sprintf("balancer-%04d", len(f.nodes)), domain)}
 	f.startNode(n, f.seeds(3))
 	f.nodes = append(f.nodes, n)
 	f.loop(n.testProcess)
-	return n
 }
 
 // startNode gives the balancer a core with empty memory.
--- a/process/membership/node_test.go
+++ b/process/membership/node_test.go
@@ -151,7 +151,10 @@
 		n1, _ := startNode(t, "n1", "junin")
 		agent, _ := startAnnouncer(t, "s1", "junin", n1.Addr())
 		convey.So(eventually(func() bool { return len(n1.View().Servers) == 1 && len(agent.Homes()) == 1 }), convey.ShouldBeTrue)
-		agent.Leave(context.Background())
+		ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+		defer cancel()
+		agent.Leave(ctx)
+		convey.So(ctx.Err(), convey.ShouldBeNil)
 		convey.So(eventually(func() bool { return len(n1.View().Servers) == 0 }), convey.ShouldBeTrue)
 	})
 }
--- a/process/membership/nodecore.go
+++ b/process/membership/nodecore.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -235,6 +236,21 @@
 		return
 	}
 	c.record(e)
+	if e.Kind == event.ServerAnnounced {
+		c.recordProtocol(e, entry.record.MinProtocol, entry.record.MaxProtocol)
+	}
+}
+
+// recordProtocol records that a server or balancer is not used, as it supports
+// no protocol version of this balancer.
+func (c *nodeCore) recordProtocol(e event.Event, minProtocol, maxProtocol uint8) {
+	if _, ok := AgreeProtocol(c.self.MinProtocol, c.self.MaxProtocol, minProtocol, maxProtocol); ok {
+		return
+	}
+	e.Kind = event.ViewChanged
+	e.Detail = fmt.Sprintf("not used: supports protocol versions %d to %d, this process %d to %d",
+		minProtocol, maxProtocol, c.self.MinProtocol, c.self.MaxProtocol)
+	c.record(e)
 }
 
 // mergePeer takes in a peer and spreads it when it is news. It returns the
@@ -273,11 +289,14 @@
 }
 
 func (c *nodeCore) recordPeer(p Peer, live bool) {
-	kind := event.PeerSilent
+	e := event.Event{Kind: event.PeerSilent, Peer: p.Name, Domain: p.Domain}
+	if live {
+		e.Kind = event.PeerBack
+	}
+	c.record(e)
 	if live {
-		kind = event.PeerBack
+		c.recordProtocol(e, p.MinProtocol, p.MaxProtocol)
 	}
-	c.record(event.Event{Kind: kind, Peer: p.Name, Domain: p.Domain})
 }
 
 // refuteSelf answers a rumor that this balancer is not alive with a higher
@@ -352,7 +371,7 @@
 		return
 	}
 	c.viewStale = false
-	c.current = c.state.view(c.self.Name)
+	c.current = c.state.view(c.self)
 	c.digests = serviceDigests(c.current.Servers)
 	c.act(viewAction{})
 }
--- a/process/membership/silence.go
+++ b/process/membership/silence.go
@@ -94,19 +94,34 @@
 
 // handleHeartbeat takes in a heartbeat and answers it.
 func (c *nodeCore) handleHeartbeat(now time.Time, from netip.AddrPort, server string, heartbeat *pb.Heartbeat) {
-	if heartbeat.Record != nil && heartbeat.Record.Server == server {
-		if record, _, err := recordFromWire(heartbeat.Record); err == nil {
-			c.mergeRecord(now, record, statusAlive)
-		}
-	}
+	leaving := c.takeAnnouncement(now, server, heartbeat.Record)
 	entry, known := c.state.servers[server]
-	if !known || heartbeat.Incarnation >= entry.record.Incarnation {
+	if leaving {
+		delete(c.silence.heard, server)
+	} else if !known || heartbeat.Incarnation >= entry.record.Incarnation {
 		c.silence.heard[server] = heartbeatSeen{at: now, from: from, incarnation: heartbeat.Incarnation}
 	}
 	reply := c.heartbeatReply(server, heartbeat)
 	c.send(from, &pb.Envelope{Body: &pb.Envelope_HeartbeatReply{HeartbeatReply: reply}})
 }
 
+// takeAnnouncement takes in the record of a heartbeat. It tells whether the
+// server leaves.
+func (c *nodeCore) takeAnnouncement(now time.Time, server string, m *pb.Record) bool {
+	if m == nil || m.Server != server {
+		return false
+	}
+	record, st, err := recordFromWire(m)
+	if err != nil {
+		return false
+	}
+	if st != statusGone {
+		st = statusAlive
+	}
+	c.mergeRecord(now, record, st)
+	return st == statusGone
+}
+
 func (c *nodeCore) heartbeatReply(server string, heartbeat *pb.Heartbeat) *pb.HeartbeatReply {
 	reply := &pb.HeartbeatReply{Server: serverCheck(server), Ready: c.join.ready}
 	entry, known := c.state.servers[server]
--- a/process/membership/state.go
+++ b/process/membership/state.go
@@ -290,12 +290,17 @@
 	return s.order
 }
 
-// view returns a snapshot of what is alive, without the peer named self.
-func (s *state) view(self string) View {
+// view returns a snapshot of what is alive and supports a protocol version of
+// self, without self.
+func (s *state) view(self Peer) View {
 	order := s.sorted()
+	usable := func(e *serverEntry) bool {
+		_, ok := AgreeProtocol(self.MinProtocol, self.MaxProtocol, e.record.MinProtocol, e.record.MaxProtocol)
+		return ok && s.live(e)
+	}
 	live := 0
 	for _, e := range order {
-		if s.live(e) {
+		if usable(e) {
 			live++
 		}
 	}
@@ -304,12 +309,13 @@
 		Peers:   make([]Peer, 0, len(s.peers)),
 	}
 	for _, e := range order {
-		if s.live(e) {
+		if usable(e) {
 			view.Servers = append(view.Servers, e.record)
 		}
 	}
 	for name, e := range s.peers {
-		if name != self && e.status <= statusSuspect {
+		_, ok := AgreeProtocol(self.MinProtocol, self.MaxProtocol, e.peer.MinProtocol, e.peer.MaxProtocol)
+		if ok && name != self.Name && e.status <= statusSuspect {
 			view.Peers = append(view.Peers, e.peer)
 		}
 	}
--- a/process/timeline/collect.go
+++ b/process/timeline/collect.go
@@ -56,6 +56,7 @@
 type source struct {
 	addr    netip.AddrPort
 	process string
+	run     uint64 // of the process that answered last
 	next    uint64 // first position not yet seen
 }
 
@@ -154,6 +155,9 @@
 
 // take adds one page to the answer of a process.
 func (s *source) take(response *pb.QueryResponse, result *answer) {
+	if response.Run != s.run {
+		s.replaced(response)
+	}
 	s.process = response.Process
 	lost := uint64(0)
 	if response.Dropped+1 > s.next {
@@ -171,6 +175,42 @@
 	}
 }
 
+// replaced begins anew with a process that was started or replaced since the
+// last page.
+func (s *source) replaced(response *pb.QueryResponse) {
+	s.run = response.Run
+	if s.next > 0 {
+		s.next = 0
+		response.Entries = nil
+		response.Next = 1
+		response.Dropped = 0
+	}
+}
+
+// followPeriod is the period in which Follow polls.
+const followPeriod = time.Second
+
+// Follow polls until the context ends and gives each set of new entries, with
+// the processes that are missing from it, to deliver.
+func (c *Collector) Follow(ctx context.Context, deliver func(entries []Entry, missing []Missing)) {
+	ticker := time.NewTicker(followPeriod)
+	defer ticker.Stop()
+	for {
+		entries, missing := c.Poll(ctx)
+		if ctx.Err() != nil {
+			return
+		}
+		if len(entries) > 0 || len(missing) > 0 {
+			deliver(entries, missing)
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 // Merge merges the entries of processes into one list, ordered by stamp, so
 // that each cause comes before its effects; entries of one process keep their
 // order.
--- /dev/null
+++ b/process/timeline/export_test.go
@@ -0,0 +1,20 @@
+package timeline
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	pb "bergamotbank/process/timeline/timelinepb"
+)
+
+// DecodeEntries returns the entries of an answer, or nil when it does not decode.
+func DecodeEntries(message []byte) []Entry {
+	response := &pb.QueryResponse{}
+	if proto.Unmarshal(message, response) != nil {
+		return nil
+	}
+	var entries []Entry
+	for _, m := range response.Entries {
+		entries = append(entries, entryFromWire(m))
+	}
+	return entries
+}
--- a/process/timeline/ring.go
+++ b/process/timeline/ring.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -38,6 +39,7 @@
 // safe for concurrent use.
 type Ring struct {
 	process string
+	run     uint64 // random number of this run of the process
 	clock   *Clock
 	mu      sync.Mutex
 	entries []Entry // entry of position p at (p-1) modulo capacity
@@ -54,6 +56,7 @@
 	}
 	return &Ring{
 		process: options.Process,
+		run:     rand.Uint64(),
 		clock:   NewClock(options.Now),
 		entries: make([]Entry, options.Capacity),
 		end:     1,
@@ -170,6 +173,7 @@
 		Stamp:   s.ring.Stamp(),
 		Process: s.ring.process,
 		End:     page.end,
+		Run:     s.ring.run,
 	}
 	for _, entry := range page.entries {
 		response.Entries = append(response.Entries, entry.toWire())
