Find balancers of all failure domains by the directory

A balancer read only the list of its own failure domain, so that without seeds the failure domains never met. It now reads the list of each configured failure domain of which it knows no balancer.

--- a/process/membership/announcer.go
+++ b/process/membership/announcer.go
@@ -25,6 +25,9 @@
 	Seeds []netip.AddrPort
 	// Directory lists balancers; nil for none.
 	Directory Directory
+	// Domains returns the failure domains of the configuration, whose lists are
+	// read when that of the own failure domain is empty; nil for none.
+	Domains func() []string
 	// Recorder takes the events; nil drops them.
 	Recorder event.Recorder
 	// Clock stamps the messages; nil for none.
@@ -102,6 +105,9 @@
 	if o.Self.MaxProtocol == 0 {
 		o.Self.MinProtocol, o.Self.MaxProtocol = MinProtocol, MaxProtocol
 	}
+	if o.Domains == nil {
+		o.Domains = func() []string { return nil }
+	}
 	if o.Recorder == nil {
 		o.Recorder = event.Discard{}
 	}
@@ -272,13 +278,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	peers, err := a.options.Directory.Read(ctx, a.options.Self.Domain)
-	if err != nil {
-		return
-	}
-	addrs := make([]netip.AddrPort, 0, len(peers))
-	for _, peer := range peers {
-		addrs = append(addrs, peer.Control)
+	for _, domain := range append([]string{a.options.Self.Domain}, a.options.Domains()...) {
+		peers, err := a.options.Directory.Read(ctx, domain)
+		if err != nil {
+			return
+		}
+		if len(peers) > 0 {
+			_ = a.calls.do(ctx, func() { a.core.addContacts(controlAddrs(peers)) })
+			return
+		}
 	}
-	_ = a.calls.do(ctx, func() { a.core.addContacts(addrs) })
 }
--- a/process/membership/bench_test.go
+++ b/process/membership/bench_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"runtime"
+	"syscall"
 	"testing"
 	"time"
 
@@ -285,3 +287,41 @@
 		}
 	}
 }
+
+// processorTime returns the processor time of this process.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkHeartbeatOverSocket measures the processor time of one heartbeat and
+// its answer over UDP, of the sender and the balancer together.
+func BenchmarkHeartbeatOverSocket(b *testing.B) {
+	control := netip.MustParseAddrPort("127.0.0.1:0")
+	node, err := NewNode(NodeOptions{Self: Peer{
+		Name: "n1", Domain: "junin", Packet: netip.MustParseAddrPort("127.0.0.1:1"), Control: control,
+	}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	stop := runUntilStopped(node.Run)
+	defer stop()
+	client, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(node.Addr()))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer client.Close()
+	heartbeat := &pb.Heartbeat{Incarnation: 1, Sequence: 1, Record: recordToWire(fuzzRecord(), statusAlive)}
+	datagram, _ := encodeEnvelope(&pb.Envelope{
+		Format: datagramFormat, Sender: "s1", Body: &pb.Envelope_Heartbeat{Heartbeat: heartbeat},
+	})
+	answer := make([]byte, 65536)
+	start := processorTime()
+	for b.Loop() {
+		_, _ = client.Write(datagram)
+		_ = client.SetReadDeadline(time.Now().Add(time.Second))
+		_, _ = client.Read(answer)
+	}
+	report("membership_heartbeat_over_socket_processor", float64((processorTime()-start).Nanoseconds())/float64(b.N), "ns")
+}
--- a/process/membership/node.go
+++ b/process/membership/node.go
@@ -38,6 +38,10 @@
 	Seeds []netip.AddrPort
 	// Directory lists other balancers; nil for none.
 	Directory Directory
+	// Domains returns the failure domains of the configuration, in whose lists
+	// of the directory other balancers may be; nil for the own one only. An
+	// empty result stands for a configuration that is not known yet.
+	Domains func() []string
 	// Recorder takes the events; nil drops them.
 	Recorder event.Recorder
 	// Clock stamps the messages; nil for none.
@@ -106,6 +110,10 @@
 	if o.Self.MaxProtocol == 0 {
 		o.Self.MinProtocol, o.Self.MaxProtocol = MinProtocol, MaxProtocol
 	}
+	if o.Domains == nil {
+		own := []string{o.Self.Domain}
+		o.Domains = func() []string { return own }
+	}
 	if o.Recorder == nil {
 		o.Recorder = event.Discard{}
 	}
--- a/process/membership/node_test.go
+++ b/process/membership/node_test.go
@@ -37,15 +37,23 @@
 
 // startNode runs a balancer's membership with its HTTP side.
 func startNode(t *testing.T, name, domain string, seeds ...netip.AddrPort) (node *Node, stop func()) {
+	return startNodeWith(t, name, domain, nil, seeds...)
+}
+
+func startNodeWith(
+	t *testing.T, name, domain string, directory Directory, seeds ...netip.AddrPort,
+) (node *Node, stop func()) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	control := listener.Addr().(*net.TCPAddr).AddrPort()
 	node, err = NewNode(NodeOptions{
-		Self:   Peer{Name: name, Domain: domain, Packet: control, Control: control},
-		Seeds:  seeds,
-		Timing: fastTiming,
+		Self:      Peer{Name: name, Domain: domain, Packet: control, Control: control},
+		Seeds:     seeds,
+		Directory: directory,
+		Domains:   func() []string { return []string{"junin", "pasco"} },
+		Timing:    fastTiming,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -78,6 +86,12 @@
 }
 
 func startAnnouncer(t *testing.T, name, domain string, seeds ...netip.AddrPort) (announcer *Announcer, stop func()) {
+	return startAnnouncerWith(t, name, domain, nil, seeds...)
+}
+
+func startAnnouncerWith(
+	t *testing.T, name, domain string, directory Directory, seeds ...netip.AddrPort,
+) (announcer *Announcer, stop func()) {
 	announcer, err := NewAnnouncer(AnnouncerOptions{
 		Self: Record{
 			Server:  name,
@@ -88,8 +102,9 @@
 			State:   Cold,
 			Weight:  10,
 		},
-		Seeds:  seeds,
-		Timing: fastTiming,
+		Seeds:     seeds,
+		Directory: directory,
+		Timing:    fastTiming,
 	})
 	if err != nil {
 		t.Fatal(err)
