Merge the packet path's tests and membership's directory of all failure domains

The daemon names the configured domains, and before a configuration is known those that have a list.

--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -21,6 +21,7 @@
 	"bergamotbank/process/metrics"
 	"bergamotbank/process/settings"
 	"bergamotbank/process/timeline"
+	"bergamotbank/version/config"
 	"bergamotbank/version/spread"
 	"bergamotbank/version/store"
 )
@@ -78,6 +79,7 @@
 		Self:      b.self(),
 		Seeds:     b.settings.Seeds,
 		Directory: directory.New(client),
+		Domains:   directory.Domains(client, b.currentConfig),
 		Recorder:  recorder,
 		Clock:     b.ring.Clock(),
 		Version:   func() uint64 { return b.spreader.Current().Version },
@@ -87,6 +89,11 @@
 	return err
 }
 
+// currentConfig returns the configuration in force, nil before the first.
+func (b *Balancer) currentConfig() *config.Config {
+	return b.spreader.Current().Config
+}
+
 func (b *Balancer) self() membership.Peer {
 	return membership.Peer{
 		Name:    b.settings.Name,
--- a/process/membership/bench_test.go
+++ b/process/membership/bench_test.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/netip"
 	"runtime"
+	"syscall"
 	"testing"
 	"time"
 
@@ -59,8 +61,8 @@
 	return copied
 }
 
-// loadCore returns a core that knows a fleet of the target size.
-func loadCore() *nodeCore {
+// loadTargetSize returns a core that knows a fleet of the target size.
+func loadTargetSize() *nodeCore {
 	const balancers, servers, services, domains = 2600, 26000, 1600, 13
 	now := time.Unix(1_800_000_000, 0)
 	addr := func(i int) netip.AddrPort {
@@ -91,7 +93,7 @@
 func BenchmarkMemory(b *testing.B) {
 	for range b.N {
 		before := heapBytes()
-		core := loadCore()
+		core := loadTargetSize()
 		one := heapBytes()
 		old := core.current
 		core.viewStale = true
@@ -108,7 +110,7 @@
 // BenchmarkViewAfterChange measures one record change with its new view at the
 // target size.
 func BenchmarkViewAfterChange(b *testing.B) {
-	core := loadCore()
+	core := loadTargetSize()
 	record := largeFleetRecord(77, 1600, 13)
 	now := core.last
 	for b.Loop() {
@@ -123,7 +125,7 @@
 // BenchmarkTableAfterChange measures one change of a balancer with the new homes
 // of all servers at the target size.
 func BenchmarkTableAfterChange(b *testing.B) {
-	core := loadCore()
+	core := loadTargetSize()
 	for b.Loop() {
 		core.tableStale = true
 		core.refreshTable(core.last)
@@ -133,7 +135,7 @@
 
 // BenchmarkHeartbeat measures a heartbeat with its answer at the target size.
 func BenchmarkHeartbeat(b *testing.B) {
-	core := loadCore()
+	core := loadTargetSize()
 	record := largeFleetRecord(13, 1600, 13)
 	envelope := &pb.Envelope{
 		Format: datagramFormat, Sender: record.Server,
@@ -285,3 +287,41 @@
 		}
 	}
 }
+
+// processorTime returns the processor time of this process.
+func processorTime() time.Duration {
+	var usage syscall.Rusage
+	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
+
+// BenchmarkHeartbeatOverSocket measures the processor time of one heartbeat and
+// its answer over UDP, of the sender and the balancer together.
+func BenchmarkHeartbeatOverSocket(b *testing.B) {
+	control := netip.MustParseAddrPort("127.0.0.1:0")
+	node, err := NewNode(NodeOptions{Self: Peer{
+		Name: "n1", Domain: "junin", Packet: netip.MustParseAddrPort("127.0.0.1:1"), Control: control,
+	}})
+	if err != nil {
+		b.Fatal(err)
+	}
+	stop := runUntilStopped(node.Run)
+	defer stop()
+	client, err := net.DialUDP("udp4", nil, net.UDPAddrFromAddrPort(node.Addr()))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer client.Close()
+	heartbeat := &pb.Heartbeat{Incarnation: 1, Sequence: 1, Record: recordToWire(fuzzRecord(), statusAlive)}
+	datagram, _ := encodeEnvelope(&pb.Envelope{
+		Format: datagramFormat, Sender: "s1", Body: &pb.Envelope_Heartbeat{Heartbeat: heartbeat},
+	})
+	answer := make([]byte, 65536)
+	start := processorTime()
+	for b.Loop() {
+		_, _ = client.Write(datagram)
+		_ = client.SetReadDeadline(time.Now().Add(time.Second))
+		_, _ = client.Read(answer)
+	}
+	report("membership_heartbeat_over_socket_processor", float64((processorTime()-start).Nanoseconds())/float64(b.N), "ns")
+}
