--- a/demo/scenario.go
+++ b/demo/scenario.go
@@ -65,6 +65,7 @@
 		"--service", s.fleet.ServiceAddress("ordering").String() + "=ordering",
 		"--service", s.fleet.ServiceAddress("catalogue").String() + "=catalogue",
 		"--report", report,
+		"--requests", filepath.Join(s.output, "requests.jsonl"),
 		"--plot", filepath.Join(s.output, "run.svg"),
 	}
 }
--- a/fleet/text.go
+++ b/fleet/text.go
@@ -12,6 +12,7 @@
 packet = %q
 control = %q
 store = %q
+log_level = "debug"
 `, vm.Name, vm.Domain, vm.Packet, vm.Control, store)
 }
 
@@ -22,6 +23,7 @@
 packet = %q
 control = %q
 store = %q
+log_level = "debug"
 
 [agent]
 service = %q
