--- /dev/null
+++ b/standin/fabric/fabric_test.go
@@ -0,0 +1,206 @@
+package fabric
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"bergamotbank/errkind"
+	"bergamotbank/standin/fault"
+)
+
+var (
+	services = netip.MustParsePrefix("198.18.0.0/16")
+	service  = netip.MustParseAddr("198.18.0.10")
+	callerA  = netip.MustParseAddr("198.19.0.1")
+	callerB  = netip.MustParseAddr("198.19.0.2")
+	udpA     = netip.MustParseAddrPort("127.0.1.1:7000")
+	udpB     = netip.MustParseAddrPort("127.0.1.2:7000")
+	agent    = netip.MustParseAddrPort("127.0.2.1:7000")
+	b1       = netip.MustParseAddrPort("127.0.3.1:7000")
+	b2       = netip.MustParseAddrPort("127.0.3.2:7000")
+)
+
+func packet(source, destination netip.Addr) []byte {
+	p := make([]byte, ipv4HeaderBytes)
+	p[0] = 0x45
+	binary.BigEndian.PutUint16(p[totalLengthAt:], ipv4HeaderBytes)
+	copy(p[sourceAt:], source.AsSlice())
+	copy(p[destinationAt:], destination.AsSlice())
+	return p
+}
+
+func TestRoute(t *testing.T) {
+	cut := packet(callerA, service)
+	cut[totalLengthAt+1] = ipv4HeaderBytes + 1
+	short := packet(callerA, service)
+	short[0] = 0x44
+	cases := []struct {
+		name      string
+		packet    []byte
+		balancers []netip.AddrPort
+		to        netip.AddrPort
+		verdict   verdict
+	}{
+		{"to a service", packet(callerA, service), []netip.AddrPort{b1}, b1, verdictForward},
+		{"to a service without balancers", packet(callerA, service), nil, netip.AddrPort{}, verdictNoBalancer},
+		{"to a known caller", packet(service, callerB), nil, udpB, verdictForward},
+		{"to an unknown caller", packet(service, netip.MustParseAddr("198.19.9.9")), nil, netip.AddrPort{}, verdictUnknown},
+		{"empty", nil, nil, netip.AddrPort{}, verdictMalformed},
+		{"cut", cut, nil, netip.AddrPort{}, verdictMalformed},
+		{"with a short header", short, nil, netip.AddrPort{}, verdictMalformed},
+		{"of another version", []byte("\x60 a datagram long enough"), nil, netip.AddrPort{}, verdictMalformed},
+	}
+	for _, c := range cases {
+		convey.Convey("Packet "+c.name, t, func() {
+			r := newRouter(services, 1)
+			r.route(packet(callerB, service), udpB, []netip.AddrPort{b1})
+			to, v := r.route(c.packet, udpA, c.balancers)
+			convey.So(v, convey.ShouldEqual, c.verdict)
+			convey.So(to, convey.ShouldEqual, c.to)
+		})
+	}
+	convey.Convey("Packets of one flow meet every balancer", t, func() {
+		r := newRouter(services, 1)
+		met := make(map[netip.AddrPort]int)
+		for range 1000 {
+			to, _ := r.route(packet(callerA, service), udpA, []netip.AddrPort{b1, b2})
+			met[to]++
+		}
+		convey.So(met[b1], convey.ShouldBeBetween, 400, 600)
+		convey.So(met[b1]+met[b2], convey.ShouldEqual, 1000)
+	})
+	convey.Convey("A caller that moved is found at its new address; a service is never learned", t, func() {
+		r := newRouter(services, 1)
+		r.route(packet(callerA, service), udpA, []netip.AddrPort{b1})
+		r.route(packet(callerA, service), udpB, []netip.AddrPort{b1})
+		to, _ := r.route(packet(service, callerA), agent, nil)
+		convey.So(to, convey.ShouldEqual, udpB)
+		convey.So(r.learned, convey.ShouldHaveLength, 1)
+	})
+}
+
+func TestLaggingHealth(t *testing.T) {
+	convey.Convey("A result counts when it is as old as the lag", t, func() {
+		start := time.Unix(1000, 0)
+		h := laggingHealth{lag: 2 * time.Second}
+		results := []bool{true, true, false, true, true}
+		want := []bool{false, false, true, true, false}
+		for second := range results {
+			now := start.Add(time.Duration(second) * time.Second)
+			h.observe(results[second], now)
+			convey.So(h.alive(now), convey.ShouldEqual, want[second])
+		}
+	})
+}
+
+func TestTopology(t *testing.T) {
+	text := `
+[[member]]
+network = "127.0.1.0/24"
+domain = "clients"
+[[member]]
+address = "127.0.3.1:7000"
+domain = "junin"
+[[link]]
+from = "clients"
+to = "junin"
+both = true
+delay = "3ms"
+[[blocked]]
+from = "127.0.1.1:7000"
+to = "127.0.3.2:7000"
+`
+	path := filepath.Join(t.TempDir(), "topology.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	convey.Convey("A topology file names domains, links and blocked pairs", t, func() {
+		topology, err := ReadTopology(path)
+		convey.So(err, convey.ShouldBeNil)
+		n := newNetwork(topology)
+		convey.So(n.link(Pair{udpA, b1}).Delay, convey.ShouldEqual, fault.Duration(3*time.Millisecond))
+		convey.So(n.link(Pair{b1, udpA}).Delay, convey.ShouldEqual, fault.Duration(3*time.Millisecond))
+		convey.So(n.link(Pair{udpA, b2}).Delay, convey.ShouldEqual, fault.Duration(0))
+		convey.So(n.blocked[Pair{udpA, b2}], convey.ShouldBeTrue)
+		convey.So(n.plain, convey.ShouldBeFalse)
+		convey.So(newNetwork(Topology{}).plain, convey.ShouldBeTrue)
+	})
+	convey.Convey("A broken topology file is refused", t, func() {
+		convey.So(os.WriteFile(path, []byte("[[link]]\nspeed = 3"), 0o600), convey.ShouldBeNil)
+		_, err := ReadTopology(path)
+		convey.So(errkind.Of(err), convey.ShouldEqual, errkind.InvalidSettings)
+	})
+}
+
+func TestSchedule(t *testing.T) {
+	now := time.Unix(1000, 0)
+	pair := Pair{udpA, b1}
+	convey.Convey("A link without delay passes packets at once", t, func() {
+		convey.So(newSchedule(1).due(&Link{Loss: 0.5}, pair, now).IsZero(), convey.ShouldBeTrue)
+	})
+	convey.Convey("Variation keeps the order between two addresses", t, func() {
+		s := newSchedule(1)
+		link := &Link{Delay: fault.Duration(3 * time.Millisecond), Variation: fault.Duration(2 * time.Millisecond)}
+		last := now
+		for range 100 {
+			due := s.due(link, pair, now)
+			convey.So(due, convey.ShouldHappenOnOrBetween, now.Add(3*time.Millisecond), now.Add(5*time.Millisecond))
+			convey.So(due, convey.ShouldHappenOnOrAfter, last)
+			last = due
+		}
+	})
+	convey.Convey("Reordering lets later packets overtake, with the share asked for", t, func() {
+		s := newSchedule(1)
+		link := &Link{Reorder: 0.1}
+		overtaken := 0
+		for range 1000 {
+			if s.due(link, pair, now).After(now) {
+				overtaken++
+			}
+		}
+		convey.So(overtaken, convey.ShouldBeBetween, 70, 130)
+	})
+}
+
+func TestDelayQueue(t *testing.T) {
+	convey.Convey("Packets leave in order of due time, then of arrival", t, func() {
+		now := time.Unix(1000, 0)
+		var sent []byte
+		q := newDelayQueue(func(packets []*delayed) {
+			for _, p := range packets {
+				sent = append(sent, p.payload...)
+			}
+		}, func() {})
+		for i, milliseconds := range []int{5, 1, 1, 9} {
+			q.add(&delayed{due: now.Add(time.Duration(milliseconds) * time.Millisecond), payload: []byte{byte('a' + i)}})
+		}
+		convey.So(q.flush(now), convey.ShouldEqual, time.Millisecond)
+		convey.So(q.flush(now.Add(5*time.Millisecond)), convey.ShouldEqual, 4*time.Millisecond)
+		convey.So(string(sent), convey.ShouldEqual, "bca")
+	})
+	convey.Convey("A full queue drops and counts", t, func() {
+		overflow := 0
+		q := newDelayQueue(func([]*delayed) {}, func() { overflow++ })
+		for range delayQueuePackets + 3 {
+			q.add(&delayed{})
+		}
+		convey.So(overflow, convey.ShouldEqual, 3)
+	})
+}
+
+func TestBalancerFlag(t *testing.T) {
+	convey.Convey("A balancer is NAME=IP:PORT,HEALTHURL", t, func() {
+		var b Balancer
+		convey.So(b.UnmarshalText([]byte("b1=127.0.3.1:7000,http://127.0.3.1:7001/readyz")), convey.ShouldBeNil)
+		convey.So(b, convey.ShouldResemble, Balancer{Name: "b1", Packet: b1, Health: "http://127.0.3.1:7001/readyz"})
+		for _, broken := range []string{"", "b1", "=127.0.0.1:1", "b1=127.0.0.1"} {
+			convey.So(errkind.Of(b.UnmarshalText([]byte(broken))), convey.ShouldEqual, errkind.Usage)
+		}
+	})
+}
--- a/standin/store/sessions.go
+++ b/standin/store/sessions.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"bergamotbank/errkind"
 	"bergamotbank/standin/fault"
 )
 
@@ -55,18 +56,18 @@
 	body := sessionBody{Behavior: BehaviorRelease, TTL: "0s", LockDelay: defaultLockDelay.String()}
 	err := json.NewDecoder(io.LimitReader(r.Body, MaxValueBytes)).Decode(&body)
 	if err != nil && !errors.Is(err, io.EOF) {
-		return Session{}, err
+		return Session{}, errkind.Wrap(err, errkind.Malformed, "session")
 	}
 	if body.Behavior != BehaviorRelease && body.Behavior != BehaviorDelete {
-		return Session{}, fmt.Errorf("behavior %q is not release or delete", body.Behavior)
+		return Session{}, errkind.New(errkind.Malformed, "behavior %q is not release or delete", body.Behavior)
 	}
 	ttl, err := time.ParseDuration(body.TTL)
 	if err != nil {
-		return Session{}, err
+		return Session{}, errkind.Wrap(err, errkind.Malformed, "session")
 	}
 	lockDelay, err := time.ParseDuration(body.LockDelay)
 	if err != nil {
-		return Session{}, err
+		return Session{}, errkind.Wrap(err, errkind.Malformed, "session")
 	}
 	return Session{ID: newID(), Name: body.Name, Behavior: body.Behavior, TTL: ttl, LockDelay: lockDelay}, nil
 }
