Add the experiment tool to the stand-ins

It runs callers, makes HTTP calls (fault switches) on a schedule from a TOML plan and joins the callers' request logs with the servers' execution logs: keys run twice, refusals that say not-run though the request ran, answers without a run. Its test sends orders with repeats after unknown outcomes straight to a server that resets half of the connections after the run: the joined report must find keys that ran twice, and does.

--- a/standin/caller/command.go
+++ b/standin/caller/command.go
@@ -66,6 +66,9 @@
 
 // Run runs the caller until its work is done or ctx ends.
 func (c *Command) Run(ctx context.Context, log *zap.Logger) error {
+	if c.Once == "" {
+		return c.load(ctx, log)
+	}
 	if err := c.checkFlags(); err != nil {
 		return err
 	}
@@ -74,10 +77,7 @@
 		return err
 	}
 	defer closeNetwork()
-	if c.Once != "" {
-		return c.once(ctx, &http.Client{Transport: newTransport(dial, false)})
-	}
-	return c.load(ctx, dial, log)
+	return c.once(ctx, &http.Client{Transport: newTransport(dial, false)})
 }
 
 func (c *Command) checkFlags() error {
--- a/standin/caller/load.go
+++ b/standin/caller/load.go
@@ -109,7 +109,7 @@
 // outlives the run, so that the last answers count too.
 func (c *class) request(number int, arrival time.Time, backoff float64) {
 	id := c.prefix + "-" + c.name + "-" + strconv.Itoa(number)
-	entry := RequestEntry{Class: c.name, Key: id, Arrived: arrival}
+	entry := RequestEntry{Class: c.name, Key: id, Keyed: c.keyed, Arrived: arrival}
 	var res result
 	for n := 0; ; n++ {
 		res = c.try(id, n)
--- a/standin/caller/plot.go
+++ b/standin/caller/plot.go
@@ -47,9 +47,16 @@
 	{"p99", red, func(s Second) float64 { return s.P99 }},
 }
 
+// Mark is a moment of a run that a plot shows as a numbered vertical line.
+type Mark struct {
+	// Second is the time since the start of the run, in seconds.
+	Second float64
+	Label  string
+}
+
 // WritePlot draws the seconds of a run into a file whose name ends with .svg or
 // .png.
-func WritePlot(path, title string, seconds []Second) error {
+func WritePlot(path, title string, seconds []Second, marks []Mark) error {
 	counts, err := newPlot(title, "per second", countCurves, seconds)
 	if err != nil {
 		return err
@@ -58,6 +65,11 @@
 	if err != nil {
 		return err
 	}
+	for _, p := range []*plot.Plot{counts, latencies} {
+		if err := addMarks(p, marks); err != nil {
+			return err
+		}
+	}
 	latencies.X.Label.Text = "second of the run"
 	format := strings.TrimPrefix(filepath.Ext(path), ".")
 	canvas, err := draw.NewFormattedCanvas(plotWidth, plotHeight, format)
@@ -110,23 +122,52 @@
 	return errkind.Wrap(file.Close(), errkind.Internal, "plot %s", path)
 }
 
-// sumSeconds adds the seconds of several classes up. Latencies are the largest.
-func sumSeconds(classes []*ClassReport) []Second {
+// addMarks draws the marks over the whole height of a plot.
+func addMarks(p *plot.Plot, marks []Mark) error {
+	top := p.Y.Max
+	for _, mark := range marks {
+		line, err := plotter.NewLine(plotter.XYs{{X: mark.Second, Y: 0}, {X: mark.Second, Y: top}})
+		if err != nil {
+			return errkind.Wrap(err, errkind.Internal, "plot %s", mark.Label)
+		}
+		line.Dashes = []vg.Length{vg.Millimeter, vg.Millimeter}
+		label, err := plotter.NewLabels(plotter.XYLabels{
+			XYs:    plotter.XYs{{X: mark.Second, Y: top}},
+			Labels: []string{mark.Label},
+		})
+		if err != nil {
+			return errkind.Wrap(err, errkind.Internal, "plot %s", mark.Label)
+		}
+		p.Add(line, label)
+	}
+	return nil
+}
+
+// SumSeconds adds the seconds of all classes of the reports up. Latencies are
+// the largest of the classes.
+func SumSeconds(reports ...*Report) []Second {
 	var sums []Second
-	for _, class := range classes {
-		for i, s := range class.Series {
-			if i == len(sums) {
-				sums = append(sums, Second{Second: i})
-			}
-			sum := &sums[i]
-			sum.Answered += s.Answered
-			sum.NotRun += s.NotRun
-			sum.Unknown += s.Unknown
-			sum.Failed += s.Failed
-			sum.Lines += s.Lines
-			sum.P50 = max(sum.P50, s.P50)
-			sum.P99 = max(sum.P99, s.P99)
+	for _, report := range reports {
+		for _, class := range report.classes() {
+			sums = addSeconds(sums, class.Series)
+		}
+	}
+	return sums
+}
+
+func addSeconds(sums, series []Second) []Second {
+	for i, s := range series {
+		if i == len(sums) {
+			sums = append(sums, Second{Second: i})
 		}
+		sum := &sums[i]
+		sum.Answered += s.Answered
+		sum.NotRun += s.NotRun
+		sum.Unknown += s.Unknown
+		sum.Failed += s.Failed
+		sum.Lines += s.Lines
+		sum.P50 = max(sum.P50, s.P50)
+		sum.P99 = max(sum.P99, s.P99)
 	}
 	return sums
 }
--- a/standin/caller/report.go
+++ b/standin/caller/report.go
@@ -28,6 +28,18 @@
 	Crossed      uint64 `json:"crossed"`
 }
 
+// Add adds the totals of another run.
+func (t *Totals) Add(other Totals) {
+	t.Answers += other.Answers
+	t.NotRun += other.NotRun
+	t.Unknown += other.Unknown
+	t.NotConnected += other.NotConnected
+	t.BrokenFlows += other.BrokenFlows
+	t.CutAnswers += other.CutAnswers
+	t.WrongService += other.WrongService
+	t.Crossed += other.Crossed
+}
+
 // ClassReport is what a load run found about one class of requests. Latencies
 // are those of whole answers, from the arrival, in milliseconds.
 type ClassReport struct {
--- a/standin/caller/requestlog.go
+++ b/standin/caller/requestlog.go
@@ -11,10 +11,12 @@
 )
 
 // RequestEntry is one request with the outcomes of its tries, in order. The log
-// of requests is joined with the execution logs of the servers by Key.
+// of requests is joined with the execution logs of the servers by Key, if the
+// request was sent with it. Try number i has the X-Request-Id KEY-i.
 type RequestEntry struct {
 	Class    string    `json:"class"`
 	Key      string    `json:"key"`
+	Keyed    bool      `json:"keyed"`
 	Outcomes []Outcome `json:"outcomes"`
 	Server   string    `json:"server,omitempty"`
 	Arrived  time.Time `json:"arrived"`
--- a/standin/caller/run.go
+++ b/standin/caller/run.go
@@ -30,11 +30,20 @@
 	group    sync.WaitGroup
 }
 
-// load runs the load, writes the report and checks the expectations.
-func (c *Command) load(ctx context.Context, dial dialer, log *zap.Logger) error {
+// Measure runs the load until its duration is over or ctx ends and returns the
+// report. It writes only the request log, if the command names one.
+func (c *Command) Measure(ctx context.Context) (*Report, error) {
+	if err := c.checkFlags(); err != nil {
+		return nil, err
+	}
+	dial, closeNetwork, err := c.network()
+	if err != nil {
+		return nil, err
+	}
+	defer closeNetwork()
 	requests, err := newRequestLog(c.Requests)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	start := time.Now()
 	l := &load{
@@ -50,10 +59,16 @@
 	collect := l.startAll(running)
 	l.group.Wait()
 	report := collect()
-	if err := requests.close(); err != nil {
+	c.check(report)
+	return report, requests.close()
+}
+
+// load runs the load, writes the report and checks the expectations.
+func (c *Command) load(ctx context.Context, log *zap.Logger) error {
+	report, err := c.Measure(ctx)
+	if err != nil {
 		return err
 	}
-	c.check(report)
 	log.Info("load ended", zap.Any("totals", report.Totals), zap.Strings("unmet", report.Unmet))
 	if err := c.write(report); err != nil {
 		return err
@@ -204,5 +219,5 @@
 	if c.Plot == "" {
 		return nil
 	}
-	return WritePlot(c.Plot, c.Name, sumSeconds(report.classes()))
+	return WritePlot(c.Plot, c.Name, SumSeconds(report), nil)
 }
--- /dev/null
+++ b/standin/experiment/experiment_test.go
@@ -0,0 +1,159 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"bergamotbank/errkind"
+	"bergamotbank/standin/caller"
+	"bergamotbank/standin/server"
+)
+
+func request(key string, outcomes ...caller.Outcome) caller.RequestEntry {
+	return caller.RequestEntry{Key: key, Keyed: true, Outcomes: outcomes}
+}
+
+func TestJoin(t *testing.T) {
+	logs := []*server.ExecutionLog{
+		{Executions: []server.Execution{{Key: "k", Request: "k-0"}}},
+		{Executions: []server.Execution{{Key: "k", Request: "k-1"}, {Key: "once", Request: "once-1"}}},
+	}
+	cases := []struct {
+		name    string
+		request caller.RequestEntry
+		want    Joined
+	}{
+		{"run once after a true refusal", request("once", caller.OutcomeNotRun, caller.OutcomeAnswered), Joined{}},
+		{"run twice", request("k", caller.OutcomeUnknown, caller.OutcomeAnswered), Joined{RunTwice: []string{"k"}}},
+		{
+			"refused and run twice", request("k", caller.OutcomeNotRun, caller.OutcomeAnswered),
+			Joined{RunTwice: []string{"k"}, UntrueNotRun: []string{"k-0"}},
+		},
+		{"refused and run", request("once", caller.OutcomeNotRun), Joined{UntrueNotRun: []string{"once"}}},
+		{"refused and not run", request("none", caller.OutcomeNotRun), Joined{}},
+		{"answered and not run", request("none", caller.OutcomeAnswered), Joined{AnsweredNotRun: []string{"none"}}},
+		{"unknown and not run", request("none", caller.OutcomeUnknown), Joined{}},
+	}
+	for _, c := range cases {
+		convey.Convey("A request "+c.name, t, func() {
+			got := Join([]caller.RequestEntry{c.request}, logs)
+			convey.So(got.RunTwice, convey.ShouldResemble, append([]string{}, c.want.RunTwice...))
+			convey.So(got.UntrueNotRun, convey.ShouldResemble, append([]string{}, c.want.UntrueNotRun...))
+			convey.So(got.AnsweredNotRun, convey.ShouldResemble, append([]string{}, c.want.AnsweredNotRun...))
+			convey.So(got.Requests, convey.ShouldEqual, 1)
+			convey.So(got.Executions, convey.ShouldEqual, 3)
+		})
+	}
+}
+
+// startServer runs a backend server until the test ends and returns its address.
+func startServer(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	listener.Close()
+	command := &server.Command{
+		Listen: address, Name: "s1", Service: "ordering", Protocol: "request", Slots: 100, ColdSlots: 1,
+		Connections: 1000, Work: time.Millisecond, ColdSlowdown: 1, Fallen: time.Second, Seed: 1,
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- command.Run(ctx, zap.NewNop()) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	for range 1000 {
+		conn, err := net.Dial("tcp", address.String())
+		if err == nil {
+			conn.Close()
+			return address.String()
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("server does not listen")
+	return ""
+}
+
+func runPlan(t *testing.T, plan string) (*Report, error) {
+	t.Helper()
+	dir := t.TempDir()
+	path := filepath.Join(dir, "plan.toml")
+	if err := os.WriteFile(path, []byte(plan), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	command := &Command{Plan: path, Out: filepath.Join(dir, "out")}
+	runErr := command.Run(context.Background(), zap.NewNop())
+	text, err := os.ReadFile(filepath.Join(command.Out, "report.json"))
+	if err != nil {
+		return nil, runErr
+	}
+	var report Report
+	if err := json.Unmarshal(text, &report); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := os.Stat(filepath.Join(command.Out, "plot.svg")); err != nil {
+		t.Fatal(err)
+	}
+	return &report, runErr
+}
+
+const planText = `
+name = "test"
+executions = ["http://%[1]s/fault/executions"]
+[[caller]]
+name = "orders"
+args = "--duration 500ms --orders http://%[1]s/orders --orders-per-second 100 --repeat unknown"
+[[step]]
+name = "change"
+at = "0s"
+url = "http://%[1]s/fault"
+body = '%[2]s'
+`
+
+func TestExperiment(t *testing.T) {
+	convey.Convey("An experiment without faults has no violations", t, func() {
+		report, err := runPlan(t, fmt.Sprintf(planText, startServer(t), "{}"))
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(report.Violations, convey.ShouldBeEmpty)
+		convey.So(report.Joined.Executions, convey.ShouldEqual, report.Totals.Answers)
+		convey.So(report.Joined.Executions, convey.ShouldEqual, report.Joined.Requests)
+	})
+	convey.Convey("Requests that ran twice are found", t, func() {
+		report, err := runPlan(t, fmt.Sprintf(planText, startServer(t), `{"reset_after_read":0.5}`))
+		convey.So(errkind.Of(err), convey.ShouldEqual, errkind.Partial)
+		convey.So(report.Joined.RunTwice, convey.ShouldNotBeEmpty)
+		convey.So(report.Joined.UntrueNotRun, convey.ShouldBeEmpty)
+	})
+	convey.Convey("A failed step and a missing log are violations", t, func() {
+		address := startServer(t)
+		report, err := runPlan(t, fmt.Sprintf(planText, address, `{"x":1}`)+
+			"\n[[step]]\nat = \"0s\"\nurl = \"http://127.0.0.1:1/\"\n")
+		convey.So(errkind.Of(err), convey.ShouldEqual, errkind.Partial)
+		convey.So(report.Violations, convey.ShouldResemble, []string{"2 steps failed"})
+	})
+	convey.Convey("A broken plan is refused", t, func() {
+		for _, plan := range []string{
+			"x = 1", "[[caller]]\nargs = \"\"", "[[step]]\nat = \"1s\"",
+			"[[caller]]\nname = \"a\"\nargs = \"--nonsense\"", "[[step]]\nat = \"soon\"\nurl = \"x\"",
+		} {
+			_, err := runPlan(t, plan)
+			convey.So(errkind.Of(err), convey.ShouldEqual, errkind.InvalidSettings)
+		}
+	})
+}
--- a/standin/main.go
+++ b/standin/main.go
@@ -14,16 +14,18 @@
 
 	"bergamotbank/errkind"
 	"bergamotbank/standin/caller"
+	"bergamotbank/standin/experiment"
 	"bergamotbank/standin/fabric"
 	"bergamotbank/standin/server"
 	"bergamotbank/standin/store"
 )
 
 type arguments struct {
-	Store  *store.Command  `arg:"subcommand:store" help:"key-value service with compare-and-swap, leases and watches"`
-	Fabric *fabric.Command `arg:"subcommand:fabric" help:"network that sprays packets over balancers"`
-	Server *server.Command `arg:"subcommand:server" help:"backend server"`
-	Caller *caller.Command `arg:"subcommand:caller" help:"caller and load tool"`
+	Store      *store.Command      `arg:"subcommand:store" help:"key-value service with compare-and-swap, leases and watches"`
+	Fabric     *fabric.Command     `arg:"subcommand:fabric" help:"network that sprays packets over balancers"`
+	Server     *server.Command     `arg:"subcommand:server" help:"backend server"`
+	Caller     *caller.Command     `arg:"subcommand:caller" help:"caller and load tool"`
+	Experiment *experiment.Command `arg:"subcommand:experiment" help:"fault switches on a schedule while callers run, with one joined report"`
 }
 
 // Description returns the first line of the help text.
--- a/standin/server/backend_test.go
+++ b/standin/server/backend_test.go
@@ -63,7 +63,7 @@
 }
 
 func (b *bench) outcomes() []Outcome {
-	entries, _ := b.executions.snapshot()
+	entries, _ := b.executions.after(0)
 	outcomes := []Outcome{}
 	for _, entry := range entries {
 		outcomes = append(outcomes, entry.Outcome)
@@ -95,7 +95,7 @@
 		convey.So(json.Unmarshal([]byte(got.body), &answer), convey.ShouldBeNil)
 		convey.So(answer.Key, convey.ShouldEqual, "key-1")
 		convey.So(answer.BodyChecksum, convey.ShouldEqual, checksum([]byte("body")))
-		entries, _ := b.executions.snapshot()
+		entries, _ := b.executions.after(0)
 		convey.So(entries, convey.ShouldHaveLength, 1)
 		convey.So(entries[0].Key, convey.ShouldEqual, "key-1")
 		convey.So(entries[0].Outcome, convey.ShouldEqual, OutcomeFinished)
--- a/standin/server/command.go
+++ b/standin/server/command.go
@@ -188,15 +188,7 @@
 	mux.HandleFunc("GET /fault/counters", func(w http.ResponseWriter, _ *http.Request) {
 		fault.WriteJSON(w, b.counts.snapshot())
 	})
-	mux.HandleFunc("GET /fault/executions", func(w http.ResponseWriter, _ *http.Request) {
-		entries, truncated := b.executions.snapshot()
-		fault.WriteJSON(w, ExecutionLog{
-			Server:     b.command.Name,
-			Service:    b.command.Service,
-			Truncated:  truncated,
-			Executions: entries,
-		})
-	})
+	mux.HandleFunc("GET /fault/executions", b.serveExecutions)
 }
 
 // serveEcho returns the bytes of each connection until ctx ends.
--- a/standin/server/executions.go
+++ b/standin/server/executions.go
@@ -1,8 +1,12 @@
 package server
 
 import (
+	"net/http"
+	"strconv"
 	"sync"
 	"time"
+
+	"bergamotbank/standin/fault"
 )
 
 // maxExecutions bounds the execution log.
@@ -40,6 +44,7 @@
 type ExecutionLog struct {
 	Server     string      `json:"server"`
 	Service    string      `json:"service"`
+	Instance   string      `json:"instance"`
 	Truncated  bool        `json:"truncated"`
 	Executions []Execution `json:"executions"`
 }
@@ -77,9 +82,31 @@
 	entry.Ended = now
 }
 
-// snapshot returns a copy of the log.
-func (e *executions) snapshot() (entries []Execution, truncated bool) {
+// after returns a copy of the entries with a larger sequence number.
+func (e *executions) after(sequence uint64) (entries []Execution, truncated bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return append([]Execution{}, e.entries...), e.truncated
+	first := min(sequence, uint64(len(e.entries)))
+	return append([]Execution{}, e.entries[first:]...), e.truncated
+}
+
+// serveExecutions answers with the log. The query "after" leaves out the entries
+// up to that sequence number.
+func (b *backend) serveExecutions(w http.ResponseWriter, r *http.Request) {
+	var after uint64
+	if text := r.URL.Query().Get("after"); text != "" {
+		var err error
+		if after, err = strconv.ParseUint(text, 10, 64); err != nil {
+			http.Error(w, "after is not a number", http.StatusBadRequest)
+			return
+		}
+	}
+	entries, truncated := b.executions.after(after)
+	fault.WriteJSON(w, ExecutionLog{
+		Server:     b.command.Name,
+		Service:    b.command.Service,
+		Instance:   b.instance,
+		Truncated:  truncated,
+		Executions: entries,
+	})
 }
