Add a relay to the stand-ins

Packets and calls that go straight from process to process do not pass the fabric, so that it cannot cut, delay or silence them. The relay stands between such a pair, for TCP and UDP. Silence hits what is open and leaves new connections alone, as an intermediate device that lost its state does. Seen to fail with the mechanism off: silence of TCP, silence of UDP, cuts.

--- a/standin/main.go
+++ b/standin/main.go
@@ -16,6 +16,7 @@
 	"bergamotbank/standin/caller"
 	"bergamotbank/standin/experiment"
 	"bergamotbank/standin/fabric"
+	"bergamotbank/standin/relay"
 	"bergamotbank/standin/server"
 	"bergamotbank/standin/store"
 )
@@ -25,6 +26,7 @@
 	Fabric     *fabric.Command     `arg:"subcommand:fabric" help:"network that sprays packets over balancers"`
 	Server     *server.Command     `arg:"subcommand:server" help:"backend server"`
 	Caller     *caller.Command     `arg:"subcommand:caller" help:"caller and load tool"`
+	Relay      *relay.Command      `arg:"subcommand:relay" help:"intermediate device between two processes that talk directly"`
 	Experiment *experiment.Command `arg:"subcommand:experiment" help:"fault switches on a schedule while callers run, with one joined report"`
 }
 
--- /dev/null
+++ b/standin/relay/command.go
@@ -0,0 +1,120 @@
+// Package relay is the stand-in for an intermediate device between two processes
+// that talk directly. It relays TCP connections and UDP datagrams from listen
+// addresses to targets, and can delay and lose them, cut one direction, and make
+// everything that is open go silent for good while new connections work.
+package relay
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"strings"
+
+	"go.uber.org/zap"
+
+	"bergamotbank/errkind"
+	"bergamotbank/standin/fault"
+	"bergamotbank/standin/link"
+)
+
+// Pair is a listen address, for TCP and UDP, and where it leads. On the command
+// line it is LISTEN=TARGET.
+type Pair struct {
+	Listen netip.AddrPort
+	Target netip.AddrPort
+}
+
+// UnmarshalText reads the form of the command line.
+func (p *Pair) UnmarshalText(text []byte) error {
+	listen, target, _ := strings.Cut(string(text), "=")
+	var err error
+	if p.Listen, err = netip.ParseAddrPort(listen); err != nil {
+		return errkind.Wrap(err, errkind.Usage, "pair %q is not IP:PORT=IP:PORT", text)
+	}
+	if p.Target, err = netip.ParseAddrPort(target); err != nil {
+		return errkind.Wrap(err, errkind.Usage, "pair %q is not IP:PORT=IP:PORT", text)
+	}
+	return nil
+}
+
+// Faults is the set of fault switches of the relay. Its zero value means that
+// nothing is faulty.
+type Faults struct {
+	// Only names the listen addresses that the faults are about; all if empty.
+	Only []netip.AddrPort `json:"only"`
+	// Silence makes all TCP connections and UDP address pairs that are open go
+	// silent for good, each time the number grows.
+	Silence int `json:"silence"`
+	// CutToTarget and CutFromTarget hold TCP bytes back and drop datagrams in one
+	// direction.
+	CutToTarget   bool `json:"cut_to_target"`
+	CutFromTarget bool `json:"cut_from_target"`
+	// Refuse resets new TCP connections.
+	Refuse bool `json:"refuse"`
+	// Link is the behaviour of each direction. For TCP only Delay counts.
+	Link link.Link `json:"link"`
+}
+
+// about returns the faults of one listen address.
+func (f Faults) about(listen netip.AddrPort) Faults {
+	if len(f.Only) == 0 {
+		return f
+	}
+	for _, address := range f.Only {
+		if address == listen {
+			return f
+		}
+	}
+	return Faults{}
+}
+
+// cut tells whether a direction is cut.
+func (f Faults) cut(d direction) bool {
+	if d == toTarget {
+		return f.CutToTarget
+	}
+	return f.CutFromTarget
+}
+
+// direction is the way that bytes take.
+type direction uint8
+
+const (
+	toTarget direction = iota
+	fromTarget
+
+	directionCount
+)
+
+// Command is the subcommand that runs the relay.
+type Command struct {
+	Pairs   []Pair         `arg:"--pair,separate,required" help:"relays TCP and UDP; repeat for more" placeholder:"IP:PORT=IP:PORT"`
+	Control netip.AddrPort `arg:"--control,required" help:"HTTP address of the fault switches" placeholder:"IP:PORT"`
+	Seed    uint64         `arg:"--seed" default:"1" help:"seed of faults drawn at random"`
+}
+
+// Run relays until ctx ends.
+func (c *Command) Run(ctx context.Context, log *zap.Logger) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	faults := fault.NewSwitches(Faults{})
+	counts := &counters{}
+	var relays []*relay
+	for i, pair := range c.Pairs {
+		r, err := newRelay(ctx, pair, faults, counts, c.Seed+uint64(i))
+		if err != nil {
+			return err
+		}
+		relays = append(relays, r)
+	}
+	for _, r := range relays {
+		go r.run(ctx)
+		log.Info("relay listens", zap.Stringer("address", r.pair.Listen), zap.Stringer("target", r.pair.Target))
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/fault", faults)
+	mux.HandleFunc("GET /fault/counters", func(w http.ResponseWriter, _ *http.Request) {
+		fault.WriteJSON(w, counts.snapshot())
+	})
+	return fault.Serve(ctx, c.Control.String(), mux)
+}
