--- a/standin/experiment/experiment_test.go
+++ b/standin/experiment/experiment_test.go
@@ -20,7 +20,7 @@
 )
 
 func request(key string, outcomes ...caller.Outcome) caller.RequestEntry {
-	return caller.RequestEntry{Key: key, Keyed: true, Outcomes: outcomes}
+	return caller.RequestEntry{Key: key, Keyed: true, Request: key, Outcomes: outcomes}
 }
 
 func TestJoin(t *testing.T) {
--- a/standin/experiment/join.go
+++ b/standin/experiment/join.go
@@ -7,7 +7,6 @@
 	"io"
 	"os"
 	"sort"
-	"strconv"
 
 	"bergamotbank/errkind"
 	"bergamotbank/standin/caller"
@@ -83,7 +82,7 @@
 	}
 	refused := true
 	for i, outcome := range request.Outcomes {
-		try := request.Key + "-" + strconv.Itoa(i)
+		try := request.Try(i)
 		if outcome == caller.OutcomeNotRun && ran.byTry[try] > 0 {
 			j.UntrueNotRun = append(j.UntrueNotRun, try)
 		}
@@ -105,7 +104,7 @@
 	}
 	newest := j.UntrueNotRun[len(j.UntrueNotRun)-1]
 	for i := range request.Outcomes {
-		if newest == request.Key+"-"+strconv.Itoa(i) {
+		if newest == request.Try(i) {
 			return true
 		}
 	}
