--- a/standin/caller/load.go
+++ b/standin/caller/load.go
@@ -8,9 +8,9 @@
 	"sync"
 	"time"
 
-	"bergamotbank/errkind"
 	"github.com/google/uuid"
 
+	"bergamotbank/errkind"
 	"bergamotbank/standin/fault"
 )
 
@@ -116,11 +116,11 @@
 	id := c.prefix + "-" + c.name + "-" + strconv.Itoa(number)
 	key := newKey()
 	attemptNumber := firstAttempt
-	entry := RequestEntry{Class: c.name, Key: key, Arrived: arrival}
+	entry := RequestEntry{Class: c.name, Key: key, Keyed: c.keyed, Request: id, Arrived: arrival}
 	var res result
 	for n := 0; ; n++ {
-		res = c.try(id+"-"+strconv.Itoa(n), key, attemptNumber)
-		if res.outcome != OutcomeNotRun {
+		res = c.try(entry.Try(n), key, attemptNumber)
+		if res.outcome != OutcomeNotRun && res.outcome != OutcomeNotConnected {
 			attemptNumber++
 		}
 		entry.Outcomes = append(entry.Outcomes, res.outcome)
@@ -131,7 +131,7 @@
 		time.Sleep(time.Duration(backoff * float64(firstBackoff<<n)))
 	}
 	now := time.Now()
-	c.recorder.end(res, id, now.Sub(arrival), now)
+	c.recorder.end(res, key, now.Sub(arrival), now)
 	entry.Server = res.server
 	entry.Ended = now
 	c.requests.add(entry)
