Let any balancer vouch for a server whose homes are cut off

When a server reached none of its homes but other balancers, the homes took it out, the others made it refute, and it went in and out by turns.

--- a/process/membership/fuzz_test.go
+++ b/process/membership/fuzz_test.go
@@ -50,6 +50,7 @@
 		{Body: &pb.Envelope_Digest{Digest: &pb.Digest{Domains: []*pb.DomainDigest{{Domain: "junin", Digest: 1}}}}},
 		{Body: &pb.Envelope_Buckets{Buckets: &pb.Buckets{Domain: "junin", Digests: make([]uint32, bucketCount)}}},
 		{Body: &pb.Envelope_Want{Want: &pb.Want{Domain: "junin", Buckets: []uint32{1, 300}}}},
+		{Body: &pb.Envelope_Heard{Heard: &pb.Heard{Server: "s1", Incarnation: 1, Agent: peer.Control}}},
 		{Body: &pb.Envelope_Silence{Silence: &pb.Silence{Servers: []*pb.SilentServer{{Server: "s1", Incarnation: 1}}}}},
 	}
 	var seeds [][]byte
--- a/process/membership/join.go
+++ b/process/membership/join.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
 
 	pb "bergamotbank/process/membership/membershippb"
@@ -131,20 +132,21 @@
 			response.Peers = append(response.Peers, peerToWire(entry.peer, entry.status))
 		}
 	}
-	names := make([]string, 0, len(c.state.servers))
-	for name := range c.state.servers {
-		if name > cursor {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	if len(names) > pageEntries {
-		names = names[:pageEntries]
-		response.Next = names[pageEntries-1]
+	servers := c.state.sorted()
+	start, found := slices.BinarySearchFunc(servers, cursor, compareEntryName)
+	if found {
+		start++
 	}
-	for _, name := range names {
-		entry := c.state.servers[name]
+	end := min(start+pageEntries, len(servers))
+	for _, entry := range servers[start:end] {
 		response.Records = append(response.Records, recordToWire(entry.record, entry.status))
 	}
+	if end < len(servers) {
+		response.Next = servers[end-1].record.Server
+	}
 	return response
 }
+
+func compareEntryName(entry *serverEntry, name string) int {
+	return strings.Compare(entry.record.Server, name)
+}
--- a/process/membership/silence.go
+++ b/process/membership/silence.go
@@ -100,11 +100,42 @@
 		delete(c.silence.heard, server)
 	} else if !known || heartbeat.Incarnation >= entry.record.Incarnation {
 		c.silence.heard[server] = heartbeatSeen{at: now, from: from, incarnation: heartbeat.Incarnation}
+		c.tellHeard(from, server, heartbeat.Incarnation)
 	}
 	reply := c.heartbeatReply(server, heartbeat)
 	c.send(from, &pb.Envelope{Body: &pb.Envelope_HeartbeatReply{HeartbeatReply: reply}})
 }
 
+// tellHeard tells the homes of a server about its heartbeat when this balancer
+// is none of them: the agent uses others only while it reaches no home.
+func (c *nodeCore) tellHeard(from netip.AddrPort, server string, incarnation uint64) {
+	entry, known := c.state.servers[server]
+	if !known {
+		return
+	}
+	homes := c.homesOf(entry.hash, entry.record.Domain)
+	if containsPeer(homes, c.state.peers[c.self.Name]) {
+		return
+	}
+	for _, home := range homes {
+		c.send(home.peer.Control, &pb.Envelope{Body: &pb.Envelope_Heard{Heard: &pb.Heard{
+			Server:      server,
+			Incarnation: incarnation,
+			Agent:       endpointToWire(from),
+		}}})
+	}
+}
+
+// handleHeard counts a heartbeat that reached another balancer.
+func (c *nodeCore) handleHeard(now time.Time, heard *pb.Heard) {
+	agent, err := endpointFromWire(heard.Agent)
+	entry, known := c.state.servers[heard.Server]
+	if err != nil || !known || heard.Incarnation < entry.record.Incarnation {
+		return
+	}
+	c.silence.heard[entry.record.Server] = heartbeatSeen{at: now, from: agent, incarnation: heard.Incarnation}
+}
+
 // takeAnnouncement takes in the record of a heartbeat. It tells whether the
 // server leaves.
 func (c *nodeCore) takeAnnouncement(now time.Time, server string, m *pb.Record) bool {
