--- a/standin/caller/recorder.go
+++ b/standin/caller/recorder.go
@@ -1,6 +1,8 @@
 package caller
 
 import (
+	"context"
+	"net"
 	"sync"
 	"time"
 
@@ -28,6 +30,7 @@
 	bytes     int64
 	lines     uint64
 	histogram *hdr.Histogram
+	connect   *hdr.Histogram
 	second    *hdr.Histogram
 	current   Second
 	series    []Second
@@ -63,6 +66,7 @@
 	return &recorder{
 		start:     start,
 		histogram: hdr.New(minLatency, maxLatency, significantDigits),
+		connect:   hdr.New(minLatency, maxLatency, significantDigits),
 		second:    hdr.New(minLatency, maxLatency, secondDigits),
 	}
 }
@@ -98,6 +102,25 @@
 	}
 }
 
+// connected records how long it took to establish a flow.
+func (r *recorder) connected(took time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = r.connect.RecordValue(took.Microseconds())
+}
+
+// timed returns a dialer that records how long flows take to be established.
+func (r *recorder) timed(dial dialer) dialer {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		began := time.Now()
+		conn, err := dial(ctx, network, address)
+		if err == nil {
+			r.connected(time.Since(began))
+		}
+		return conn, err
+	}
+}
+
 // line records a line of a status stream.
 func (r *recorder) line(now time.Time) {
 	r.mu.Lock()
@@ -148,6 +171,12 @@
 		P99:     milliseconds(r.histogram.ValueAtPercentile(percentile99)),
 		P999:    milliseconds(r.histogram.ValueAtPercentile(percentile999)),
 		Max:     milliseconds(r.histogram.Max()),
+		Connect: ConnectReport{
+			Flows: uint64(r.connect.TotalCount()),
+			P50:   milliseconds(r.connect.ValueAtPercentile(percentile50)),
+			P99:   milliseconds(r.connect.ValueAtPercentile(percentile99)),
+			Max:   milliseconds(r.connect.Max()),
+		},
 		Series:  r.series,
 		Samples: r.samples,
 	}
--- a/standin/caller/report.go
+++ b/standin/caller/report.go
@@ -43,27 +43,37 @@
 // ClassReport is what a load run found about one class of requests. Latencies
 // are those of whole answers, from the arrival, in milliseconds.
 type ClassReport struct {
-	Answered     uint64   `json:"answered"`
-	NotRun       uint64   `json:"not_run"`
-	Unknown      uint64   `json:"unknown"`
-	Rejected     uint64   `json:"rejected"`
-	NotConnected uint64   `json:"not_connected"`
-	Broken       uint64   `json:"broken"`
-	Timeout      uint64   `json:"timeout"`
-	Cut          uint64   `json:"cut"`
-	WrongService uint64   `json:"wrong_service"`
-	Crossed      uint64   `json:"crossed"`
-	Gap          uint64   `json:"gap"`
-	Overrun      uint64   `json:"overrun"`
-	Repeats      uint64   `json:"repeats"`
-	Bytes        int64    `json:"bytes"`
-	Lines        uint64   `json:"lines"`
-	P50          float64  `json:"p50_ms"`
-	P99          float64  `json:"p99_ms"`
-	P999         float64  `json:"p999_ms"`
-	Max          float64  `json:"max_ms"`
-	Series       []Second `json:"series"`
-	Samples      []Sample `json:"samples"`
+	Answered     uint64  `json:"answered"`
+	NotRun       uint64  `json:"not_run"`
+	Unknown      uint64  `json:"unknown"`
+	Rejected     uint64  `json:"rejected"`
+	NotConnected uint64  `json:"not_connected"`
+	Broken       uint64  `json:"broken"`
+	Timeout      uint64  `json:"timeout"`
+	Cut          uint64  `json:"cut"`
+	WrongService uint64  `json:"wrong_service"`
+	Crossed      uint64  `json:"crossed"`
+	Gap          uint64  `json:"gap"`
+	Overrun      uint64  `json:"overrun"`
+	Repeats      uint64  `json:"repeats"`
+	Bytes        int64   `json:"bytes"`
+	Lines        uint64  `json:"lines"`
+	P50          float64 `json:"p50_ms"`
+	P99          float64 `json:"p99_ms"`
+	P999         float64 `json:"p999_ms"`
+	Max          float64 `json:"max_ms"`
+	// Connect is the part of the latency until the flow was established.
+	Connect ConnectReport `json:"connect"`
+	Series  []Second      `json:"series"`
+	Samples []Sample      `json:"samples"`
+}
+
+// ConnectReport tells how long flows took to be established, in milliseconds.
+type ConnectReport struct {
+	Flows uint64  `json:"flows"`
+	P50   float64 `json:"p50_ms"`
+	P99   float64 `json:"p99_ms"`
+	Max   float64 `json:"max_ms"`
 }
 
 func (r *ClassReport) fill(counts [outcomeCount]uint64) {
--- a/standin/caller/run.go
+++ b/standin/caller/run.go
@@ -107,16 +107,17 @@
 	}
 }
 
-// newClient returns a client whose flows are its own.
-func (l *load) newClient(keepAlive bool) *client {
+// newClient returns a client whose flows are its own and recorded by r.
+func (l *load) newClient(keepAlive bool, r *recorder) *client {
 	return &client{
-		http:     &http.Client{Transport: newTransport(l.dial, keepAlive)},
+		http:     &http.Client{Transport: newTransport(r.timed(l.dial), keepAlive)},
 		services: l.services,
 	}
 }
 
 func (l *load) orders(name, url string, perSecond float64, stream uint64) *class {
 	c := l.command
+	r := newRecorder(l.start)
 	return &class{
 		name:      name,
 		method:    http.MethodPost,
@@ -128,7 +129,8 @@
 		repeats:   c.Repeats,
 		timeout:   c.Timeout,
 		prefix:    l.prefix,
-		client:    l.newClient(c.KeepAlive),
+		client:    l.newClient(c.KeepAlive, r),
+		recorder:  r,
 		requests:  l.requests,
 		random:    rand.New(rand.NewPCG(c.Seed, stream)),
 	}
@@ -136,6 +138,7 @@
 
 func (l *load) downloads() *class {
 	c := l.command
+	r := newRecorder(l.start)
 	return &class{
 		name:      "downloads",
 		method:    http.MethodGet,
@@ -144,7 +147,8 @@
 		repeat:    RepeatNever,
 		timeout:   c.DownloadTimeout,
 		prefix:    l.prefix,
-		client:    l.newClient(false),
+		client:    l.newClient(false, r),
+		recorder:  r,
 		requests:  l.requests,
 		random:    rand.New(rand.NewPCG(c.Seed, 3)),
 	}
@@ -155,7 +159,6 @@
 	if c.url == "" || c.perSecond <= 0 {
 		return nil
 	}
-	c.recorder = newRecorder(l.start)
 	c.inFlight = make(chan struct{}, l.command.MaxInFlight)
 	l.group.Go(func() { c.run(ctx) })
 	return c.recorder
@@ -167,7 +170,7 @@
 		return nil
 	}
 	r := newRecorder(l.start)
-	shared := l.newClient(false)
+	shared := l.newClient(false, r)
 	l.startMany(ctx, c.Streams, func(name string) {
 		s := &streamer{url: c.Status, interval: c.StatusInterval, client: shared, recorder: r, name: name}
 		s.run(ctx)
@@ -182,7 +185,7 @@
 	}
 	r := newRecorder(l.start)
 	l.startMany(ctx, c.EchoFlows, func(name string) {
-		e := &echoer{address: c.Echo, interval: c.StatusInterval, dial: l.dial, recorder: r, name: name}
+		e := &echoer{address: c.Echo, interval: c.StatusInterval, dial: r.timed(l.dial), recorder: r, name: name}
 		e.run(ctx)
 	})
 	return r
