Compare servers' load with what they bear; count the fabric's traffic

Servers keep samples of their load with its peak and what the state bears; the experiment reads them, reports the largest shares while cold and while warm, and plots them. The fabric tells for each UDP address when its last packet passed, for the time until a failure domain is quiet. A plot of an empty run failed (infinite axis); test added, seen to fail, mended.

--- a/standin/caller/plot.go
+++ b/standin/caller/plot.go
@@ -8,6 +8,7 @@
 
 	"gonum.org/v1/plot"
 	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
 
@@ -88,7 +89,8 @@
 	p := plot.New()
 	p.Title.Text = title
 	p.Y.Label.Text = label
-	p.Y.Min = 0
+	p.X.Min, p.X.Max = 0, 1
+	p.Y.Min, p.Y.Max = 0, 1
 	p.Legend.Top = true
 	p.Add(plotter.NewGrid())
 	for _, c := range curves {
@@ -96,20 +98,28 @@
 		for _, s := range seconds {
 			points = append(points, plotter.XY{X: float64(s.Second), Y: c.value(s)})
 		}
-		if len(points) == 0 {
-			continue
+		if err := addLine(p, c.name, c.color, points); err != nil {
+			return nil, err
 		}
-		line, err := plotter.NewLine(points)
-		if err != nil {
-			return nil, errkind.Wrap(err, errkind.Internal, "plot %s", c.name)
-		}
-		line.Color = c.color
-		p.Add(line)
-		p.Legend.Add(c.name, line)
 	}
 	return p, nil
 }
 
+// addLine draws a line with an entry in the legend, unless it has no points.
+func addLine(p *plot.Plot, name string, c color.Color, points plotter.XYs) error {
+	if len(points) == 0 {
+		return nil
+	}
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return errkind.Wrap(err, errkind.Internal, "plot %s", name)
+	}
+	line.Color = c
+	p.Add(line)
+	p.Legend.Add(name, line)
+	return nil
+}
+
 func writeCanvas(path string, canvas vg.CanvasWriterTo) error {
 	file, err := os.Create(path)
 	if err != nil {
@@ -122,6 +132,42 @@
 	return errkind.Wrap(file.Close(), errkind.Internal, "plot %s", path)
 }
 
+// Point is a value at a moment of a run.
+type Point struct {
+	// Second is the time since the start of the run, in seconds.
+	Second float64
+	Value  float64
+}
+
+// Line is a named series of values.
+type Line struct {
+	Name   string
+	Points []Point
+}
+
+// WriteLines draws series of values into a file whose name ends with .svg or
+// .png.
+func WriteLines(path, title, label string, lines []Line, marks []Mark) error {
+	p, err := newPlot(title, label, nil, nil)
+	if err != nil {
+		return err
+	}
+	p.X.Label.Text = "second of the run"
+	for i, line := range lines {
+		points := make(plotter.XYs, 0, len(line.Points))
+		for _, point := range line.Points {
+			points = append(points, plotter.XY{X: point.Second, Y: point.Value})
+		}
+		if err := addLine(p, line.Name, plotutil.Color(i), points); err != nil {
+			return err
+		}
+	}
+	if err := addMarks(p, marks); err != nil {
+		return err
+	}
+	return errkind.Wrap(p.Save(plotWidth, plotHeight, path), errkind.Usage, "plot %s", path)
+}
+
 // addMarks draws the marks over the whole height of a plot.
 func addMarks(p *plot.Plot, marks []Mark) error {
 	top := p.Y.Max
--- a/standin/experiment/collect.go
+++ b/standin/experiment/collect.go
@@ -71,21 +71,28 @@
 const noEntries = 1 << 62
 
 func fetchLog(ctx context.Context, url string, after uint64) (*server.ExecutionLog, error) {
+	var log server.ExecutionLog
+	err := fetch(ctx, url+"/fault/executions?after="+strconv.FormatUint(after, 10), &log)
+	return &log, err
+}
+
+// fetch reads JSON from a URL.
+func fetch(ctx context.Context, url string, value any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	target := url + "?after=" + strconv.FormatUint(after, 10)
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
 	if err != nil {
-		return nil, errkind.Wrap(err, errkind.InvalidSettings, "log %s", url)
+		return errkind.Wrap(err, errkind.InvalidSettings, "read %s", url)
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return nil, errkind.Wrap(err, errkind.PeerUnavailable, "log %s", url)
+		return errkind.Wrap(err, errkind.PeerUnavailable, "read %s", url)
 	}
 	defer func() { _ = response.Body.Close() }()
-	var log server.ExecutionLog
-	err = json.NewDecoder(response.Body).Decode(&log)
-	return &log, errkind.Wrap(err, errkind.Malformed, "log %s", url)
+	if response.StatusCode != http.StatusOK {
+		return errkind.New(errkind.PeerUnavailable, "read %s: %s", url, response.Status)
+	}
+	return errkind.Wrap(json.NewDecoder(response.Body).Decode(value), errkind.Malformed, "read %s", url)
 }
 
 // all returns the logs that were gathered.
--- a/standin/experiment/command.go
+++ b/standin/experiment/command.go
@@ -33,6 +33,7 @@
 	Callers []*caller.Report `json:"callers"`
 	Totals  caller.Totals    `json:"totals"`
 	Joined  Joined           `json:"joined"`
+	Servers []ServerReport   `json:"servers"`
 	// MissingLogs holds the execution logs that never answered.
 	MissingLogs []string `json:"missing_logs"`
 	// Violations lists what must not happen and did.
@@ -93,7 +94,7 @@
 func run(ctx context.Context, plan *Plan, callers []*callerRun) (*Report, error) {
 	running, cancel := context.WithCancel(ctx)
 	defer cancel()
-	logs := newCollector(plan.Executions)
+	logs := newCollector(plan.Servers)
 	report := &Report{Name: plan.Name, Violations: []string{}}
 	start := time.Now()
 	var sides, load sync.WaitGroup
@@ -106,6 +107,7 @@
 	cancel()
 	sides.Wait()
 	logs.collect(ctx)
+	report.Servers = readServers(ctx, plan.Servers, start)
 	return report, report.fill(plan, callers, logs)
 }
 
@@ -172,7 +174,7 @@
 	return failed
 }
 
-// write writes report.json and plot.svg.
+// write writes report.json, plot.svg and load.svg.
 func (c *Command) write(report *Report) error {
 	text, err := json.MarshalIndent(report, "", "  ")
 	if err != nil {
@@ -185,5 +187,13 @@
 	for i, step := range report.Steps {
 		marks = append(marks, caller.Mark{Second: step.AtSecond, Label: strconv.Itoa(i + 1)})
 	}
-	return caller.WritePlot(filepath.Join(c.Out, "plot.svg"), report.Name, caller.SumSeconds(report.Callers...), marks)
+	err = caller.WritePlot(filepath.Join(c.Out, "plot.svg"), report.Name, caller.SumSeconds(report.Callers...), marks)
+	if err != nil {
+		return err
+	}
+	lines := make([]caller.Line, 0, len(report.Servers))
+	for _, s := range report.Servers {
+		lines = append(lines, s.shares)
+	}
+	return caller.WriteLines(filepath.Join(c.Out, "load.svg"), report.Name, "load / what the server bears", lines, marks)
 }
--- a/standin/experiment/experiment_test.go
+++ b/standin/experiment/experiment_test.go
@@ -56,6 +56,26 @@
 	}
 }
 
+func TestShares(t *testing.T) {
+	convey.Convey("The load is compared with what the server bears, apart for each state", t, func() {
+		start := time.Unix(1000, 0)
+		sample := func(second int, state server.State, peak, bears int) server.LoadSample {
+			return server.LoadSample{
+				At:   start.Add(time.Duration(second) * time.Second),
+				Load: server.Load{State: state}, Peak: peak, Bears: bears,
+			}
+		}
+		var report ServerReport
+		report.compare(server.History{Server: "s1", Samples: []server.LoadSample{
+			sample(-1, server.StateCold, 9, 1), sample(0, server.StateCold, 1, 2),
+			sample(1, server.StateWarm, 6, 6), sample(2, server.StateWarm, 3, 6),
+		}}, start)
+		convey.So(report.MaxColdShare, convey.ShouldEqual, 0.5)
+		convey.So(report.MaxWarmShare, convey.ShouldEqual, 1)
+		convey.So(report.shares.Points, convey.ShouldHaveLength, 3)
+	})
+}
+
 // startServer runs a backend server until the test ends and returns its address.
 func startServer(t *testing.T) string {
 	t.Helper()
@@ -107,15 +127,17 @@
 	if err := json.Unmarshal(text, &report); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := os.Stat(filepath.Join(command.Out, "plot.svg")); err != nil {
-		t.Fatal(err)
+	for _, name := range []string{"plot.svg", "load.svg"} {
+		if _, err := os.Stat(filepath.Join(command.Out, name)); err != nil {
+			t.Fatal(err)
+		}
 	}
 	return &report, runErr
 }
 
 const planText = `
 name = "test"
-executions = ["http://%[1]s/fault/executions"]
+servers = ["http://%[1]s"]
 [[caller]]
 name = "orders"
 args = "--duration 500ms --orders http://%[1]s/orders --orders-per-second 100 --repeat unknown"
@@ -133,6 +155,8 @@
 		convey.So(report.Violations, convey.ShouldBeEmpty)
 		convey.So(report.Joined.Executions, convey.ShouldEqual, report.Totals.Answers)
 		convey.So(report.Joined.Executions, convey.ShouldEqual, report.Joined.Requests)
+		convey.So(report.Servers, convey.ShouldHaveLength, 1)
+		convey.So(report.Servers[0].Counters.Finished, convey.ShouldEqual, report.Totals.Answers)
 	})
 	convey.Convey("Requests that ran twice are found", t, func() {
 		report, err := runPlan(t, fmt.Sprintf(planText, startServer(t), `{"reset_after_read":0.5}`))
--- a/standin/experiment/plan.go
+++ b/standin/experiment/plan.go
@@ -18,8 +18,8 @@
 // Plan says what an experiment does. It is read from a TOML file.
 type Plan struct {
 	Name string `toml:"name"`
-	// Executions holds the URLs of the execution logs of the backend servers.
-	Executions []string `toml:"executions"`
+	// Servers holds the base URLs of the control addresses of the backend servers.
+	Servers []string `toml:"servers"`
 	// AllowBroken lets the experiment succeed though flows broke.
 	AllowBroken bool         `toml:"allow_broken"`
 	Callers     []CallerPlan `toml:"caller"`
--- a/standin/fabric/command.go
+++ b/standin/fabric/command.go
@@ -90,6 +90,9 @@
 	mux.HandleFunc("GET /fault/counters", func(w http.ResponseWriter, _ *http.Request) {
 		fault.WriteJSON(w, a.forwarder.counters.snapshot())
 	})
+	mux.HandleFunc("GET /fault/traffic", func(w http.ResponseWriter, _ *http.Request) {
+		fault.WriteJSON(w, a.forwarder.traffic.snapshot(a.forwarder.network.Load()))
+	})
 	mux.HandleFunc("GET /balancers", func(w http.ResponseWriter, _ *http.Request) {
 		fault.WriteJSON(w, a.pool.status())
 	})
--- a/standin/fabric/forwarder.go
+++ b/standin/fabric/forwarder.go
@@ -32,6 +32,7 @@
 	pool     *pool
 	network  atomic.Pointer[network]
 	counters *counters
+	traffic  *traffic
 	queue    *link.Queue
 	out      []ipv4.Message
 	toAddrs  map[netip.AddrPort]*net.UDPAddr
@@ -52,6 +53,7 @@
 		schedule: link.NewSchedule(seed),
 		pool:     p,
 		counters: &counters{},
+		traffic:  newTraffic(),
 		out:      make([]ipv4.Message, 0, 2*batchPackets),
 		toAddrs:  make(map[netip.AddrPort]*net.UDPAddr),
 		log:      log,
@@ -92,9 +94,11 @@
 	targets := f.pool.targets()
 	net := f.network.Load()
 	f.out = f.out[:0]
+	f.traffic.mu.Lock()
 	for i := range messages {
 		f.handle(&messages[i], targets, net, now)
 	}
+	f.traffic.mu.Unlock()
 	f.write(f.out)
 }
 
@@ -110,6 +114,7 @@
 		f.counters.add(v)
 		return
 	}
+	f.traffic.count(from, to, now)
 	if network.plain {
 		f.emit(packet, to)
 		return
--- a/standin/server/backend_test.go
+++ b/standin/server/backend_test.go
@@ -188,8 +188,8 @@
 	}
 	convey.Convey("Lag tells what was true before", t, func() {
 		history := &loadHistory{}
-		history.add(loadSample{at: start, load: Load{Running: 1}})
-		history.add(loadSample{at: start.Add(time.Second), load: Load{Running: 2}})
+		history.add(LoadSample{At: start, Load: Load{Running: 1}})
+		history.add(LoadSample{At: start.Add(time.Second), Load: Load{Running: 2}})
 		load, ok := history.at(start.Add(999 * time.Millisecond))
 		convey.So(ok, convey.ShouldBeTrue)
 		convey.So(load.Running, convey.ShouldEqual, 1)
--- a/standin/server/command.go
+++ b/standin/server/command.go
@@ -189,6 +189,7 @@
 		fault.WriteJSON(w, b.counts.snapshot())
 	})
 	mux.HandleFunc("GET /fault/executions", b.serveExecutions)
+	mux.HandleFunc("GET /fault/history", b.serveHistory)
 }
 
 // serveEcho returns the bytes of each connection until ctx ends.
--- a/standin/server/health.go
+++ b/standin/server/health.go
@@ -13,7 +13,7 @@
 	// samplePeriod is the time between two samples of the load.
 	samplePeriod = 50 * time.Millisecond
 	// maxSamples bounds the samples kept and so the largest lag.
-	maxSamples = 2400
+	maxSamples = 12000
 )
 
 // Load is what /health and /load tell.
@@ -26,18 +26,31 @@
 	Streams     int64 `json:"streams"`
 }
 
-type loadSample struct {
-	at   time.Time
-	load Load
+// LoadSample is the true load of a backend server at a moment, as
+// GET /fault/history returns it.
+type LoadSample struct {
+	At time.Time `json:"at"`
+	Load
+	// Peak is the largest number of requests inside since the sample before.
+	Peak int `json:"peak"`
+	// Bears is the number of requests that may be inside in this state.
+	Bears int `json:"bears"`
+}
+
+// History is the answer of GET /fault/history.
+type History struct {
+	Server  string       `json:"server"`
+	Service string       `json:"service"`
+	Samples []LoadSample `json:"samples"`
 }
 
 // loadHistory keeps samples, so that the endpoints can lag.
 type loadHistory struct {
 	mu      sync.Mutex
-	samples []loadSample
+	samples []LoadSample
 }
 
-func (h *loadHistory) add(sample loadSample) {
+func (h *loadHistory) add(sample LoadSample) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.samples = append(h.samples, sample)
@@ -51,17 +64,25 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for i := len(h.samples) - 1; i >= 0; i-- {
-		if !h.samples[i].at.After(moment) {
-			return h.samples[i].load, true
+		if !h.samples[i].At.After(moment) {
+			return h.samples[i].Load, true
 		}
 	}
 	return Load{}, false
 }
 
+// all returns a copy of the samples.
+func (h *loadHistory) all() []LoadSample {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]LoadSample{}, h.samples...)
+}
+
 // sample keeps the load until ctx ends.
 func (b *backend) sample(ctx context.Context) {
 	for fault.Sleep(ctx, samplePeriod) {
-		b.history.add(loadSample{at: time.Now(), load: b.currentLoad()})
+		peak, bears := b.slots.takePeak()
+		b.history.add(LoadSample{At: time.Now(), Load: b.currentLoad(), Peak: peak, Bears: bears})
 	}
 }
 
@@ -117,3 +138,12 @@
 func (b *backend) load(w http.ResponseWriter, _ *http.Request) {
 	fault.WriteJSON(w, b.toldLoad())
 }
+
+// serveHistory answers with the samples that are kept.
+func (b *backend) serveHistory(w http.ResponseWriter, _ *http.Request) {
+	fault.WriteJSON(w, History{
+		Server:  b.command.Name,
+		Service: b.command.Service,
+		Samples: b.history.all(),
+	})
+}
--- a/standin/server/slots.go
+++ b/standin/server/slots.go
@@ -16,6 +16,8 @@
 	fallen   context.Context
 	fall     context.CancelFunc
 	counts   *counters
+	// peak is the largest number of requests inside since it was last taken.
+	peak int
 }
 
 // ticket is a request inside the server.
@@ -47,7 +49,9 @@
 		s.endAll(cold)
 	default:
 	}
-	s.counts.observeLoad(s.capacity.running+s.capacity.waiting, cold)
+	inside := s.capacity.running + s.capacity.waiting
+	s.counts.observeLoad(inside, cold)
+	s.peak = max(s.peak, inside)
 	s.mu.Unlock()
 	if verdict != admitWait {
 		return t, verdict
@@ -131,3 +135,14 @@
 	defer s.mu.Unlock()
 	return s.capacity.state(time.Now()), s.capacity.running, s.capacity.waiting
 }
+
+// takePeak returns the largest number of requests inside since the last call and
+// the number that may be inside now.
+func (s *slots) takePeak() (peak, bears int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	peak = s.peak
+	s.peak = s.capacity.running + s.capacity.waiting
+	running, waiting := s.capacity.room(s.capacity.state(time.Now()))
+	return peak, running + waiting
+}
