--- a/standin/caller/fabric_test.go
+++ b/standin/caller/fabric_test.go
@@ -27,7 +27,7 @@
 var serviceAddress = netip.MustParseAddr("198.18.0.10")
 
 // freePort returns a UDP and TCP port of 127.0.0.1 that was free.
-func freePort(t *testing.T) netip.AddrPort {
+func freePort(t testing.TB) netip.AddrPort {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -38,7 +38,7 @@
 }
 
 // startFabric runs a fabric with one balancer that always counts as alive.
-func startFabric(t *testing.T, balancer netip.AddrPort) netip.AddrPort {
+func startFabric(t testing.TB, balancer netip.AddrPort) netip.AddrPort {
 	t.Helper()
 	command := &fabric.Command{
 		Listen:        freePort(t),
@@ -61,7 +61,7 @@
 
 // startService serves HTTP on the service address, in the place of balancer and
 // agent.
-func startService(t *testing.T, local, fabricAddress netip.AddrPort, handler http.Handler) {
+func startService(t testing.TB, local, fabricAddress netip.AddrPort, handler http.Handler) {
 	t.Helper()
 	n, err := NewNetwork(local, fabricAddress, serviceAddress)
 	if err != nil {
@@ -95,7 +95,7 @@
 }
 
 // runLoad sends orders for a moment and returns the report.
-func runLoad(t *testing.T, fabricAddress netip.AddrPort, change func(*Command)) (*Report, error) {
+func runLoad(t testing.TB, fabricAddress netip.AddrPort, change func(*Command)) (*Report, error) {
 	t.Helper()
 	command := &Command{
 		Fabric:          fabricAddress,
