--- a/version/spread/choose.go
+++ b/version/spread/choose.go
@@ -19,15 +19,25 @@
 	remoteShare = 4
 )
 
-// others returns the peers without self.
-func others(peers []Peer, self Peer) []Peer {
-	kept := make([]Peer, 0, len(peers))
+// know replaces the peers, sorted into those of the own failure domain and the
+// others.
+func (m *machine) know(peers []Peer) {
+	m.near = m.near[:0]
+	m.far = m.far[:0]
 	for _, p := range peers {
-		if p.Name != self.Name {
-			kept = append(kept, p)
+		switch {
+		case p.Name == m.self.Name:
+		case p.Domain == m.self.Domain:
+			m.near = append(m.near, p)
+		default:
+			m.far = append(m.far, p)
 		}
 	}
-	return kept
+}
+
+// peerCount returns the number of known peers.
+func (m *machine) peerCount() int {
+	return len(m.near) + len(m.far)
 }
 
 // score ranks a process as a watcher of its failure domain.
@@ -36,14 +46,11 @@
 }
 
 // isWatcher tells whether self is among the highest ranked processes of its
-// failure domain.
-func isWatcher(self Peer, peers []Peer) bool {
+// failure domain, whose others are near.
+func isWatcher(self Peer, near []Peer) bool {
 	own := score(self)
 	above := 0
-	for _, p := range peers {
-		if p.Domain != self.Domain {
-			continue
-		}
+	for _, p := range near {
 		rank := score(p)
 		if rank > own || rank == own && p.Name > self.Name {
 			above++
@@ -55,34 +62,26 @@
 // choose returns up to count random peers, up to local of them of the own
 // failure domain as long as there are others.
 func (m *machine) choose(count, local int) []Peer {
-	near, far := m.shuffled()
-	local = min(local, len(near))
-	remote := min(count-local, len(far))
-	local = min(count-remote, len(near))
-	return append(near[:local:local], far[:remote]...)
+	local = min(local, len(m.near))
+	remote := min(count-local, len(m.far))
+	local = min(count-remote, len(m.near))
+	return append(m.draw(m.near, local), m.draw(m.far, remote)...)
 }
 
 // chooseOne returns a random peer, mostly of the own failure domain. There must
 // be a peer.
 func (m *machine) chooseOne() Peer {
-	near, far := m.shuffled()
-	if len(near) == 0 || len(far) > 0 && m.random.IntN(remoteShare) == 0 {
-		return far[0]
+	if len(m.near) == 0 || len(m.far) > 0 && m.random.IntN(remoteShare) == 0 {
+		return m.draw(m.far, 1)[0]
 	}
-	return near[0]
+	return m.draw(m.near, 1)[0]
 }
 
-// shuffled returns the peers of the own failure domain and the others, each in
-// random order.
-func (m *machine) shuffled() (near, far []Peer) {
-	peers := slices.Clone(m.peers)
-	m.random.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
-	for _, p := range peers {
-		if p.Domain == m.self.Domain {
-			near = append(near, p)
-		} else {
-			far = append(far, p)
-		}
+// draw returns count random peers of a list and changes its order.
+func (m *machine) draw(list []Peer, count int) []Peer {
+	for i := range count {
+		j := i + m.random.IntN(len(list)-i)
+		list[i], list[j] = list[j], list[i]
 	}
-	return near, far
+	return slices.Clone(list[:count])
 }
--- a/version/spread/fleet_test.go
+++ b/version/spread/fleet_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -77,6 +78,7 @@
 type fleet struct {
 	t         testing.TB
 	store     *storetest.Server
+	bytes     atomic.Int64
 	mu        sync.Mutex
 	processes []*process
 }
@@ -125,7 +127,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(p.spreader.Handler())
 	p.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	go func() { _ = p.server.Serve(listener) }()
+	go func() { _ = p.server.Serve(countingListener{listener, &f.bytes}) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	if !leaf {
@@ -220,12 +222,32 @@
 	return c
 }
 
+// many returns a configuration with a number of services; the first has the
+// given port.
+func many(t testing.TB, count, port int) *config.Config {
+	var document []byte
+	for i := range count {
+		document = fmt.Appendf(document, "[[service]]\nname = \"service-%d\"\naddress = \"198.18.%d.%d\"\nport = %d\n", i, i/250, i%250+1, port)
+		port = 80
+	}
+	c, err := config.Parse(document)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
 // publishText makes a version and returns its result.
 func (f *fleet) publishText(n int) publish.Result {
+	f.t.Helper()
+	return f.publishConfig(text(f.t, n))
+}
+
+func (f *fleet) publishConfig(c *config.Config) publish.Result {
 	f.t.Helper()
 	client := store.NewClient(store.Options{Address: f.store.Address()})
 	defer client.Close()
-	result, err := publish.New(client).Publish(f.t.Context(), publish.Request{Config: text(f.t, n)})
+	result, err := publish.New(client).Publish(f.t.Context(), publish.Request{Config: c})
 	if err != nil {
 		f.t.Fatal(err)
 	}
--- /dev/null
+++ b/version/spread/loopback_test.go
@@ -0,0 +1,163 @@
+package spread_test
+
+import (
+	"fmt"
+	"net"
+	"slices"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"bergamotbank/version/publish"
+	"bergamotbank/version/spread"
+	"bergamotbank/version/store"
+	"bergamotbank/version/store/storetest"
+)
+
+// loopbackChanges is the number of changes of one measurement.
+const loopbackChanges = 50
+
+// deployment is one of today's sizes; loopback adds no delay between failure
+// domains.
+type deployment struct {
+	name    string
+	domains int
+	each    int
+	servers int
+}
+
+var deployments = []deployment{{"andes", 3, 2, 10}, {"hokkaido", 4, 2, 11}}
+
+// start brings a deployment up and returns its agents.
+func (d deployment) start(f *fleet) []*process {
+	f.startMany(d.domains, d.each)
+	homes := f.peers()
+	var agents []*process
+	for i := range d.servers {
+		own := []spread.Peer{homes[i%len(homes)], homes[(i+1)%len(homes)]}
+		agents = append(agents, f.start(fmt.Sprint("server-", i), "domain-0", true, func() []spread.Peer { return own }))
+	}
+	return agents
+}
+
+// condition is the state of the store and the hand-over during a measurement.
+type condition struct {
+	name   string
+	faults storetest.Faults
+	after  storetest.Faults
+	// offers is the number of balancers that get the version handed directly.
+	offers int
+}
+
+var conditions = []condition{
+	{"store_up", storetest.Faults{}, storetest.Faults{}, 8},
+	{"store_up_no_hand_over", storetest.Faults{}, storetest.Faults{}, 0},
+	{"store_slow_300ms", storetest.Faults{Delay: 300 * time.Millisecond}, storetest.Faults{Delay: 300 * time.Millisecond}, 8},
+	{"store_down_after", storetest.Faults{}, storetest.Faults{Down: true}, 8},
+	{"store_down_after_one_holder", storetest.Faults{SilentWatches: true}, storetest.Faults{Down: true, SilentWatches: true}, 1},
+}
+
+// change publishes and returns the time from acceptance to in force everywhere.
+func (f *fleet) change(n int, c condition, agents []*process) time.Duration {
+	f.store.SetFaults(c.faults)
+	client := store.NewClient(store.Options{Address: f.store.Address()})
+	defer client.Close()
+	result, err := publish.New(client).Publish(f.t.Context(), publish.Request{Config: text(f.t, n)})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	accepted := time.Now()
+	f.store.SetFaults(c.after)
+	for _, p := range f.all()[:min(c.offers, len(f.all()))] {
+		_ = spread.NewOperator().Offer(f.t.Context(), p.peer.Control, *result.Made, result.Fresh)
+	}
+	everyone := append(f.all(), agents...)
+	eventually(f.t, "version in force", func() bool {
+		return !slices.ContainsFunc(everyone, func(p *process) bool { return p.spreader.InForce() != result.Version })
+	})
+	latest := accepted
+	for _, p := range everyone {
+		p.mu.Lock()
+		if p.at[result.Version].After(latest) {
+			latest = p.at[result.Version]
+		}
+		p.mu.Unlock()
+	}
+	return latest.Sub(accepted)
+}
+
+// BenchmarkLoopbackInForce prints the time from acceptance to in force at every
+// balancer and agent.
+func BenchmarkLoopbackInForce(b *testing.B) {
+	for range b.N {
+		for _, d := range deployments {
+			for _, c := range conditions {
+				f := newFleet(b)
+				agents := d.start(f)
+				f.change(0, condition{}, agents)
+				var times []time.Duration
+				for n := range loopbackChanges {
+					times = append(times, f.change(n+1, c, agents))
+				}
+				slices.Sort(times)
+				fmt.Printf("bench in_force_p50/%s/%s %.1f ms\n", d.name, c.name, float64(times[len(times)/2].Microseconds())/1000)
+				fmt.Printf("bench in_force_max/%s/%s %.1f ms\n", d.name, c.name, float64(times[len(times)-1].Microseconds())/1000)
+			}
+		}
+	}
+}
+
+// countingListener counts the bytes of its connections, both ways.
+type countingListener struct {
+	net.Listener
+	bytes *atomic.Int64
+}
+
+func (l countingListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	return countingConn{connection, l.bytes}, err
+}
+
+type countingConn struct {
+	net.Conn
+	bytes *atomic.Int64
+}
+
+func (c countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.bytes.Add(int64(n))
+	return n, err
+}
+
+// BenchmarkPeerBytes prints the bytes that a process moves to and from peers, at
+// rest and for a change of one service.
+func BenchmarkPeerBytes(b *testing.B) {
+	const domains, each = 4, 6
+	const rest = 10 * time.Second
+	for range b.N {
+		for _, services := range []int{100, 400, 1600} {
+			f := newFleet(b)
+			f.startMany(domains, each)
+			f.publishConfig(many(b, services, 80))
+			eventually(b, "version 1 in force", f.inForce(1))
+			time.Sleep(time.Second)
+			before := f.bytes.Load()
+			time.Sleep(rest)
+			atRest := float64(f.bytes.Load()-before) / rest.Seconds()
+			fmt.Printf("bench peer_bytes_at_rest/services=%d %.0f bytes/s/process\n", services, atRest/(domains*each))
+			before = f.bytes.Load()
+			started := time.Now()
+			f.publishConfig(many(b, services, 81))
+			eventually(b, "version 2 in force", f.inForce(2))
+			time.Sleep(2 * time.Second)
+			moved := float64(f.bytes.Load()-before) - atRest*time.Since(started).Seconds()
+			fmt.Printf("bench peer_bytes_per_change/services=%d %.0f bytes/process\n", services, moved/(domains*each))
+		}
+	}
+}
--- a/version/spread/machine.go
+++ b/version/spread/machine.go
@@ -89,7 +89,9 @@
 	leaf   bool
 	random *rand.Rand
 
-	peers   []Peer
+	// near are the peers of the own failure domain, far the others.
+	near    []Peer
+	far     []Peer
 	started time.Time
 	// askedAt is the time of the first questions, zero before.
 	askedAt  time.Time
@@ -153,7 +155,7 @@
 		m.started = now
 		m.peerContact = now
 	}
-	m.peers = others(peers, m.self)
+	m.know(peers)
 	m.heardStore(contact)
 	var actions []action
 	actions = append(actions, m.electWatcher()...)
@@ -175,7 +177,7 @@
 	if m.leaf {
 		return nil
 	}
-	chosen := isWatcher(m.self, m.peers)
+	chosen := isWatcher(m.self, m.near)
 	if chosen == m.watching {
 		return nil
 	}
@@ -192,7 +194,7 @@
 	if m.asked() {
 		return m.endStart(now)
 	}
-	if len(m.peers) == 0 && now.Sub(m.started) < peersPatience {
+	if m.peerCount() == 0 && now.Sub(m.started) < peersPatience {
 		return nil
 	}
 	m.askedAt = now
@@ -216,7 +218,7 @@
 		m.firstStore = true
 		return nil
 	}
-	if len(m.peers) > smallFleet {
+	if m.peerCount() > smallFleet {
 		return nil
 	}
 	m.firstStore = true
@@ -247,7 +249,7 @@
 }
 
 func (m *machine) askRegularly(now time.Time) []action {
-	if !m.asked() || now.Before(m.nextAsk) || len(m.peers) == 0 {
+	if !m.asked() || now.Before(m.nextAsk) || m.peerCount() == 0 {
 		return nil
 	}
 	interval := askInterval
@@ -281,12 +283,12 @@
 	if m.watching {
 		return m.jitter(storeRetry)
 	}
-	window := time.Duration(len(m.peers)+1) * time.Second / fallbackReadsPerSecond
+	window := time.Duration(m.peerCount()+1) * time.Second / fallbackReadsPerSecond
 	return storeRetry + time.Duration(m.random.Int64N(int64(window+storeRetry)))
 }
 
 func (m *machine) noteIsolation(now time.Time) []action {
-	if m.leaf && len(m.peers) == 0 {
+	if m.leaf && m.peerCount() == 0 {
 		return nil
 	}
 	latest := m.peerContact
--- a/version/spread/machine_test.go
+++ b/version/spread/machine_test.go
@@ -130,7 +130,9 @@
 			return cmp.Or(cmp.Compare(score(b), score(a)), cmp.Compare(b.Name, a.Name))
 		})
 		want := slices.Contains(ranked[:min(watchersPerDomain, len(ranked))], self)
-		if got := isWatcher(self, others(all, self)); got != want {
+		m := newMachine(machineOptions{self: self})
+		m.know(all)
+		if got := isWatcher(self, m.near); got != want {
 			t.Fatalf("watcher %v, the naive one says %v", got, want)
 		}
 	})
--- a/version/spread/sim_test.go
+++ b/version/spread/sim_test.go
@@ -46,9 +46,15 @@
 	random    *rand.Rand
 	farDelay  time.Duration
 	processes []*modelProcess
+	byName    map[string]*modelProcess
+	// known are all processes but the leaves.
+	known []Peer
+	// leaves are the leaves by the name of their homes.
+	leaves map[string][]*modelProcess
 
-	storeUp bool
-	stored  publish.Version
+	storeDelay time.Duration
+	storeUp    bool
+	stored     publish.Version
 	// failReads is the number of reads of sections that fail next.
 	failReads  int
 	storeCalls int
@@ -69,6 +75,10 @@
 	// seen is the latest version that the watch has told about.
 	seen    uint64
 	contact time.Time
+	// homes are the names of the processes that a leaf asks; nil for others.
+	homes []string
+	// at is the time at which the latest version came into force.
+	at time.Time
 	// applied are the versions put in force in this life.
 	applied []uint64
 	// learned is the naive version: all versions that were ever learned.
@@ -78,11 +88,13 @@
 func newModel(seed uint64, domains, each int, far time.Duration) *model {
 	m := &model{
 		now: time.Unix(1000, 0), random: rand.New(rand.NewPCG(seed, 7)), farDelay: far, storeUp: true,
+		storeDelay: storeDelay, byName: make(map[string]*modelProcess), leaves: make(map[string][]*modelProcess),
 	}
 	for d := range domains {
 		for i := range each {
 			p := &modelProcess{model: m, peer: Peer{Name: fmt.Sprintf("b-%d-%d", d, i), Domain: fmt.Sprintf("d-%d", d)}}
 			m.processes = append(m.processes, p)
+			m.byName[p.peer.Name] = p
 		}
 	}
 	for _, p := range m.processes {
@@ -91,6 +103,23 @@
 	return m
 }
 
+// addLeaves adds leaves with two homes each.
+func (m *model) addLeaves(count int) {
+	homes := m.peers()
+	for i := range count {
+		first, second := homes[i%len(homes)], homes[(i+1)%len(homes)]
+		leaf := &modelProcess{
+			model: m, peer: Peer{Name: fmt.Sprintf("s-%d", i), Domain: first.Domain}, homes: []string{first.Name, second.Name},
+		}
+		m.processes = append(m.processes, leaf)
+		m.byName[leaf.peer.Name] = leaf
+		for _, home := range leaf.homes {
+			m.leaves[home] = append(m.leaves[home], leaf)
+		}
+		leaf.restart()
+	}
+}
+
 func (m *model) after(d time.Duration, run func()) {
 	m.order++
 	heap.Push(&m.pending, timer{at: m.now.Add(d), order: m.order, run: run})
@@ -112,27 +141,26 @@
 	m.stored = publish.Version{Root: publish.Root{Version: m.stored.Root.Version + 1, Operation: "op"}}
 	for _, p := range m.processes {
 		if p.watching {
-			p.onLife(storeDelay, p.poll)
+			p.onLife(m.storeDelay, p.poll)
 		}
 	}
 	return m.stored
 }
 
 func (m *model) find(name string) *modelProcess {
-	for _, p := range m.processes {
-		if p.peer.Name == name {
-			return p
-		}
-	}
-	return nil
+	return m.byName[name]
 }
 
 func (m *model) peers() []Peer {
-	peers := make([]Peer, 0, len(m.processes))
+	if m.known != nil {
+		return m.known
+	}
 	for _, p := range m.processes {
-		peers = append(peers, p.peer)
+		if p.homes == nil {
+			m.known = append(m.known, p.peer)
+		}
 	}
-	return peers
+	return m.known
 }
 
 // inForce returns the number of processes that have put a version in force.
@@ -154,7 +182,7 @@
 	p.seen = 0
 	p.applied = nil
 	p.learned = nil
-	p.machine = newMachine(machineOptions{self: p.peer, random: rand.New(rand.NewPCG(p.model.random.Uint64(), 3))})
+	p.machine = newMachine(machineOptions{self: p.peer, leaf: p.homes != nil, random: rand.New(rand.NewPCG(p.model.random.Uint64(), 3))})
 	p.onLife(time.Duration(p.model.random.Int64N(int64(DefaultTick))), p.tick)
 }
 
@@ -169,10 +197,21 @@
 }
 
 func (p *modelProcess) tick() {
-	p.perform(p.machine.tick(p.model.now, p.model.peers(), p.contact))
+	p.perform(p.machine.tick(p.model.now, p.peers(), p.contact))
 	p.onLife(DefaultTick, p.tick)
 }
 
+func (p *modelProcess) peers() []Peer {
+	if p.homes == nil {
+		return p.model.peers()
+	}
+	var homes []Peer
+	for _, name := range p.homes {
+		homes = append(homes, p.model.find(name).peer)
+	}
+	return homes
+}
+
 func (p *modelProcess) learn(v publish.Version, accepted bool) {
 	p.learned = append(p.learned, v.Root.Version)
 	p.perform(p.machine.learned(p.model.now, v, accepted))
@@ -185,8 +224,12 @@
 			p.ask(p.model.find(a.peer.Name))
 		case actNotify:
 			p.notify(p.model.find(a.peer.Name), a.version.Root.Version)
+		case actNotifyLeaves:
+			for _, leaf := range p.model.leaves[p.peer.Name] {
+				p.notify(leaf, a.version.Root.Version)
+			}
 		case actReadStore:
-			p.onLife(storeDelay, p.readStore)
+			p.onLife(p.model.storeDelay, p.readStore)
 		case actStartWatch:
 			p.watching = true
 			p.watch()
@@ -204,6 +247,8 @@
 		return
 	}
 	p.applied = append(p.applied, version)
+	p.at = p.model.now
+	p.perform(p.machine.applied(p.model.now))
 }
 
 func (p *modelProcess) delay(other *modelProcess) time.Duration {
