--- a/process/membership/announcer.go
+++ b/process/membership/announcer.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,6 +25,9 @@
 	Seeds []netip.AddrPort
 	// Directory lists balancers; nil for none.
 	Directory Directory
+	// Domains returns the failure domains of the configuration, whose lists are
+	// read when that of the own failure domain is empty; nil for none.
+	Domains func() []string
 	// Recorder takes the events; nil drops them.
 	Recorder event.Recorder
 	// Clock stamps the messages; nil for none.
@@ -54,6 +58,8 @@
 	changed   chan struct{}
 	fetches   chan fetchAction
 	directory chan struct{}
+	left      chan struct{}
+	leftOnce  sync.Once
 	view      atomic.Pointer[View]
 	homes     atomic.Pointer[[]Peer]
 	ready     atomic.Bool
@@ -82,6 +88,7 @@
 		changed:   make(chan struct{}, 1),
 		fetches:   make(chan fetchAction, 1),
 		directory: make(chan struct{}, 1),
+		left:      make(chan struct{}),
 	}
 	a.core.version = options.Version
 	a.core.stamp = options.Clock.Stamp
@@ -98,6 +105,9 @@
 	if o.Self.MaxProtocol == 0 {
 		o.Self.MinProtocol, o.Self.MaxProtocol = MinProtocol, MaxProtocol
 	}
+	if o.Domains == nil {
+		o.Domains = func() []string { return nil }
+	}
 	if o.Recorder == nil {
 		o.Recorder = event.Discard{}
 	}
@@ -148,12 +158,14 @@
 	_ = a.calls.enqueue(ctx, func() { a.core.setState(time.Now(), state, weight) })
 }
 
-// Leave tells the homes that the server has gone. No heartbeat follows.
+// Leave tells the homes that the server has gone and waits until they know or
+// the context ends. No heartbeat follows.
 func (a *Announcer) Leave(ctx context.Context) {
-	_ = a.calls.do(ctx, func() {
-		a.core.leave()
-		a.perform()
-	})
+	_ = a.calls.do(ctx, func() { a.core.leave(time.Now()) })
+	select {
+	case <-a.left:
+	case <-ctx.Done():
+	}
 }
 
 // Run announces the server until the context ends.
@@ -215,6 +227,9 @@
 	homes := a.core.homePeers()
 	a.homes.Store(&homes)
 	a.ready.Store(a.core.fetched)
+	if a.core.left() {
+		a.leftOnce.Do(func() { close(a.left) })
+	}
 }
 
 // startFetch hands a fetch over; the core asks again when one is still running.
@@ -263,13 +278,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	peers, err := a.options.Directory.Read(ctx, a.options.Self.Domain)
-	if err != nil {
-		return
-	}
-	addrs := make([]netip.AddrPort, 0, len(peers))
-	for _, peer := range peers {
-		addrs = append(addrs, peer.Control)
+	for _, domain := range append([]string{a.options.Self.Domain}, a.options.Domains()...) {
+		peers, err := a.options.Directory.Read(ctx, domain)
+		if err != nil {
+			return
+		}
+		if len(peers) > 0 {
+			_ = a.calls.do(ctx, func() { a.core.addContacts(controlAddrs(peers)) })
+			return
+		}
 	}
-	_ = a.calls.do(ctx, func() { a.core.addContacts(addrs) })
 }
--- a/standin/caller/requestlog.go
+++ b/standin/caller/requestlog.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"encoding/json"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
@@ -11,16 +12,25 @@
 )
 
 // RequestEntry is one request with the outcomes of its tries, in order. The log
-// of requests is joined with the execution logs of the servers by Key.
+// of requests is joined with the execution logs of the servers by Key, if the
+// request was sent with it.
 type RequestEntry struct {
-	Class    string    `json:"class"`
-	Key      string    `json:"key"`
+	Class string `json:"class"`
+	Key   string `json:"key"`
+	Keyed bool   `json:"keyed"`
+	// Request is the common part of the X-Request-Id of the tries.
+	Request  string    `json:"request"`
 	Outcomes []Outcome `json:"outcomes"`
 	Server   string    `json:"server,omitempty"`
 	Arrived  time.Time `json:"arrived"`
 	Ended    time.Time `json:"ended"`
 }
 
+// Try returns the X-Request-Id of a try, counted from 0.
+func (e RequestEntry) Try(n int) string {
+	return e.Request + "-" + strconv.Itoa(n)
+}
+
 // requestLog writes requests as JSON lines. A nil log drops them. It is safe for
 // concurrent use.
 type requestLog struct {
