--- a/standin/main.go
+++ b/standin/main.go
@@ -35,6 +35,18 @@
 	return "Stand-ins for the systems around bergamotbank. Faults are switched with PUT /fault."
 }
 
+// Epilogue returns the end of the help text.
+func (arguments) Epilogue() string {
+	return `HTTP addresses of the stand-ins:
+  GET, PUT, PATCH /fault    fault switches; PUT {} clears all of them
+  GET /fault/counters       what the stand-in counted
+  GET /fault/executions     server: runs of orders and releases (?after=SEQUENCE)
+  GET /fault/history        server: samples of the load and of what the server bears
+  GET /fault/traffic        fabric: packets by UDP address, with the time of the last
+  GET, POST /balancers      fabric: balancers; DELETE /balancers/NAME removes one
+The switches are the fields of the type Faults of each package (fabric: Topology).`
+}
+
 // runner is a subcommand. Run returns when ctx ends or its work is done.
 type runner interface {
 	Run(ctx context.Context, log *zap.Logger) error
--- a/standin/relay/tcp.go
+++ b/standin/relay/tcp.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"time"
 
@@ -139,7 +138,3 @@
 		_ = tcp.CloseWrite()
 	}
 }
-
-func isClosed(err error) bool {
-	return errors.Is(err, net.ErrClosed)
-}
--- a/standin/relay/udp.go
+++ b/standin/relay/udp.go
@@ -1,8 +1,12 @@
 package relay
 
 import (
+	"errors"
 	"net"
 	"net/netip"
+	"os"
+	"sync/atomic"
+	"time"
 
 	"bergamotbank/standin/link"
 )
@@ -12,6 +16,8 @@
 	// maxSessions bounds the UDP address pairs of one listen address. A datagram
 	// from a further source is dropped.
 	maxSessions = 4096
+	// idleTimeout is how long a session without datagrams is kept.
+	idleTimeout = time.Minute
 )
 
 // session is the UDP address pair of one source. It has a socket of its own
@@ -20,6 +26,9 @@
 	source netip.AddrPort
 	conn   *net.UDPConn
 	epoch  int64
+	// used is set by each datagram from the source and cleared when the session
+	// is checked for idleness.
+	used atomic.Bool
 }
 
 // receiveUDP relays datagrams to the target until the socket is closed.
@@ -44,6 +53,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s, ok := r.sessions[source]; ok {
+		s.used.Store(true)
 		return s
 	}
 	if len(r.sessions) >= maxSessions {
@@ -59,21 +69,36 @@
 	return s
 }
 
-// receiveAnswers relays datagrams of the target to the source of a session. A
-// target that does not listen ends nothing.
+// receiveAnswers relays datagrams of the target to the source of a session until
+// the session ends. A target that does not listen ends nothing.
 func (r *relay) receiveAnswers(s *session) {
 	buffer := make([]byte, maxDatagramBytes)
 	for {
+		_ = s.conn.SetReadDeadline(time.Now().Add(idleTimeout))
 		n, err := s.conn.Read(buffer)
 		switch {
 		case err == nil:
 			r.pass(fromTarget, s, buffer[:n])
-		case isClosed(err):
+		case errors.Is(err, net.ErrClosed):
+			return
+		case errors.Is(err, os.ErrDeadlineExceeded) && !s.used.Swap(false):
+			r.end(s)
 			return
 		}
 	}
 }
 
+// end closes an idle session. One that has gone silent is still remembered, so
+// that it stays silent.
+func (r *relay) end(s *session) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_ = s.conn.Close()
+	if s.epoch == r.epoch.Load() {
+		delete(r.sessions, s.source)
+	}
+}
+
 // pass applies the faults to a datagram and sends it on.
 func (r *relay) pass(d direction, s *session, datagram []byte) {
 	faults := r.current()
