Server stand-in: count the request that was too many; reset reads while fallen

The request that makes it fall or shed counts now. Status streams and downloads that arrive while the server has fallen are reset, as orders are.

--- a/standin/server/capacity.go
+++ b/standin/server/capacity.go
@@ -11,8 +11,8 @@
 	StateCold State = "cold"
 	// StateWarm bears as much as it has slots.
 	StateWarm State = "warm"
-	// StateFallen has fallen over under load and resets every connection. It
-	// comes back cold.
+	// StateFallen has fallen over under load and resets every request. Open
+	// streams go on. It comes back cold.
 	StateFallen State = "fallen"
 	// StateDraining takes no new work.
 	StateDraining State = "draining"
@@ -29,7 +29,7 @@
 	ColdQueue int
 	// ColdFor is how long the server stays cold.
 	ColdFor time.Duration
-	// FallenFor is how long the server resets connections after it fell over.
+	// FallenFor is how long the server resets requests after it fell over.
 	FallenFor time.Duration
 	// ShedAbove is the number of requests inside above which the server sheds
 	// load by itself; 0 means that it never does.
--- a/standin/server/command.go
+++ b/standin/server/command.go
@@ -40,7 +40,7 @@
 	ColdSlots     int            `arg:"--cold-slots" default:"1" help:"requests that run at the same time while cold"`
 	ColdQueue     int            `arg:"--cold-queue" default:"1" help:"requests that may wait while cold"`
 	ColdSlowdown  float64        `arg:"--cold-slowdown" default:"4" help:"factor of the work time while cold"`
-	Fallen        time.Duration  `arg:"--fallen" default:"1s" help:"time that the server resets connections after it fell over"`
+	Fallen        time.Duration  `arg:"--fallen" default:"1s" help:"time that the server resets requests after it fell over"`
 	ShedAbove     int            `arg:"--shed-above" default:"0" help:"requests inside above which the server answers 503; 0: never"`
 	SlotDownloads bool           `arg:"--slot-downloads" help:"downloads take a slot"`
 	Seed          uint64         `arg:"--seed" default:"1" help:"seed of work times and of faults drawn at random"`
--- a/standin/server/counters.go
+++ b/standin/server/counters.go
@@ -13,7 +13,8 @@
 	// FallsCold and FallsWarm count how often the server fell over.
 	FallsCold uint64 `json:"falls_cold"`
 	FallsWarm uint64 `json:"falls_warm"`
-	// PeakCold and PeakWarm are the largest numbers of requests inside.
+	// PeakCold and PeakWarm are the largest numbers of requests inside, with the
+	// one that made the server fall over or shed.
 	PeakCold int64 `json:"peak_cold"`
 	PeakWarm int64 `json:"peak_warm"`
 	// Streams is the number of open status streams.
@@ -52,12 +53,12 @@
 }
 
 // observeLoad keeps the largest load. The caller serializes the calls.
-func (c *counters) observeLoad(inside int, cold bool) {
+func (c *counters) observeLoad(offered int, cold bool) {
 	peak := &c.peakWarm
 	if cold {
 		peak = &c.peakCold
 	}
-	if int64(inside) > peak.Load() {
-		peak.Store(int64(inside))
+	if int64(offered) > peak.Load() {
+		peak.Store(int64(offered))
 	}
 }
--- a/standin/server/health.go
+++ b/standin/server/health.go
@@ -31,7 +31,8 @@
 type LoadSample struct {
 	At time.Time `json:"at"`
 	Load
-	// Peak is the largest number of requests inside since the sample before.
+	// Peak is the largest number of requests since the sample before, with one
+	// that made the server fall over or shed.
 	Peak int `json:"peak"`
 	// Bears is the number of requests that may be inside in this state.
 	Bears int `json:"bears"`
--- a/standin/server/reads.go
+++ b/standin/server/reads.go
@@ -30,7 +30,7 @@
 // status streams a line per interval until the caller leaves or, if the query
 // has a limit, until that many lines.
 func (b *backend) status(w http.ResponseWriter, r *http.Request) {
-	if b.refuse(w, Faults{Drain: b.faults.Get().Drain}) {
+	if b.refuse(w, Faults{Drain: b.faults.Get().Drain}) || b.resetFallen(w) {
 		return
 	}
 	interval, limit, err := statusQuery(r)
@@ -55,6 +55,16 @@
 	}
 }
 
+// resetFallen resets the connection while the server has fallen over.
+func (b *backend) resetFallen(w http.ResponseWriter) bool {
+	state, _, _ := b.slots.load()
+	if state != StateFallen {
+		return false
+	}
+	b.reset(w)
+	return true
+}
+
 func statusQuery(r *http.Request) (interval time.Duration, limit uint64, err error) {
 	interval = defaultStatusInterval
 	query := r.URL.Query()
@@ -71,7 +81,7 @@
 // trailer when the query asks for chunks, else a header.
 func (b *backend) download(w http.ResponseWriter, r *http.Request) {
 	faults := b.faults.Get()
-	if b.refuse(w, faults) || b.resetEarly(w, r, faults) {
+	if b.refuse(w, faults) || b.resetEarly(w, r, faults) || b.resetFallen(w) {
 		return
 	}
 	size, err := downloadBytes(r)
--- a/standin/server/slots.go
+++ b/standin/server/slots.go
@@ -16,7 +16,8 @@
 	fallen   context.Context
 	fall     context.CancelFunc
 	counts   *counters
-	// peak is the largest number of requests inside since it was last taken.
+	// peak is the largest number of requests inside since it was last taken. The
+	// one that made the server fall over or shed counts too.
 	peak int
 }
 
@@ -38,6 +39,7 @@
 	s.mu.Lock()
 	now := time.Now()
 	cold := s.capacity.state(now) == StateCold
+	offered := s.capacity.running + s.capacity.waiting + 1
 	verdict := s.capacity.arrive(now)
 	t := ticket{fallen: s.fallen}
 	var turn chan struct{}
@@ -49,9 +51,10 @@
 		s.endAll(cold)
 	default:
 	}
-	inside := s.capacity.running + s.capacity.waiting
-	s.counts.observeLoad(inside, cold)
-	s.peak = max(s.peak, inside)
+	if verdict != admitReset {
+		s.counts.observeLoad(offered, cold)
+		s.peak = max(s.peak, offered)
+	}
 	s.mu.Unlock()
 	if verdict != admitWait {
 		return t, verdict
@@ -136,7 +139,7 @@
 	return s.capacity.state(time.Now()), s.capacity.running, s.capacity.waiting
 }
 
-// takePeak returns the largest number of requests inside since the last call and
+// takePeak returns the largest number of requests since the last call and
 // the number that may be inside now.
 func (s *slots) takePeak() (peak, bears int) {
 	s.mu.Lock()
