--- a/standin/caller/plot.go
+++ b/standin/caller/plot.go
@@ -18,6 +18,9 @@
 const (
 	plotWidth  = 24 * vg.Centimeter
 	plotHeight = 18 * vg.Centimeter
+	// headroom is the factor by which a plot is higher than its largest value, so
+	// that the legend has room.
+	headroom = 1.25
 )
 
 // curve is one line of a plot.
@@ -102,6 +105,7 @@
 			return nil, err
 		}
 	}
+	p.Y.Max *= headroom
 	return p, nil
 }
 
