--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -97,11 +97,13 @@
 		Recorder: a.recorder,
 		Apply:    a.applySnapshot,
 	})
+	client := a.store()
 	var err error
 	a.announcer, err = membership.NewAnnouncer(membership.AnnouncerOptions{
 		Self:      a.self(),
 		Seeds:     a.settings.Seeds,
-		Directory: directory.New(a.store()),
+		Directory: directory.New(client),
+		Domains:   directory.Domains(client, a.currentConfig),
 		Recorder:  a.recorder,
 		Clock:     a.ring.Clock(),
 		Version:   func() uint64 { return a.spreader.Current().Version },
@@ -121,6 +123,11 @@
 	return store.NewClient(store.Options{Address: a.settings.Store.String(), Recorder: a.recorder})
 }
 
+// currentConfig returns the configuration in force, nil before the first.
+func (a *Agent) currentConfig() *config.Config {
+	return a.spreader.Current().Config
+}
+
 func (a *Agent) self() membership.Record {
 	return membership.Record{
 		Server:  a.settings.Agent.Server,
