--- a/standin/caller/outcome.go
+++ b/standin/caller/outcome.go
@@ -30,6 +30,8 @@
 	// OutcomeGap is a status stream that lost or repeated a line or changed its
 	// server.
 	OutcomeGap
+	// OutcomeCanceled is a request that the caller gave up on purpose.
+	OutcomeCanceled
 	// OutcomeOverrun is an arrival that was not sent, because too many requests
 	// were in flight at the caller.
 	OutcomeOverrun
@@ -39,7 +41,7 @@
 
 var outcomeNames = [outcomeCount]string{
 	"answered", "not_run", "unknown", "rejected", "not_connected", "broken",
-	"timeout", "cut", "wrong_service", "crossed", "gap", "overrun",
+	"timeout", "cut", "wrong_service", "crossed", "gap", "canceled", "overrun",
 }
 
 // String returns the name of the outcome in reports.
--- a/standin/caller/report.go
+++ b/standin/caller/report.go
@@ -54,6 +54,7 @@
 	WrongService uint64  `json:"wrong_service"`
 	Crossed      uint64  `json:"crossed"`
 	Gap          uint64  `json:"gap"`
+	Canceled     uint64  `json:"canceled"`
 	Overrun      uint64  `json:"overrun"`
 	Repeats      uint64  `json:"repeats"`
 	Bytes        int64   `json:"bytes"`
@@ -88,6 +89,7 @@
 	r.WrongService = counts[OutcomeWrongService]
 	r.Crossed = counts[OutcomeCrossed]
 	r.Gap = counts[OutcomeGap]
+	r.Canceled = counts[OutcomeCanceled]
 	r.Overrun = counts[OutcomeOverrun]
 }
 
--- a/standin/caller/requestlog.go
+++ b/standin/caller/requestlog.go
@@ -21,9 +21,14 @@
 	// Request is the common part of the X-Request-Id of the tries.
 	Request  string    `json:"request"`
 	Outcomes []Outcome `json:"outcomes"`
-	Server   string    `json:"server,omitempty"`
-	Arrived  time.Time `json:"arrived"`
-	Ended    time.Time `json:"ended"`
+	// TryNotRun tells for each try whether its answer promised that this try did
+	// not run.
+	TryNotRun []bool `json:"try_not_run"`
+	// Twin tells that the first two tries were sent at once.
+	Twin    bool      `json:"twin,omitempty"`
+	Server  string    `json:"server,omitempty"`
+	Arrived time.Time `json:"arrived"`
+	Ended   time.Time `json:"ended"`
 }
 
 // Try returns the X-Request-Id of a try, counted from 0.
--- a/standin/caller/run.go
+++ b/standin/caller/run.go
@@ -133,6 +133,11 @@
 		recorder:  r,
 		requests:  l.requests,
 		random:    rand.New(rand.NewPCG(c.Seed, stream)),
+		manners: manners{
+			cancelShare: c.CancelShare,
+			cancelAfter: c.CancelAfter,
+			twinShare:   c.TwinShare,
+		},
 	}
 }
 
@@ -151,6 +156,7 @@
 		recorder:  r,
 		requests:  l.requests,
 		random:    rand.New(rand.NewPCG(c.Seed, 3)),
+		manners:   manners{bytesPerSecond: c.DownloadRate},
 	}
 }
 
