Fabric stand-in: fork packets to a second balancer

Two agents answer one SYN when two balancers with different views get it. The fork share sends a copy of a packet for a service to another balancer.

--- a/standin/fabric/counters.go
+++ b/standin/fabric/counters.go
@@ -13,12 +13,14 @@
 	Lost        uint64 `json:"lost"`
 	Overflow    uint64 `json:"overflow"`
 	Duplicated  uint64 `json:"duplicated"`
+	Forked      uint64 `json:"forked"`
 	WriteErrors uint64 `json:"write_errors"`
 }
 
 type counters struct {
 	verdicts    [verdictCount]atomic.Uint64
 	duplicated  atomic.Uint64
+	forked      atomic.Uint64
 	writeErrors atomic.Uint64
 }
 
@@ -37,6 +39,7 @@
 		Lost:        c.verdicts[verdictLost].Load(),
 		Overflow:    c.verdicts[verdictOverflow].Load(),
 		Duplicated:  c.duplicated.Load(),
+		Forked:      c.forked.Load(),
 		WriteErrors: c.writeErrors.Load(),
 	}
 }
--- a/standin/fabric/fabric_test.go
+++ b/standin/fabric/fabric_test.go
@@ -86,6 +86,35 @@
 	})
 }
 
+func TestOtherBalancer(t *testing.T) {
+	b3 := netip.MustParseAddrPort("127.0.3.3:7000")
+	cases := []struct {
+		name      string
+		receiver  netip.AddrPort
+		balancers []netip.AddrPort
+		others    []netip.AddrPort
+	}{
+		{"of three", b2, []netip.AddrPort{b1, b2, b3}, []netip.AddrPort{b1, b3}},
+		{"of one", b1, []netip.AddrPort{b1}, nil},
+		{"of a packet to a caller", udpA, []netip.AddrPort{b1, b2}, nil},
+	}
+	for _, c := range cases {
+		convey.Convey("A second balancer "+c.name, t, func() {
+			r := newRouter(services, 1)
+			met := make(map[netip.AddrPort]bool)
+			for range 100 {
+				if other, ok := r.other(c.receiver, c.balancers); ok {
+					met[other] = true
+				}
+			}
+			convey.So(met, convey.ShouldHaveLength, len(c.others))
+			for _, other := range c.others {
+				convey.So(met[other], convey.ShouldBeTrue)
+			}
+		})
+	}
+}
+
 func TestLaggingHealth(t *testing.T) {
 	convey.Convey("A result counts when it is as old as the lag", t, func() {
 		start := time.Unix(1000, 0)
--- a/standin/fabric/forwarder.go
+++ b/standin/fabric/forwarder.go
@@ -120,6 +120,14 @@
 		return
 	}
 	f.pass(packet, link.Pair{From: from, To: to}, network, now)
+	if !f.schedule.Hit(network.fork) {
+		return
+	}
+	if second, ok := f.router.other(to, targets); ok {
+		f.counters.forked.Add(1)
+		f.traffic.count(from, second, now)
+		f.pass(packet, link.Pair{From: from, To: second}, network, now)
+	}
 }
 
 // pass applies blocks and the link between two addresses.
--- a/standin/fabric/router.go
+++ b/standin/fabric/router.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 )
 
 const (
@@ -76,6 +77,17 @@
 	return to, verdictForward
 }
 
+// other draws a balancer besides the one that gets a packet. There is none when
+// the receiver is not a balancer or the only one.
+func (r *router) other(receiver netip.AddrPort, balancers []netip.AddrPort) (netip.AddrPort, bool) {
+	index := slices.Index(balancers, receiver)
+	if index < 0 || len(balancers) < 2 {
+		return netip.AddrPort{}, false
+	}
+	step := 1 + r.random.IntN(len(balancers)-1)
+	return balancers[(index+step)%len(balancers)], true
+}
+
 // learn remembers where an inner address outside of the services is.
 func (r *router) learn(source netip.Addr, from netip.AddrPort) {
 	if r.services.Contains(source) || r.learned[source] == from {
--- a/standin/fabric/topology.go
+++ b/standin/fabric/topology.go
@@ -21,6 +21,9 @@
 	Default link.Link `toml:"default" json:"default"`
 	// Links holds the links that differ from Default, one per direction.
 	Links []link.Link `toml:"link" json:"links"`
+	// Fork is the share of packets to services, from 0 to 1, of which a second
+	// balancer gets a copy.
+	Fork float64 `toml:"fork" json:"fork"`
 	// Blocked holds the address pairs between which nothing passes.
 	Blocked []link.Pair `toml:"blocked" json:"blocked"`
 }
@@ -59,6 +62,7 @@
 	links     map[domains]*link.Link
 	fallback  *link.Link
 	blocked   map[link.Pair]bool
+	fork      float64
 	// plain tells that every packet passes at once.
 	plain bool
 }
@@ -69,6 +73,7 @@
 		links:     make(map[domains]*link.Link),
 		fallback:  &t.Default,
 		blocked:   make(map[link.Pair]bool),
+		fork:      t.Fork,
 	}
 	for _, member := range t.Members {
 		if member.Address.IsValid() {
@@ -83,7 +88,7 @@
 	for _, pair := range t.Blocked {
 		n.blocked[pair] = true
 	}
-	n.plain = len(t.Links) == 0 && len(t.Blocked) == 0 && t.Default == link.Link{}
+	n.plain = len(t.Links) == 0 && len(t.Blocked) == 0 && t.Fork == 0 && t.Default == link.Link{}
 	return n
 }
 
