Start over after a pause, and elect watchers only once peers are known

A fleet restarted at once, whose processes get to know each other 300 ms later, made 320 calls to the store for 64 processes: each one, alone at first, took itself for a watcher. Election now waits for peers, at most a second; the test is the one that failed. A process that was paused for more than three seconds asks several peers again before it is ready. Versions are handed over to three balancers of each failure domain side by side.

--- a/process/ctl/apply.go
+++ b/process/ctl/apply.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"bergamotbank/errkind"
@@ -16,7 +18,7 @@
 const (
 	// offersPerDomain is the number of balancers of each failure domain that
 	// get an accepted version handed directly.
-	offersPerDomain = 2
+	offersPerDomain = 3
 	// pollInterval is the pause between two looks at the fleet.
 	pollInterval = 200 * time.Millisecond
 )
@@ -115,22 +117,34 @@
 	if result.Made == nil {
 		return 0
 	}
-	tried := make(map[string]int)
-	taken := 0
-	for _, p := range before.processes {
-		if p.Leaf || tried[p.Domain] >= offersPerDomain {
-			continue
-		}
+	var taken atomic.Int64
+	var wait sync.WaitGroup
+	for _, p := range before.candidates() {
 		control, err := parseControl(p.Control)
 		if err != nil {
 			continue
 		}
-		if c.operator.Offer(ctx, control, *result.Made, result.Fresh) == nil {
-			tried[p.Domain]++
-			taken++
+		wait.Go(func() {
+			if c.operator.Offer(ctx, control, *result.Made, result.Fresh) == nil {
+				taken.Add(1)
+			}
+		})
+	}
+	wait.Wait()
+	return int(taken.Load())
+}
+
+// candidates returns a few balancers of each failure domain.
+func (f fleet) candidates() []spread.ProcessStatus {
+	var chosen []spread.ProcessStatus
+	count := make(map[string]int)
+	for _, p := range f.processes {
+		if !p.Leaf && count[p.Domain] < offersPerDomain {
+			count[p.Domain]++
+			chosen = append(chosen, p)
 		}
 	}
-	return taken
+	return chosen
 }
 
 // waitInForce looks at the fleet until the version is in force everywhere or
--- a/process/ctl/fleet.go
+++ b/process/ctl/fleet.go
@@ -111,7 +111,7 @@
 
 // survey asks the seeds, and the balancers that they know of, for their status.
 func (c *command) survey(ctx context.Context, from seeds) fleet {
-	f := fleet{unlisted: from.unlisted}
+	f := fleet{processes: []spread.ProcessStatus{}, missing: []Missing{}, unlisted: from.unlisted}
 	peers := from.peers
 	asked := make(map[netip.AddrPort]bool)
 	for len(peers) > 0 {
--- a/process/ctl/status.go
+++ b/process/ctl/status.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"bergamotbank/errkind"
 	"bergamotbank/version/publish"
 	"bergamotbank/version/spread"
 )
 
+// oldContact is the age of a contact with the store that is worth a remark.
+const oldContact = 10 * time.Second
+
 type statusOutput struct {
 	// Stored is the version in the store; 0 when it is unknown.
 	Stored uint64 `json:"stored"`
@@ -57,6 +61,9 @@
 	if !p.Ready {
 		line += " not ready"
 	}
+	if p.StoreAgeMillis > oldContact.Milliseconds() {
+		line += fmt.Sprintf(" no word of the store for %d s", p.StoreAgeMillis/1000)
+	}
 	if p.Watching {
 		line += " watching"
 	}
--- a/version/config/diff.go
+++ b/version/config/diff.go
@@ -51,7 +51,9 @@
 	if after == nil {
 		after = &Config{}
 	}
-	return append(diffDomains(before, after), diffServices(before, after)...)
+	changes := []Change{}
+	changes = append(changes, diffDomains(before, after)...)
+	return append(changes, diffServices(before, after)...)
 }
 
 func diffDomains(before, after *Config) []Change {
--- a/version/spread/failure_test.go
+++ b/version/spread/failure_test.go
@@ -192,7 +192,7 @@
 		f := newFleet(t)
 		f.publishText(0)
 		before := f.store.Calls()
-		f.startTogether(domains, each)
+		f.startTogether(domains, each, 300*time.Millisecond)
 		eventually(t, "version 1 in force", f.inForce(1))
 		calls := f.store.Calls() - before
 		convey.So(calls, convey.ShouldBeLessThan, 2*domains*each)
--- a/version/spread/fleet_test.go
+++ b/version/spread/fleet_test.go
@@ -168,21 +168,20 @@
 	}
 }
 
-// startTogether adds processes that know each other from their first moment.
-func (f *fleet) startTogether(domains, each int) {
-	known := make(chan struct{})
-	var all []spread.Peer
-	peers := func() []spread.Peer {
-		<-known
-		return all
-	}
+// startTogether adds processes that get to know each other a while after their
+// start, as membership takes its time.
+func (f *fleet) startTogether(domains, each int, while time.Duration) {
+	var all atomic.Pointer[[]spread.Peer]
+	all.Store(&[]spread.Peer{})
+	peers := func() []spread.Peer { return *all.Load() }
 	for d := range domains {
 		for i := range each {
 			f.start(fmt.Sprintf("balancer-%d-%d", d, i), fmt.Sprintf("domain-%d", d), false, peers)
 		}
 	}
-	all = f.peers()
-	close(known)
+	time.Sleep(while)
+	known := f.peers()
+	all.Store(&known)
 }
 
 // watchers returns the processes that watch the store.
--- a/version/spread/machine.go
+++ b/version/spread/machine.go
@@ -17,7 +17,10 @@
 	// notices and heartbeats.
 	leafAskInterval = 2 * time.Second
 	// peersPatience is the time that a starting process waits for peers.
-	peersPatience = 500 * time.Millisecond
+	peersPatience = time.Second
+	// pausePatience is the time between two rounds of regular work after which
+	// a process takes itself for paused and starts over.
+	pausePatience = 3 * time.Second
 	// startPatience is the time that a starting process waits for the answers of
 	// its first questions.
 	startPatience = 2 * time.Second
@@ -93,6 +96,8 @@
 	near    []Peer
 	far     []Peer
 	started time.Time
+	// ticked is the time of the latest regular work.
+	ticked time.Time
 	// askedAt is the time of the first questions, zero before.
 	askedAt  time.Time
 	watching bool
@@ -151,10 +156,10 @@
 // tick does the regular work. contact is the time of the last answer of the
 // store to this process.
 func (m *machine) tick(now time.Time, peers []Peer, contact time.Time) []action {
-	if m.started.IsZero() {
-		m.started = now
-		m.peerContact = now
+	if m.ticked.IsZero() || now.Sub(m.ticked) > pausePatience {
+		m.begin(now)
 	}
+	m.ticked = now
 	m.know(peers)
 	m.heardStore(contact)
 	var actions []action
@@ -166,6 +171,21 @@
 	return actions
 }
 
+// begin starts the process, and starts it over after a pause, in which it may
+// have missed versions: it keeps its version, but is not ready until it has
+// asked again.
+func (m *machine) begin(now time.Time) {
+	m.started = now
+	m.peerContact = now
+	m.askedAt = time.Time{}
+	m.synchronized = false
+	m.storeHeard = false
+	clear(m.firstOpen)
+	clear(m.open)
+	m.fetching = hint{}
+	m.waiting = hint{}
+}
+
 func (m *machine) heardStore(contact time.Time) {
 	if contact.After(m.storeContact) {
 		m.storeContact = contact
@@ -174,7 +194,7 @@
 
 // electWatcher starts or stops watching as the peers come and go.
 func (m *machine) electWatcher() []action {
-	if m.leaf {
+	if m.leaf || m.alone(m.ticked) {
 		return nil
 	}
 	chosen := isWatcher(m.self, m.near)
@@ -194,7 +214,7 @@
 	if m.asked() {
 		return m.endStart(now)
 	}
-	if m.peerCount() == 0 && now.Sub(m.started) < peersPatience {
+	if m.alone(now) {
 		return nil
 	}
 	m.askedAt = now
@@ -209,6 +229,13 @@
 	return append(actions, m.release()...)
 }
 
+// alone tells whether a starting process still waits to get to know peers. Until
+// then it must not take itself for a watcher: all processes of a fleet that is
+// restarted would.
+func (m *machine) alone(now time.Time) bool {
+	return m.peerCount() == 0 && now.Sub(m.started) < peersPatience
+}
+
 // startStore awaits the first answer of the store: a watcher gets it from its
 // watch, others read once unless the fleet is large.
 func (m *machine) startStore() []action {
--- a/version/spread/machine_test.go
+++ b/version/spread/machine_test.go
@@ -174,6 +174,29 @@
 	}
 }
 
+// TestPausedProcess checks that a process which was paused is not ready until it
+// has asked several peers again.
+func TestPausedProcess(t *testing.T) {
+	m := newModel(1, 2, 3, 3*time.Millisecond)
+	m.publish()
+	m.advance(5 * time.Second)
+	p := m.processes[0]
+	resumed := m.now.Add(10 * time.Second)
+	actions := p.machine.tick(resumed, m.peers(), p.contact)
+	asked := 0
+	for _, a := range actions {
+		if a.kind == actAsk {
+			asked++
+		}
+	}
+	if p.machine.status(resumed).synchronized || asked != startQuestions {
+		t.Fatalf("resumed, ready %v, %d questions", p.machine.status(resumed).synchronized, asked)
+	}
+	if p.machine.version() != 1 {
+		t.Fatalf("version %d after the pause", p.machine.version())
+	}
+}
+
 // TestOneFetchPerVersion checks that notices of one version lead to one fetch.
 func TestOneFetchPerVersion(t *testing.T) {
 	m := newMachine(machineOptions{self: Peer{Name: "a"}, random: newModel(1, 1, 1, time.Millisecond).random})
