--- a/version/spread/machine_test.go
+++ b/version/spread/machine_test.go
@@ -64,11 +64,14 @@
 				pick().learn(v, true)
 				m.storeUp = false
 			},
-			"store down":  func(*rapid.T) { m.storeUp = false },
-			"store up":    func(*rapid.T) { m.storeUp = true },
-			"cut":         func(*rapid.T) { pick().cut = true },
-			"heal":        func(*rapid.T) { pick().cut = false },
-			"restart":     func(*rapid.T) { pick().restart() },
+			"store down": func(*rapid.T) { m.storeUp = false },
+			"store up":   func(*rapid.T) { m.storeUp = true },
+			"cut":        func(*rapid.T) { pick().cut = true },
+			"heal":       func(*rapid.T) { pick().cut = false },
+			"restart":    func(*rapid.T) { pick().restart() },
+			"pause": func(t *rapid.T) {
+				pick().pausedUntil = m.now.Add(time.Duration(rapid.IntRange(1, 8).Draw(t, "s")) * time.Second)
+			},
 			"reads fail":  func(*rapid.T) { m.failReads = 2 },
 			"short while": func(t *rapid.T) { m.advance(time.Duration(rapid.IntRange(1, 50).Draw(t, "ms")) * time.Millisecond) },
 			"long while":  func(t *rapid.T) { m.advance(time.Duration(rapid.IntRange(1, 12).Draw(t, "s")) * time.Second) },
--- a/version/spread/sim_test.go
+++ b/version/spread/sim_test.go
@@ -71,7 +71,9 @@
 	// the store alone does not.
 	cut      bool
 	storeCut bool
-	watching bool
+	// pausedUntil is the end of the latest pause.
+	pausedUntil time.Time
+	watching    bool
 	// seen is the latest version that the watch has told about.
 	seen    uint64
 	contact time.Time
@@ -186,11 +188,16 @@
 	p.onLife(time.Duration(p.model.random.Int64N(int64(DefaultTick))), p.tick)
 }
 
-// onLife runs a step later unless the process has restarted meanwhile.
+// onLife runs a step later unless the process has restarted meanwhile; a paused
+// process runs it when it resumes.
 func (p *modelProcess) onLife(d time.Duration, run func()) {
 	life := p.life
 	p.model.after(d, func() {
-		if p.life == life {
+		switch {
+		case p.life != life:
+		case p.model.now.Before(p.pausedUntil):
+			p.onLife(p.pausedUntil.Sub(p.model.now), run)
+		default:
 			run()
 		}
 	})
