--- a/request/admission/fleet_test.go
+++ b/request/admission/fleet_test.go
@@ -28,10 +28,12 @@
 	mu     sync.Mutex
 	agents map[string]*agent
 	// cut tells that agents on different sides neither see nor reach each other.
-	cut    bool
-	runs   map[string]int
-	serve  func(agent string, w http.ResponseWriter, r *http.Request)
-	issued uint64
+	cut bool
+	// hideDrain lets agents be seen warm while they drain.
+	hideDrain bool
+	runs      map[string]int
+	serve     func(agent string, w http.ResponseWriter, r *http.Request)
+	issued    uint64
 }
 
 type agent struct {
@@ -158,7 +160,7 @@
 			control = a.far
 		}
 		state := limit.Warm
-		if a.gate.draining.Load() {
+		if a.gate.draining.Load() && !f.hideDrain {
 			state = limit.Draining
 		}
 		siblings = append(siblings, Sibling{
--- a/request/admission/gate_test.go
+++ b/request/admission/gate_test.go
@@ -238,6 +238,7 @@
 			<-r.Context().Done()
 			close(gone)
 		}), Options{})
+		b.gate.SetLimits(1, 100, time.Hour)
 		ctx, cancel := context.WithCancel(context.Background())
 		req, _ := http.NewRequestWithContext(ctx, http.MethodGet, b.front.URL, nil)
 		go func() {
@@ -246,7 +247,14 @@
 		}()
 		_, err := b.client.Do(req)
 		convey.So(err, convey.ShouldNotBeNil)
-		<-gone
+		waitFor(t, "the backend server sees the cancellation", func() bool {
+			select {
+			case <-gone:
+				return true
+			default:
+				return false
+			}
+		})
 	})
 }
 
--- a/request/admission/handoff_test.go
+++ b/request/admission/handoff_test.go
@@ -79,12 +79,18 @@
 	})
 	convey.Convey("All siblings leaving: the hop limit ends the search", t, func() {
 		f := newFleet(t, 3)
+		f.hideDrain = true
 		for _, a := range f.list() {
 			a.drainNow()
 		}
 		got := f.agent("s1").post("tags")
 		convey.So(got.promise(), convey.ShouldEqual, "503 draining not-run not-run")
 		convey.So(f.ran(""), convey.ShouldEqual, 0)
+		handedOff := uint64(0)
+		for _, a := range f.list() {
+			handedOff += a.gate.Counters().HandedOff
+		}
+		convey.So(handedOff, convey.ShouldEqual, 1)
 	})
 	convey.Convey("A sibling that cannot be reached leaves the request not run", t, func() {
 		f := newFleet(t, 2)
