--- a/request/lifecycle/controller.go
+++ b/request/lifecycle/controller.go
@@ -14,7 +14,7 @@
 
 const (
 	// queuePerSlot is the number of waiting requests per slot.
-	queuePerSlot = 16
+	queuePerSlot = 8
 	// drainGrace is the time in which requests that waited when a drain began may
 	// still start.
 	drainGrace = 2 * time.Second
--- a/request/limit/limit.go
+++ b/request/limit/limit.go
@@ -324,7 +324,7 @@
 	switch {
 	case l.draining:
 		return 0
-	case l.bad >= failedRun:
+	case l.pause > initialPause:
 		return failingWeight
 	case l.warm:
 		return FullWeight
--- a/request/limit/ramp.go
+++ b/request/limit/ramp.go
@@ -23,12 +23,15 @@
 	baselineShare = 16
 	// recentShare is the share (1/n) of a new sample in the recent latency.
 	recentShare = 4
-	// judgeSamples is the number of answers at a new limit, per unit, after which
-	// it is compared with the limit before.
-	judgeSamples = 3
+	// minSuccesses is the least number of successes that a growth needs, so that
+	// the mean latencies of two limits can be compared.
+	minSuccesses = 16
+	// judgeSamples is the number of answers at a new limit after which it is
+	// compared with the limit before.
+	judgeSamples = 12
 	// worseFactor in percent of the latency at the limit before means that the
 	// further request only waits.
-	worseFactor = 150
+	worseFactor = 125
 	// worseMargin is added to the bound of a worse latency.
 	worseMargin = 5 * time.Millisecond
 	// coldFactor in percent of the baseline latency means that the server is still
@@ -57,8 +60,11 @@
 
 // ramp measures how the backend server bears the present limit.
 type ramp struct {
-	since     time.Time
-	dwell     time.Duration
+	since time.Time
+	// dwell is the time at this limit before the next growth.
+	dwell time.Duration
+	// backoff is the dwell after the next growth that has to be taken back.
+	backoff   time.Duration
 	successes int
 	below     int
 	slow      int
@@ -78,7 +84,7 @@
 }
 
 func newRamp(now time.Time) ramp {
-	return ramp{since: now, dwell: initialDwell}
+	return ramp{since: now, dwell: initialDwell, backoff: initialDwell}
 }
 
 // usual returns the latency to expect from a healthy server.
@@ -159,7 +165,7 @@
 }
 
 func (r *ramp) isWorse(limit int) bool {
-	if r.before == 0 || limit < 2 || r.samples < judgeSamples*limit {
+	if r.before == 0 || limit < 2 || r.samples < judgeSamples {
 		return false
 	}
 	return r.mean() > r.before*worseFactor/100+worseMargin
@@ -170,7 +176,7 @@
 	if r.recent < r.first*fasterFactor/100 {
 		dwell = initialDwell
 	}
-	return r.successes >= growthSuccesses*limit && now.Sub(r.since) >= dwell && !r.stillCold(limit, now)
+	return r.successes >= max(growthSuccesses*limit, minSuccesses) && now.Sub(r.since) >= dwell && !r.stillCold(limit, now)
 }
 
 // stillCold compares with the latency of the warm server, if that is known. A
@@ -193,19 +199,21 @@
 	}
 	r.baseline += (r.mean() - r.baseline) / baselineShare
 	r.baselineAt = now
+	r.backoff = initialDwell
 	r.dwell = initialDwell
 	r.before = 0
 	r.restart(now)
 }
 
 func (r *ramp) stepUp(now time.Time) {
+	r.dwell = initialDwell
 	r.before = r.mean()
 	r.restart(now)
 }
 
 // stepBack returns to the limit below, for longer than the last time.
 func (r *ramp) stepBack(now time.Time) {
-	r.dwell = min(2*r.dwell, maxDwell)
+	r.lengthenDwell()
 	r.before = 0
 	r.restart(now)
 	r.first = 0
@@ -215,8 +223,9 @@
 // fall begins again. After a fall that no warm time came before, the next growth
 // waits longer.
 func (r *ramp) fall(warm bool, now time.Time) {
-	r.dwell = min(2*r.dwell, maxDwell)
+	r.lengthenDwell()
 	if warm {
+		r.backoff = initialDwell
 		r.dwell = initialDwell
 		r.baselineAt = now
 	}
@@ -226,6 +235,11 @@
 	r.first = 0
 }
 
+func (r *ramp) lengthenDwell() {
+	r.backoff = min(2*r.backoff, maxDwell)
+	r.dwell = r.backoff
+}
+
 func (r *ramp) restart(now time.Time) {
 	r.since = now
 	r.successes = 0
