Find the server to drain in a balancer's view when its homes are silent

Cause: bergamotctl knew agents only from the balancers they had asked lately, their homes, so with one home paused the drain ended with partial. A balancer's control address now lists the servers of its view, and drain asks there next.

--- /dev/null
+++ b/process/balancer/servers.go
@@ -0,0 +1,62 @@
+package balancer
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/netip"
+
+	"go.uber.org/zap"
+
+	"bergamotbank/process/membership"
+)
+
+// ServersPath is the path at the control address that lists the backend servers
+// of the balancer's view. The query parameter "server" asks for one by name.
+const ServersPath = "/servers"
+
+// serverParameter is the query parameter with the name of a server.
+const serverParameter = "server"
+
+// ServerEntry is one backend server of the view.
+type ServerEntry struct {
+	// Server is the name of the backend server.
+	Server string `json:"server"`
+	// Service is the service it announces.
+	Service string `json:"service"`
+	// Domain is its failure domain.
+	Domain string `json:"domain"`
+	// Control is the control address of its agent.
+	Control netip.AddrPort `json:"control"`
+	// State is its announced state.
+	State string `json:"state"`
+	// Weight is its share of new flows in percent of a full server.
+	Weight uint16 `json:"weight"`
+}
+
+// listServers answers with the backend servers of the view as JSON.
+func (b *Balancer) listServers(w http.ResponseWriter, r *http.Request) {
+	entries := serverEntries(b.node.View(), r.URL.Query().Get(serverParameter))
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(entries); err != nil {
+		b.logger.Warn("list servers", zap.Error(err))
+	}
+}
+
+// serverEntries returns the server with a name, every server when it is empty.
+func serverEntries(view membership.View, name string) []ServerEntry {
+	entries := []ServerEntry{}
+	for _, record := range view.Servers {
+		if name != "" && record.Server != name {
+			continue
+		}
+		entries = append(entries, ServerEntry{
+			Server:  record.Server,
+			Service: record.Service,
+			Domain:  record.Domain,
+			Control: record.Control,
+			State:   record.State.String(),
+			Weight:  record.Weight,
+		})
+	}
+	return entries
+}
--- a/process/ctl/drain.go
+++ b/process/ctl/drain.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
 	"net/netip"
+	"net/url"
 
 	"bergamotbank/errkind"
 )
@@ -13,6 +15,18 @@
 // drainPath is the endpoint of an agent that starts its drain.
 const drainPath = "/drain"
 
+// serversPath is the endpoint of a balancer that lists the backend servers of
+// its view.
+const serversPath = "/servers"
+
+// longestList bounds the answer to a look-up of one server, in bytes.
+const longestList = 64 << 10
+
+// listedServer is the part of a balancer's list that a drain needs.
+type listedServer struct {
+	Control string `json:"control"`
+}
+
 // longestRefusal bounds the part of a refusal that is quoted, in bytes.
 const longestRefusal = 500
 
@@ -30,15 +44,57 @@
 // drain asks the agent of a backend server to start its drain.
 func (c *command) drain(ctx context.Context, a *DrainCommand) error {
 	f := c.survey(ctx, c.findSeeds(ctx))
+	control, err := c.findAgent(ctx, f, a.Server)
+	if err != nil {
+		return err
+	}
+	return c.drainAgent(ctx, a.Server, control)
+}
+
+// findAgent returns the control address of the agent of a backend server: that
+// of an agent which one of the balancers reports, else that in the view of the
+// first balancer that has one. The homes of an agent may all be silent.
+func (c *command) findAgent(ctx context.Context, f fleet, server string) (string, error) {
+	for _, p := range f.processes {
+		if p.Leaf && p.Name == server {
+			return p.Control, nil
+		}
+	}
 	for _, p := range f.processes {
-		if p.Leaf && p.Name == a.Server {
-			return c.drainAgent(ctx, a.Server, p.Control)
+		if p.Leaf {
+			continue
+		}
+		control, ok := lookUpServer(ctx, p.Control, server)
+		if ok {
+			return control, nil
 		}
 	}
 	if err := f.complete(); err != nil {
-		return errkind.Wrap(err, errkind.Of(err), "server %q is not known to those that answer", a.Server)
+		return "", errkind.Wrap(err, errkind.Of(err), "server %q is not known to those that answer", server)
+	}
+	return "", errkind.New(errkind.NotFound, "server %q is not known to any balancer", server)
+}
+
+// lookUpServer asks a balancer for the control address of a server's agent.
+func lookUpServer(ctx context.Context, balancerControl, server string) (control string, ok bool) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	target := "http://" + balancerControl + serversPath + "?server=" + url.QueryEscape(server)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
+	if err != nil {
+		return "", false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return "", false
+	}
+	defer func() { _ = response.Body.Close() }()
+	var found []listedServer
+	err = json.NewDecoder(io.LimitReader(response.Body, longestList)).Decode(&found)
+	if err != nil || len(found) == 0 {
+		return "", false
 	}
-	return errkind.New(errkind.NotFound, "server %q is not known to any balancer", a.Server)
+	return found[0].Control, true
 }
 
 func (c *command) drainAgent(ctx context.Context, server, control string) error {
--- /dev/null
+++ b/process/ctl/drain_test.go
@@ -0,0 +1,36 @@
+package ctl
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+)
+
+func TestLookUpServer(t *testing.T) {
+	cases := []struct {
+		name, answer, want string
+		found              bool
+	}{
+		{"a listed server", `[{"control": "127.0.0.9:7001"}]`, "127.0.0.9:7001", true},
+		{"an unknown server", `[]`, "", false},
+		{"a broken answer", `{`, "", false},
+	}
+	for _, c := range cases {
+		convey.Convey("A balancer's view with "+c.name+" is read", t, func() {
+			balancer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Path != serversPath || r.URL.Query().Get("server") != "a" {
+					w.WriteHeader(http.StatusNotFound)
+					return
+				}
+				_, _ = w.Write([]byte(c.answer))
+			}))
+			defer balancer.Close()
+			control, ok := lookUpServer(t.Context(), strings.TrimPrefix(balancer.URL, "http://"), "a")
+			convey.So(ok, convey.ShouldEqual, c.found)
+			convey.So(control, convey.ShouldEqual, c.want)
+		})
+	}
+}
