endpoint: bound the retransmission timeout

Cause: the TCP stack doubles its retransmission timeout up to 120 s, so a feed stayed silent for nearly as long after an outage as the outage had lasted. With 15 retries the connection would now end after 45 s, so 100 are allowed, five minutes, as long as the keepalive probes.

--- a/connection/endpoint/bench_test.go
+++ b/connection/endpoint/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"runtime"
 	"slices"
 	"testing"
@@ -66,6 +67,58 @@
 	fmt.Printf("bench endpoint_echo_one_stream %.0f MB/s\n", size/1e6/time.Since(start).Seconds())
 }
 
+// BenchmarkOutage measures how long a feed stays silent after the fabric lost
+// every packet for a while.
+func BenchmarkOutage(b *testing.B) {
+	for b.Loop() {
+	}
+	for _, outage := range []time.Duration{1500 * time.Millisecond, 7 * time.Second} {
+		n := newNetwork(b, 2)
+		a := n.newEndpoint("feeding")
+		a.SetService(serviceAddr)
+		n.steerAll([]*agent{a}, servers(a))
+		n.wg.Go(func() { a.feed(n) })
+		s, err := n.open(n.newEndpoint("caller"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		n.setFaults(faults{loss: 1})
+		time.Sleep(outage)
+		drain(s)
+		n.setFaults(faults{})
+		start := time.Now()
+		_ = s.SetDeadline(start.Add(patience))
+		if _, err := s.Read(make([]byte, 1)); err != nil {
+			b.Fatal(err)
+		}
+		fmt.Printf("bench endpoint_silence_after_outage_of_%v %.2f s\n", outage, time.Since(start).Seconds())
+	}
+}
+
+// drain reads what has arrived.
+func drain(s *stream) {
+	_ = s.SetDeadline(time.Now().Add(10 * time.Millisecond))
+	_, _ = io.Copy(io.Discard, s)
+}
+
+// feed sends each caller the agent's name and then a byte every 100 ms.
+func (a *agent) feed(n *network) {
+	for {
+		c, err := a.Listen().Accept()
+		if err != nil {
+			return
+		}
+		n.wg.Go(func() {
+			for entry := a.name + "\n"; ; entry = "." {
+				if _, err := io.WriteString(c, entry); err != nil {
+					return
+				}
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+	}
+}
+
 func heap() uint64 {
 	runtime.GC()
 	runtime.GC()
--- a/connection/endpoint/netstack.go
+++ b/connection/endpoint/netstack.go
@@ -27,6 +27,11 @@
 	keepaliveCount    = 8
 	timeWait          = 10 * time.Second
 
+	// maxRTO bounds the silence after an outage, and maxRetries keeps a
+	// connection through an outage of five minutes.
+	maxRTO     = 3 * time.Second
+	maxRetries = 100
+
 	minBuffer     = 4 << 10   // bytes
 	defaultBuffer = 64 << 10  // bytes
 	maxBuffer     = 512 << 10 // bytes
@@ -85,7 +90,11 @@
 	wait := tcpip.TCPTimeWaitTimeoutOption(timeWait)
 	receive := tcpip.TCPReceiveBufferSizeRangeOption{Min: minBuffer, Default: defaultBuffer, Max: maxBuffer}
 	send := tcpip.TCPSendBufferSizeRangeOption{Min: minBuffer, Default: defaultBuffer, Max: maxBuffer}
-	for _, option := range []tcpip.SettableTransportProtocolOption{&sack, &recovery, &moderate, &wait, &receive, &send} {
+	rto := tcpip.TCPMaxRTOOption(maxRTO)
+	retries := tcpip.TCPMaxRetriesOption(maxRetries)
+	for _, option := range []tcpip.SettableTransportProtocolOption{
+		&sack, &recovery, &moderate, &wait, &receive, &send, &rto, &retries,
+	} {
 		if err := s.SetTransportProtocolOption(tcp.ProtocolNumber, option); err != nil {
 			return err
 		}
