steering: servers that all drain share the buckets

Cause: when every server of a service had weight 0, the table was empty and the balancers dropped the packets of open flows, though a draining server keeps its streams for hours. A test with two draining servers failed (no packet delivered after five minutes). Now they share the buckets; as draining agents they still refuse new flows.

--- a/connection/endpoint/endpoint_test.go
+++ b/connection/endpoint/endpoint_test.go
@@ -105,6 +105,8 @@
 		convey.So(a.Counters().Delivered, convey.ShouldEqual, delivered)
 		convey.So(a.Flows(), convey.ShouldEqual, 0)
 
+		a.SetService(netip.AddrPort{})
+		convey.So(a.Flows(), convey.ShouldEqual, 0)
 		a.SetService(serviceAddr)
 		s, err = n.open(caller)
 		convey.So(err, convey.ShouldBeNil)
--- a/connection/flows/flows_test.go
+++ b/connection/flows/flows_test.go
@@ -181,6 +181,18 @@
 			convey.So(o.path, convey.ShouldResemble, []int{0, 1})
 			convey.So(w.data(0, caller, holder).delivered, convey.ShouldBeTrue)
 		})
+		convey.Convey("flows live on while every server drains", func() {
+			holder := w.establish(0, caller)
+			w.settle([]steering.Server{drained(0), drained(1)})
+			w.pass(5 * time.Minute)
+			w.settle([]steering.Server{drained(0), drained(1), drained(2)})
+			w.pass(time.Second)
+			for balancer := range w.balancers {
+				o := w.data(balancer, caller, holder)
+				convey.So(o.delivered && o.agent == holder, convey.ShouldBeTrue)
+				convey.So(w.send(balancer, toService(caller+1, syn, 100, 0)).delivered, convey.ShouldBeFalse)
+			}
+		})
 		convey.Convey("a draining server without a successor drops them", func() {
 			w.agents[0].SetDraining(true)
 			w.agents[0].SetServers(fleet(0, 0), nil, w.now)
--- a/version/steering/table.go
+++ b/version/steering/table.go
@@ -36,7 +36,7 @@
 	// Incarnation is the run of the server's agent. It does not change the table.
 	Incarnation uint64
 	// Weight is the relative share of new flows, at most FullWeight; more counts
-	// as FullWeight. Weight 0 gives no buckets.
+	// as FullWeight. Weight 0 is a server that takes no new flows.
 	Weight uint16
 }
 
@@ -48,15 +48,16 @@
 }
 
 // Build returns the table of the given servers. The order of the input is
-// irrelevant. Servers of weight 0 own no bucket, and of several servers with
-// the same name only the first by address counts. At most 65,536 servers
-// take part; those with the last names are left out.
+// irrelevant. Servers of weight 0 own no bucket unless all have weight 0; then
+// they share the buckets, so that packets of their open flows still arrive. Of
+// several servers with the same name only the first by address counts. At most
+// 65,536 servers take part; those with the last names are left out.
 func Build(servers []Server) *Table {
 	return build(servers, minBucketsPerServer)
 }
 
 func build(servers []Server, perServer int) *Table {
-	weighted := sortedWeighted(servers)
+	weighted := sorted(withWeight(servers))
 	if len(weighted) == 0 {
 		return &Table{}
 	}
@@ -104,15 +105,31 @@
 	return slices.Equal(t.servers, other.servers) && slices.Equal(t.buckets, other.buckets)
 }
 
-func sortedWeighted(servers []Server) []Server {
+// withWeight returns the servers that take part, with their effective weights.
+func withWeight(servers []Server) []Server {
 	weighted := make([]Server, 0, len(servers))
 	for _, s := range servers {
-		s.Weight = min(s.Weight, FullWeight)
-		s.Incarnation = 0
 		if s.Weight > 0 {
-			weighted = append(weighted, s)
+			weighted = append(weighted, normal(s, min(s.Weight, FullWeight)))
 		}
 	}
+	if len(weighted) > 0 {
+		return weighted
+	}
+	for _, s := range servers {
+		weighted = append(weighted, normal(s, FullWeight))
+	}
+	return weighted
+}
+
+// normal returns the server with only what the table depends on.
+func normal(s Server, weight uint16) Server {
+	s.Incarnation = 0
+	s.Weight = weight
+	return s
+}
+
+func sorted(weighted []Server) []Server {
 	slices.SortFunc(weighted, func(a, b Server) int {
 		return cmp.Or(
 			cmp.Compare(a.Name, b.Name),
