flows: messages do not depend on the order of the flow table

The table is a map, so equal inputs gave messages in another order, which a test that compares two runs showed. Hashes and destinations are now sorted; releases go before registrations.

--- a/connection/flows/flows_test.go
+++ b/connection/flows/flows_test.go
@@ -357,6 +357,24 @@
 	})
 }
 
+func TestMessagesAreDeterministic(t *testing.T) {
+	convey.Convey("The same input gives the same messages", t, func() {
+		var runs [2][]flows.Message
+		for i := range runs {
+			w := newWorld(7, 1, flows.Options{})
+			w.settle(fleet(0, 0))
+			for caller := range 3000 {
+				w.establish(0, caller)
+			}
+			w.settle(append(fleet(1, 6), drained(0)))
+			w.now = w.now.Add(flows.TickInterval)
+			runs[i] = w.agents[0].Tick(w.now)
+		}
+		convey.So(len(runs[0]), convey.ShouldBeGreaterThan, 6)
+		convey.So(runs[0], convey.ShouldResemble, runs[1])
+	})
+}
+
 func drained(i int) steering.Server {
 	s := server(i)
 	s.Weight = 0
--- a/connection/flows/outbox.go
+++ b/connection/flows/outbox.go
@@ -1,7 +1,9 @@
 package flows
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 
 	"bergamotbank/connection/encap"
@@ -38,7 +40,7 @@
 // outbox gathers flow hashes into messages under a byte budget.
 type outbox struct {
 	queues map[queueKey][]uint64
-	// order holds the keys of queues, oldest first.
+	// order holds the keys of queues.
 	order  []queueKey
 	queued int
 	budget float64 // bytes
@@ -62,9 +64,21 @@
 	o.queued++
 }
 
+// sort makes the messages independent of the order in which flows were walked.
+// Releases go first, as a new flow may have the hash of an ended one.
+func (o *outbox) sort() {
+	slices.SortFunc(o.order, func(a, b queueKey) int {
+		return cmp.Or(cmp.Compare(b.kind, a.kind), a.to.Compare(b.to))
+	})
+	for _, hashes := range o.queues {
+		slices.Sort(hashes)
+	}
+}
+
 // drain returns the messages that the budget allows.
 func (o *outbox) drain(now time.Time) []Message {
 	o.refill(now)
+	o.sort()
 	var messages []Message
 	for len(o.order) > 0 && o.budget > 0 {
 		key := o.order[0]
