--- a/connection/datagram/conn.go
+++ b/connection/datagram/conn.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"syscall"
@@ -112,7 +113,12 @@
 
 // Read waits for datagrams and returns how many were read, at most BatchSize.
 func (r *Reader) Read() (int, error) {
-	return r.conn.reader.ReadBatch(r.messages, 0)
+	for {
+		n, err := r.conn.reader.ReadBatch(r.messages, 0)
+		if !errors.Is(err, syscall.EINTR) {
+			return n, err
+		}
+	}
 }
 
 // Datagram returns datagram i of the last Read. It is valid until the next.
--- a/connection/endpoint/endpoint_test.go
+++ b/connection/endpoint/endpoint_test.go
@@ -1,6 +1,7 @@
 package endpoint_test
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net"
@@ -11,6 +12,7 @@
 	"github.com/smartystreets/goconvey/convey"
 	"golang.org/x/sync/errgroup"
 
+	"bergamotbank/connection/encap"
 	"bergamotbank/connection/flows"
 	"bergamotbank/version/steering"
 )
@@ -114,6 +116,33 @@
 	})
 }
 
+func TestForeignDatagramsAreCounted(t *testing.T) {
+	convey.Convey("Each datagram that an agent cannot take is counted with its cause", t, func() {
+		n := newNetwork(t, 1)
+		a := n.newAgent("counting")
+		h := encap.Header{Kind: encap.KindPacket}
+		packet := make([]byte, h.Size())
+		h.Put(packet)
+		newer := bytes.Clone(packet)
+		newer[1] = encap.MaxVersion + 1
+		twoHolders := encap.Header{Kind: encap.KindRegistration}
+		twoHolders.Add(a.Addr())
+		twoHolders.Add(n.addr())
+		registration := make([]byte, twoHolders.Size())
+		twoHolders.Put(registration)
+		for _, b := range [][]byte{[]byte("foreign"), packet, packet[:5], newer, registration, {0x45, 0}, {}} {
+			_, err := n.conn.WriteToUDPAddrPort(b, a.Addr())
+			convey.So(err, convey.ShouldBeNil)
+		}
+		for end := time.Now().Add(patience); a.Counters().Malformed < 6 && time.Now().Before(end); {
+			time.Sleep(time.Millisecond)
+		}
+		convey.So(a.Counters().Malformed, convey.ShouldEqual, 6)
+		convey.So(a.Counters().UnknownVersion, convey.ShouldEqual, 1)
+		convey.So(a.Counters().Delivered, convey.ShouldEqual, 0)
+	})
+}
+
 func TestSuspendedAgentIsSilent(t *testing.T) {
 	convey.Convey("An agent whose failure domain is out ends its connections and sends nothing", t, func() {
 		n := newNetwork(t, 1)
--- a/connection/forward/bench_test.go
+++ b/connection/forward/bench_test.go
@@ -135,6 +135,78 @@
 	fmt.Printf("bench forward_allocations_per_packet %.4f allocs\n", allocs)
 }
 
+// BenchmarkForwardCost measures the time that reading, deciding and writing take
+// for a packet, beside reading and writing alone, in turns on one goroutine. The
+// time to send packets in and to drain the sinks does not count.
+func BenchmarkForwardCost(b *testing.B) {
+	for b.Loop() {
+	}
+	s := newBench(b)
+	f := start(b, 1)
+	servers := make([]steering.Server, len(s.sinks))
+	for i, addr := range s.sinks {
+		servers[i] = serverAt(fmt.Sprintf("server-%d", i), addr)
+	}
+	f.SetPlane(forward.NewPlane(nil, 1, []forward.ServiceInput{{Address: service, Servers: servers}}, time.Now()))
+	step := &stepper{in: s.open(b), out: s.open(b), sender: s.open(b), sinks: s.sinks}
+	step.reader, step.writer = step.in.NewReader(), datagram.NewWriter()
+	for i := range datagram.BatchSize {
+		step.packets = append(step.packets, tcpPacket(uint16(i+1), service, payloadSize))
+	}
+	var bare, balancer, ratios []float64
+	for range rounds {
+		alone := step.cost(b, step.relay)
+		whole := step.cost(b, func(n int) { f.ForwardBatch(step.reader, step.writer, n, step.out) })
+		bare = append(bare, alone)
+		balancer = append(balancer, whole)
+		ratios = append(ratios, alone/whole)
+	}
+	fmt.Printf("bench forward_cost_bare_relay %.0f ns/packet\n", median(bare))
+	fmt.Printf("bench forward_cost_balancer %.0f ns/packet\n", median(balancer))
+	fmt.Printf("bench forward_cost_bare_relay_over_balancer %.3f ratio\n", median(ratios))
+	fmt.Printf("bench forward_cost_bare_relay_over_balancer_least %.3f ratio\n", slices.Min(ratios))
+}
+
+// stepper moves one batch after the other through a relay.
+type stepper struct {
+	in, out, sender *datagram.Conn
+	sinks           []netip.AddrPort
+	packets         [][]byte
+	reader          *datagram.Reader
+	writer          *datagram.Writer
+}
+
+// relay writes the n datagrams of the last read to the sinks as they are.
+func (s *stepper) relay(n int) {
+	for i := range n {
+		s.writer.Add(s.reader.Datagram(i), s.sinks[i%len(s.sinks)])
+	}
+	s.writer.Flush(s.out)
+}
+
+// cost returns the time in ns that a packet takes from read to write.
+func (s *stepper) cost(b *testing.B, move func(n int)) float64 {
+	const batches = 4000
+	feed := datagram.NewWriter()
+	var spent time.Duration
+	moved := 0
+	for range batches {
+		for _, p := range s.packets {
+			feed.Add(p, s.in.Addr())
+		}
+		feed.Flush(s.sender)
+		start := time.Now()
+		n, err := s.reader.Read()
+		if err != nil {
+			b.Fatal(err)
+		}
+		move(n)
+		spent += time.Since(start)
+		moved += n
+	}
+	return float64(spent.Nanoseconds()) / float64(moved)
+}
+
 // BenchmarkRoute measures the decision for one packet with its header.
 func BenchmarkRoute(b *testing.B) {
 	var servers []steering.Server
--- a/connection/forward/export_test.go
+++ b/connection/forward/export_test.go
@@ -1,6 +1,9 @@
 package forward
 
-import "bergamotbank/connection/encap"
+import (
+	"bergamotbank/connection/datagram"
+	"bergamotbank/connection/encap"
+)
 
 // SharedTables counts the services whose current table is the same object.
 func SharedTables(a, b *Plane) int {
@@ -13,6 +16,11 @@
 	return shared
 }
 
+// ForwardBatch forwards the n datagrams of the last read through a socket.
+func (f *Forwarder) ForwardBatch(reader *datagram.Reader, writer *datagram.Writer, n int, out *datagram.Conn) {
+	f.forwardBatch(reader, writer, n, out)
+}
+
 // Route writes the header for a packet into out and tells whether there is one.
 func (p *Plane) Route(packet, out []byte) bool {
 	var h encap.Header
