flows: an empty view keeps the former one

A view without any server, not even the agent itself, ended the refresh of registrations, and a test saw the owner forget the flow. Such a list now keeps the former servers; failure domains out are still taken.

--- a/connection/flows/flows_test.go
+++ b/connection/flows/flows_test.go
@@ -348,6 +348,8 @@
 			convey.So(w.agents[1].Registrations(), convey.ShouldEqual, 1)
 		})
 		convey.Convey("registrations are renewed and end with their holder", func() {
+			// A view without any server, not even this one, is no knowledge.
+			w.agents[0].SetServers(nil, nil, w.now)
 			w.pass(2 * flows.RegistrationLifetime)
 			convey.So(w.agents[1].Registrations(), convey.ShouldEqual, 1)
 			w.agents[0].SetSuspended(true)
--- a/connection/flows/tables.go
+++ b/connection/flows/tables.go
@@ -33,6 +33,8 @@
 
 // tables is what the agent knows of its service's servers.
 type tables struct {
+	// servers is the newest view that named any server.
+	servers []steering.Server
 	// recent holds the current table first, then those replaced lately.
 	recent []recentTable
 	// domains is the failure domain of each agent address ever seen.
@@ -57,10 +59,15 @@
 
 // SetServers sets the servers of the agent's service, with those of failure
 // domains that are out, and the names of these failure domains. Flows held here
-// are registered with their new owners by the following calls of Tick.
+// are registered with their new owners by the following calls of Tick. A list
+// without any server keeps the former one.
 func (c *Core) SetServers(servers []steering.Server, outDomains []string, now time.Time) {
 	t := &c.tables
 	t.setOut(outDomains)
+	if len(servers) == 0 {
+		servers = t.servers
+	}
+	t.servers = slices.Clone(servers)
 	t.setSelf(servers, c.options.Self)
 	t.learnDomains(servers)
 	restarted := t.learnIncarnations(servers)
