Fabric stand-in: results of health checks count exactly after the lag

They were looked at only when the next check had ended, which with a frozen balancer came up to a second and a half later than the lag said. The time-out of a check and the silence after which callers give a long flow up are flags now. The test of the lag was replaced by one in virtual time that also covers removal.

--- a/standin/caller/command.go
+++ b/standin/caller/command.go
@@ -43,6 +43,7 @@
 	Status             string        `arg:"--status" help:"URL of a status stream" placeholder:"URL"`
 	Streams            int           `arg:"--streams" default:"10" help:"status streams held open"`
 	StatusInterval     time.Duration `arg:"--status-interval" default:"1s" help:"time between two lines that the URL asks for, and between two lines of --echo"`
+	Silence            time.Duration `arg:"--silence" default:"5s" help:"time without a line after which a long flow is given up and counted as broken; ten intervals at least"`
 	Echo               string        `arg:"--echo" help:"address of a tcp service that echoes" placeholder:"IP:PORT"`
 	EchoFlows          int           `arg:"--echo-flows" default:"10" help:"flows to the tcp service held open"`
 	Ramp               time.Duration `arg:"--ramp" default:"1s" help:"time over which long flows are opened"`
--- a/standin/caller/echo.go
+++ b/standin/caller/echo.go
@@ -19,6 +19,8 @@
 type echoer struct {
 	address  string
 	interval time.Duration
+	// silence is the time without an answer after which the flow is given up.
+	silence  time.Duration
 	dial     dialer
 	recorder *recorder
 	name     string
@@ -39,7 +41,7 @@
 
 // flow uses one flow. It is answered when it was whole until ctx ended.
 func (e *echoer) flow(ctx context.Context) result {
-	dialing, cancel := context.WithTimeout(ctx, minSilence)
+	dialing, cancel := context.WithTimeout(ctx, e.silence)
 	defer cancel()
 	conn, err := e.dial(dialing, "tcp", e.address)
 	if ctx.Err() != nil {
@@ -63,7 +65,7 @@
 // exchange sends one line and reads it back.
 func (e *echoer) exchange(conn net.Conn, number int) result {
 	sent := fmt.Appendf(nil, "%s %d\n", e.name, number)
-	_ = conn.SetDeadline(time.Now().Add(minSilence))
+	_ = conn.SetDeadline(time.Now().Add(e.silence))
 	if _, err := conn.Write(sent); err != nil {
 		return result{outcome: echoFailure(err), detail: err.Error()}
 	}
--- a/standin/caller/run.go
+++ b/standin/caller/run.go
@@ -178,7 +178,7 @@
 	r := newRecorder(l.start)
 	shared := l.newClient(false, r)
 	l.startMany(ctx, c.Streams, func(name string) {
-		s := &streamer{url: c.Status, interval: c.StatusInterval, client: shared, recorder: r, name: name}
+		s := &streamer{url: c.Status, interval: c.StatusInterval, silence: c.Silence, client: shared, recorder: r, name: name}
 		s.run(ctx)
 	})
 	return r
@@ -191,7 +191,7 @@
 	}
 	r := newRecorder(l.start)
 	l.startMany(ctx, c.EchoFlows, func(name string) {
-		e := &echoer{address: c.Echo, interval: c.StatusInterval, dial: r.timed(l.dial), recorder: r, name: name}
+		e := &echoer{address: c.Echo, interval: c.StatusInterval, silence: c.Silence, dial: r.timed(l.dial), recorder: r, name: name}
 		e.run(ctx)
 	})
 	return r
--- a/standin/caller/stream.go
+++ b/standin/caller/stream.go
@@ -14,9 +14,7 @@
 const (
 	// reopenAfter is how long a caller waits before it opens a stream again.
 	reopenAfter = 500 * time.Millisecond
-	// minSilence is the shortest time without a line that counts as silence.
-	minSilence = 5 * time.Second
-	// silentIntervals is the number of missing lines that count as silence.
+	// silentIntervals is the least number of missing lines that count as silence.
 	silentIntervals = 10
 )
 
@@ -32,6 +30,8 @@
 type streamer struct {
 	url      string
 	interval time.Duration
+	// silence is the time without a line after which the stream is given up.
+	silence  time.Duration
 	client   *client
 	recorder *recorder
 	name     string
@@ -56,7 +56,7 @@
 // stream reads one stream. It is answered when it was whole until ctx ended. It
 // also returns when the first line came.
 func (s *streamer) stream(ctx context.Context) (res result, first time.Time) {
-	silence := max(minSilence, silentIntervals*s.interval)
+	silence := max(s.silence, silentIntervals*s.interval)
 	reading, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	watchdog := time.AfterFunc(silence+answerGrace, func() { cancel(errSilent) })
--- a/standin/fabric/command.go
+++ b/standin/fabric/command.go
@@ -25,6 +25,7 @@
 	Balancers     []Balancer     `arg:"--balancer,separate" help:"a balancer; repeat for more" placeholder:"NAME=IP:PORT,HEALTHURL"`
 	Topology      string         `arg:"--topology" help:"TOML file with failure domains and links" placeholder:"FILE"`
 	HealthPeriod  time.Duration  `arg:"--health-period" default:"500ms" help:"time between two health checks"`
+	HealthTimeout time.Duration  `arg:"--health-timeout" default:"1s" help:"time after which a health check without an answer has failed"`
 	HealthLag     time.Duration  `arg:"--health-lag" default:"1s" help:"time after which a result of a health check counts"`
 	Seed          uint64         `arg:"--seed" default:"1" help:"seed of spraying and of faults drawn at random"`
 }
@@ -43,7 +44,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	balancers := newPool(c.HealthPeriod, c.HealthLag, log)
+	balancers := newPool(c.HealthPeriod, c.HealthLag, newProber(c.HealthTimeout), log)
 	f, err := newForwarder(c.Listen, c.ServicePrefix, c.Seed, balancers, log)
 	if err != nil {
 		return err
--- a/standin/fabric/fabric_test.go
+++ b/standin/fabric/fabric_test.go
@@ -1,14 +1,17 @@
 package fabric
 
 import (
+	"context"
 	"encoding/binary"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
 
 	"bergamotbank/errkind"
 	"bergamotbank/standin/fault"
@@ -116,15 +119,35 @@
 }
 
 func TestLaggingHealth(t *testing.T) {
-	convey.Convey("A result counts when it is as old as the lag", t, func() {
-		start := time.Unix(1000, 0)
-		h := laggingHealth{lag: 2 * time.Second}
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer synctest.Wait()
+		defer cancel()
 		results := []bool{true, true, false, true, true}
-		want := []bool{false, false, true, true, false}
-		for second := range results {
-			now := start.Add(time.Duration(second) * time.Second)
-			h.observe(results[second], now)
-			convey.So(h.alive(now), convey.ShouldEqual, want[second])
+		want := []bool{false, false, true, true, false, true, true}
+		probes := 0
+		probe := func(context.Context, string) bool {
+			probes++
+			return results[min(probes, len(results))-1]
+		}
+		p := newPool(time.Second, 2*time.Second, probe, zap.NewNop())
+		p.add(ctx, Balancer{Name: "b1", Packet: b1, Health: "http://b1/"})
+		time.Sleep(time.Millisecond)
+		for second, alive := range want {
+			if got := p.status()[0].Alive; got != alive {
+				t.Errorf("after %d s the balancer counts as alive: %t", second, got)
+			}
+			if got := len(p.targets()) == 1; got != alive {
+				t.Errorf("after %d s packets go to the balancer: %t", second, got)
+			}
+			time.Sleep(time.Second)
+		}
+		if !p.remove("b1") || len(p.targets()) != 0 {
+			t.Error("a removed balancer gets packets")
+		}
+		time.Sleep(time.Minute)
+		if len(p.targets()) != 0 {
+			t.Error("a late result brought a removed balancer back")
 		}
 	})
 }
--- a/standin/fabric/forwarder_bench_test.go
+++ b/standin/fabric/forwarder_bench_test.go
@@ -42,7 +42,7 @@
 func benchForward(b *testing.B, topology Topology) {
 	receiver, target := listenUDP(b)
 	sender, _ := listenUDP(b)
-	p := newPool(time.Second, 0, zap.NewNop())
+	p := newPool(time.Second, 0, newProber(time.Second), zap.NewNop())
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	p.add(ctx, Balancer{Name: "b", Packet: target})
--- a/standin/fabric/pool.go
+++ b/standin/fabric/pool.go
@@ -15,9 +15,6 @@
 	"bergamotbank/errkind"
 )
 
-// healthTimeout bounds one health check.
-const healthTimeout = time.Second
-
 // Balancer is one balancer that packets may be sent to. On the command line it
 // is NAME=IP:PORT,HEALTHURL.
 type Balancer struct {
@@ -54,6 +51,7 @@
 type pool struct {
 	period time.Duration
 	lag    time.Duration
+	probe  prober
 	log    *zap.Logger
 	alive  atomic.Pointer[[]netip.AddrPort]
 
@@ -67,8 +65,8 @@
 	stop     context.CancelFunc
 }
 
-func newPool(period, lag time.Duration, log *zap.Logger) *pool {
-	p := &pool{period: period, lag: lag, log: log, members: make(map[string]*member)}
+func newPool(period, lag time.Duration, probe prober, log *zap.Logger) *pool {
+	p := &pool{period: period, lag: lag, probe: probe, log: log, members: make(map[string]*member)}
 	p.alive.Store(&[]netip.AddrPort{})
 	return p
 }
@@ -130,20 +128,14 @@
 	p.alive.Store(&targets)
 }
 
-// check asks for the health of a balancer until ctx ends.
+// check asks for the health of a balancer until ctx ends. Each result counts when
+// it is as old as the lag.
 func (p *pool) check(ctx context.Context, m *member) {
-	client := &http.Client{Timeout: healthTimeout}
-	history := laggingHealth{lag: p.lag}
 	ticker := time.NewTicker(p.period)
 	defer ticker.Stop()
 	for {
-		healthy := probe(ctx, client, m.balancer.Health)
-		if ctx.Err() != nil {
-			return
-		}
-		now := time.Now()
-		history.observe(healthy, now)
-		p.setAlive(ctx, m, history.alive(now))
+		healthy := p.probe(ctx, m.balancer.Health)
+		time.AfterFunc(p.lag, func() { p.setAlive(ctx, m, healthy) })
 		select {
 		case <-ctx.Done():
 			return
@@ -163,40 +155,22 @@
 	p.log.Info("balancer health", zap.String("balancer", m.balancer.Name), zap.Bool("alive", alive))
 }
 
-func probe(ctx context.Context, client *http.Client, url string) bool {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
-	if err != nil {
-		return false
-	}
-	response, err := client.Do(request)
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
-}
-
-// laggingHealth is a health check whose results count only after a while.
-type laggingHealth struct {
-	lag     time.Duration
-	pending []healthSample
-	current bool
-}
-
-type healthSample struct {
-	at      time.Time
-	healthy bool
-}
+// prober tells whether a balancer is well.
+type prober func(ctx context.Context, url string) bool
 
-func (h *laggingHealth) observe(healthy bool, now time.Time) {
-	h.pending = append(h.pending, healthSample{at: now, healthy: healthy})
-}
-
-// alive returns the newest result that is at least as old as the lag.
-func (h *laggingHealth) alive(now time.Time) bool {
-	for len(h.pending) > 0 && now.Sub(h.pending[0].at) >= h.lag {
-		h.current = h.pending[0].healthy
-		h.pending = h.pending[1:]
+// newProber returns a prober that asks over HTTP.
+func newProber(timeout time.Duration) prober {
+	client := &http.Client{Timeout: timeout}
+	return func(ctx context.Context, url string) bool {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+		if err != nil {
+			return false
+		}
+		response, err := client.Do(request)
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
 	}
-	return h.current
 }
