--- a/standin/experiment/experiment_test.go
+++ b/standin/experiment/experiment_test.go
@@ -38,6 +38,7 @@
 	logs := []*server.ExecutionLog{
 		{Executions: []server.Execution{{Key: "k", Request: "k-0"}}},
 		{Executions: []server.Execution{{Key: "k", Request: "k-1"}, {Key: "once", Request: "once-1"}}},
+		{Executions: []server.Execution{{Key: "first", Request: "first-0"}}},
 	}
 	cases := []struct {
 		name    string
@@ -51,7 +52,8 @@
 			Joined{RunTwice: []string{"k"}, UntrueNotRun: []string{"k-0"}},
 		},
 		{"refused after it ran", request("once", caller.OutcomeNotConnected, caller.OutcomeUnknown, caller.OutcomeNotRun), Joined{UntrueNotRun: []string{"once-1"}}},
-		{"run by a try that was sent at once with one that was refused", twin(request("once", caller.OutcomeNotRun, caller.OutcomeAnswered)), Joined{}},
+		{"run by a try that was sent at once with one that was refused", twin(request("first", caller.OutcomeAnswered, caller.OutcomeNotRun)), Joined{}},
+		{"run by a try before one that was refused", request("first", caller.OutcomeAnswered, caller.OutcomeNotRun), Joined{UntrueNotRun: []string{"first-0"}}},
 		{"refused though its twin had run before", twin(request("once", caller.OutcomeUnknown, caller.OutcomeUnknown, caller.OutcomeNotRun)), Joined{UntrueNotRun: []string{"once-1"}}},
 		{"of which a try is promised not to have run", tryNotRun(request("once", caller.OutcomeUnknown, caller.OutcomeUnknown), false, true), Joined{UntrueNotRun: []string{"once-1"}}},
 		{"of which another try is promised not to have run", tryNotRun(request("once", caller.OutcomeUnknown, caller.OutcomeUnknown), true, false), Joined{}},
@@ -66,7 +68,7 @@
 			convey.So(got.UntrueNotRun, convey.ShouldResemble, append([]string{}, c.want.UntrueNotRun...))
 			convey.So(got.AnsweredNotRun, convey.ShouldResemble, append([]string{}, c.want.AnsweredNotRun...))
 			convey.So(got.Requests, convey.ShouldEqual, 1)
-			convey.So(got.Executions, convey.ShouldEqual, 3)
+			convey.So(got.Executions, convey.ShouldEqual, 4)
 		})
 	}
 }
