Call a write refused when the store refused it, whatever happens next

The refusal was settled like a lost answer: with the store down, or with stale reads, right after it, the operator was told that the outcome is unknown. The test of that, with the mechanism off, waits until its deadline and then finds outcome_unknown instead of conflict.

--- a/version/publish/publish.go
+++ b/version/publish/publish.go
@@ -256,7 +256,9 @@
 		result.Made = &made
 		p.collectRarely(ctx, made.Root.Version)
 		return false, nil
-	case errkind.Is(err, errkind.Conflict), errkind.Is(err, errkind.OutcomeUnknown):
+	case errkind.Is(err, errkind.Conflict):
+		return p.refused(ctx, b, made, result)
+	case errkind.Is(err, errkind.OutcomeUnknown):
 		return p.settle(ctx, b, made, result)
 	default:
 		return false, errkind.Wrap(err, errkind.Of(err), "write of the root, nothing changed")
--- a/version/publish/publish_test.go
+++ b/version/publish/publish_test.go
@@ -174,6 +174,23 @@
 	})
 }
 
+func TestRefusalBeforeAnOutage(t *testing.T) {
+	convey.Convey("A write that the store refused is refused though the store goes down next", t, func() {
+		server := newServer(t)
+		p := newPublisher(t, server)
+		p.beforeRoot = func() {
+			_, err := newPublisher(t, server).Publish(t.Context(), Request{Config: services(t, 3, 81)})
+			convey.So(err, convey.ShouldBeNil)
+			server.OnWrite(func(string) { server.SetFaults(storetest.Faults{Down: true}) })
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		result, err := p.Publish(ctx, Request{Config: services(t, 3, 82)})
+		convey.So(errkind.Of(err), convey.ShouldEqual, errkind.Conflict)
+		convey.So(result.Outcome, convey.ShouldEqual, Refused)
+	})
+}
+
 func TestPausedWriter(t *testing.T) {
 	convey.Convey("A writer paused past its lease does not overwrite what came meanwhile", t, func() {
 		server := newServer(t)
--- a/version/publish/settle.go
+++ b/version/publish/settle.go
@@ -74,6 +74,21 @@
 		"operation %s may or may not have made a version: %s; repeat it with this operation to find out", operation, reason)
 }
 
+// refused ends an operation whose write the store refused. It made no version,
+// though the store may be unable to tell which one came first; but the same
+// operation, started a second time, may have made one before.
+func (p *Publisher) refused(ctx context.Context, b base, written Version, result *Result) (again bool, err error) {
+	root, _, err := p.readRoot(ctx)
+	if err != nil {
+		return false, errkind.Wrap(err, errkind.Conflict, "another operator came first, which one is not known")
+	}
+	if version, found := root.find(written.Root.Operation); found {
+		result.accept(version)
+		return false, nil
+	}
+	return p.lose(ctx, b, root, written, result)
+}
+
 // lose ends an operation that made no version. When only the root's epoch has
 // moved, nothing speaks against another attempt.
 func (p *Publisher) lose(ctx context.Context, b base, root Root, written Version, result *Result) (again bool, err error) {
