--- a/version/spread/machine_test.go
+++ b/version/spread/machine_test.go
@@ -177,6 +177,36 @@
 	}
 }
 
+// TestIsolatedProcess checks that a process that reaches neither store nor peers
+// keeps its version, says so, and catches up by itself.
+func TestIsolatedProcess(t *testing.T) {
+	m := newModel(1, 2, 3, 3*time.Millisecond)
+	m.publish()
+	m.advance(5 * time.Second)
+	p := m.processes[0]
+	p.cut = true
+	m.publish()
+	m.advance(20 * time.Second)
+	if told := p.countEvents(event.StoreUnreachable); told != 1 || p.applied[len(p.applied)-1] != 1 {
+		t.Fatalf("isolated: told %d times, in force %v", told, p.applied)
+	}
+	p.cut = false
+	m.advance(5 * time.Second)
+	if told := p.countEvents(event.StoreReachable); told != 1 || p.applied[len(p.applied)-1] != 2 {
+		t.Fatalf("back: told %d times, in force %v", told, p.applied)
+	}
+}
+
+func (p *modelProcess) countEvents(kind event.Kind) int {
+	count := 0
+	for _, e := range p.events {
+		if e.Kind == kind {
+			count++
+		}
+	}
+	return count
+}
+
 // TestPausedProcess checks that a process which was paused is not ready until it
 // has asked several peers again.
 func TestPausedProcess(t *testing.T) {
--- a/version/spread/sim_test.go
+++ b/version/spread/sim_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"bergamotbank/event"
 	"bergamotbank/version/publish"
 )
 
@@ -79,6 +80,8 @@
 	contact time.Time
 	// homes are the names of the processes that a leaf asks; nil for others.
 	homes []string
+	// events are the events recorded.
+	events []event.Event
 	// at is the time at which the latest version came into force.
 	at time.Time
 	// applied are the versions put in force in this life.
@@ -244,6 +247,8 @@
 			p.watching = false
 		case actApply:
 			p.apply(a.version.Root.Version)
+		case actRecord:
+			p.events = append(p.events, a.event)
 		default:
 		}
 	}
--- a/version/spread/spread.go
+++ b/version/spread/spread.go
@@ -1,8 +1,20 @@
-// Package spread brings each accepted configuration version to every process.
-// A few processes of each failure domain watch the store; all others learn from
-// their peers, by notices on change and by asking a random peer regularly. A
+// Package spread brings each accepted configuration version to every process. A
 // process never goes back to a lower version.
 //
+// Two processes of each failure domain, chosen by rendezvous hashing over the
+// peers known to be alive, watch the store. All others learn from their peers:
+// whoever learns a version tells a few random peers, and its leaves, and every
+// process asks a random peer regularly. So a version reaches everyone once a
+// single process has it, whether the store answers or not. Peers also tell how
+// long ago anyone heard from the store; when that is too long, processes that do
+// not watch it read it themselves, spread over time.
+//
+// A process that starts asks the store and several peers, and puts the highest
+// version in force; it is ready once one of them knew what is current. The same
+// holds after a pause. A process that reaches neither store nor peers keeps its
+// version in force, records that, and shows it in its status; one that starts so
+// has no version and is never ready.
+//
 // The decisions are those of machine, which does no I/O; Spreader carries its
 // actions out.
 package spread
