--- a/standin/caller/fabric_test.go
+++ b/standin/caller/fabric_test.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
 	"path/filepath"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,19 +26,21 @@
 
 var serviceAddress = netip.MustParseAddr("198.18.0.10")
 
-// freePort returns a UDP and TCP port of 127.0.0.1 that was free.
-func freePort(t *testing.T) netip.AddrPort {
+// lastHost numbers the loopback addresses that tests took.
+var lastHost atomic.Uint32
+
+// freePort returns a free UDP and TCP port of a loopback address that no other
+// test uses, so that sockets bound to port 0 elsewhere cannot take it.
+func freePort(t testing.TB) netip.AddrPort {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer listener.Close()
-	return netip.MustParseAddrPort(listener.Addr().String())
+	host := lastHost.Add(1)
+	pid := os.Getpid()
+	ip := netip.AddrFrom4([4]byte{127, byte(100 + pid>>8%32), byte(pid), byte(host)})
+	return netip.AddrPortFrom(ip, 7000)
 }
 
 // startFabric runs a fabric with one balancer that always counts as alive.
-func startFabric(t *testing.T, balancer netip.AddrPort) netip.AddrPort {
+func startFabric(t testing.TB, balancer netip.AddrPort) netip.AddrPort {
 	t.Helper()
 	command := &fabric.Command{
 		Listen:        freePort(t),
@@ -61,7 +63,7 @@
 
 // startService serves HTTP on the service address, in the place of balancer and
 // agent.
-func startService(t *testing.T, local, fabricAddress netip.AddrPort, handler http.Handler) {
+func startService(t testing.TB, local, fabricAddress netip.AddrPort, handler http.Handler) {
 	t.Helper()
 	n, err := NewNetwork(local, fabricAddress, serviceAddress)
 	if err != nil {
@@ -95,7 +97,7 @@
 }
 
 // runLoad sends orders for a moment and returns the report.
-func runLoad(t *testing.T, fabricAddress netip.AddrPort, change func(*Command)) (*Report, error) {
+func runLoad(t testing.TB, fabricAddress netip.AddrPort, change func(*Command)) (*Report, error) {
 	t.Helper()
 	command := &Command{
 		Fabric:          fabricAddress,
--- a/standin/server/slots.go
+++ b/standin/server/slots.go
@@ -16,6 +16,9 @@
 	fallen   context.Context
 	fall     context.CancelFunc
 	counts   *counters
+	// peak is the largest number of requests inside since it was last taken. The
+	// one that made the server fall over or shed counts too.
+	peak int
 }
 
 // ticket is a request inside the server.
@@ -36,6 +39,7 @@
 	s.mu.Lock()
 	now := time.Now()
 	cold := s.capacity.state(now) == StateCold
+	offered := s.capacity.running + s.capacity.waiting + 1
 	verdict := s.capacity.arrive(now)
 	t := ticket{fallen: s.fallen}
 	var turn chan struct{}
@@ -47,7 +51,10 @@
 		s.endAll(cold)
 	default:
 	}
-	s.counts.observeLoad(s.capacity.running+s.capacity.waiting, cold)
+	if verdict != admitReset {
+		s.counts.observeLoad(offered, cold)
+		s.peak = max(s.peak, offered)
+	}
 	s.mu.Unlock()
 	if verdict != admitWait {
 		return t, verdict
@@ -131,3 +138,14 @@
 	defer s.mu.Unlock()
 	return s.capacity.state(time.Now()), s.capacity.running, s.capacity.waiting
 }
+
+// takePeak returns the largest number of requests since the last call and
+// the number that may be inside now.
+func (s *slots) takePeak() (peak, bears int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	peak = s.peak
+	s.peak = s.capacity.running + s.capacity.waiting
+	running, waiting := s.capacity.room(s.capacity.state(time.Now()))
+	return peak, running + waiting
+}
