Bound the time line's memory by bytes and test its order against vector clocks

An entry kept the whole header block alive that its request identifier was cut from, and a query held up Record for the whole ring. Texts are copied and cut to 128 bytes, details to 256, and a query copies 128 entries at a time.

Tested against vector clocks with rapid: no event comes before one of its causes, with clocks up to 5 s apart. Seen to fail with the clock's observation switched off; the follow test with positions kept over a replaced process (it hung then and has a deadline now); the clock test without the bound on the drift.

--- a/process/timeline/export_test.go
+++ b/process/timeline/export_test.go
@@ -18,3 +18,8 @@
 	}
 	return entries
 }
+
+// Entries returns the entries of a ring.
+func (r *Ring) Entries() []Entry {
+	return r.query(Filter{}, 0).entries
+}
--- a/process/timeline/render_test.go
+++ b/process/timeline/render_test.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/smartystreets/goconvey/convey"
 	"google.golang.org/protobuf/proto"
@@ -106,7 +107,7 @@
 		second := newRing("p", 10, epoch)
 		second.Record(event.Event{Kind: event.ProcessStarted})
 
-		ctx, cancel := context.WithCancel(context.Background())
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 		defer cancel()
 		var seen []string
 		collector := timeline.NewCollector([]netip.AddrPort{addr}, timeline.Filter{})
--- a/process/timeline/ring.go
+++ b/process/timeline/ring.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 	"unicode/utf8"
@@ -17,12 +18,16 @@
 const (
 	// DefaultCapacity is the number of entries that a ring keeps.
 	DefaultCapacity = 4096
-	// maxField is the largest length in bytes of one text of an event.
-	maxField = 256
+	// maxName is the largest length in bytes of a name or identifier.
+	maxName = 128
+	// maxDetail is the largest length in bytes of a detail.
+	maxDetail = 256
 	// pageBytes is the largest size of one answer in bytes.
 	pageBytes = 64 * 1024
 	// pageScan is the largest number of entries looked at for one answer.
 	pageScan = 4096
+	// copyBatch is the number of entries copied while Record has to wait.
+	copyBatch = 128
 )
 
 // Options are the options of a Ring.
@@ -74,22 +79,27 @@
 	r.end++
 }
 
-// trim cuts long texts, so that an entry is of bounded size.
+// trim cuts long texts and copies those that may be part of a larger one, such
+// as the header of a request, so that an entry is of bounded size.
 func trim(e *event.Event) {
-	for _, field := range []*string{&e.Service, &e.Server, &e.Domain, &e.Peer, &e.Request, &e.Detail} {
-		if len(*field) > maxField {
-			*field = cut(*field)
-		}
-	}
+	e.Service = cut(e.Service, maxName)
+	e.Server = cut(e.Server, maxName)
+	e.Domain = cut(e.Domain, maxName)
+	e.Peer = cut(e.Peer, maxName)
+	e.Request = strings.Clone(cut(e.Request, maxName))
+	e.Detail = strings.Clone(cut(e.Detail, maxDetail))
 }
 
-// cut shortens a text to maxField bytes at the border of a character.
-func cut(text string) string {
-	end := maxField
+// cut shortens a text to a number of bytes at the border of a character.
+func cut(text string, limit int) string {
+	if len(text) <= limit {
+		return text
+	}
+	end := limit
 	for end > 0 && !utf8.RuneStart(text[end]) {
 		end--
 	}
-	return text[:end]
+	return strings.Clone(text[:end])
 }
 
 // Clock returns the clock that stamps the entries. Messages between processes
@@ -122,6 +132,35 @@
 // query returns the selected entries from a position on, as many as fit into
 // one answer.
 func (r *Ring) query(filter Filter, from uint64) page {
+	result := page{}
+	batch := make([]Entry, 0, copyBatch)
+	size := 0
+	for scanned := 0; scanned < pageScan; scanned += len(batch) {
+		batch = r.copyFrom(from, batch[:0], &result)
+		if len(batch) == 0 {
+			result.next = 0
+			return result
+		}
+		for _, entry := range batch {
+			from = entry.Position + 1
+			result.next = from
+			if !filter.Match(entry) {
+				continue
+			}
+			size += proto.Size(entry.toWire())
+			if size > pageBytes && len(result.entries) > 0 {
+				result.next = entry.Position
+				return result
+			}
+			result.entries = append(result.entries, entry)
+		}
+	}
+	return result
+}
+
+// copyFrom copies a few entries from a position on and notes the bounds of the
+// ring.
+func (r *Ring) copyFrom(from uint64, batch []Entry, bounds *page) []Entry {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	capacity := uint64(len(r.entries))
@@ -129,27 +168,12 @@
 	if r.end > capacity {
 		oldest = r.end - capacity
 	}
-	result := page{end: r.end, dropped: oldest - 1}
-	size := 0
-	position := max(from, oldest)
-	for scanned := 0; position < r.end; position++ {
-		entry := r.entries[(position-1)%capacity]
-		scanned++
-		if scanned > pageScan {
-			result.next = position
-			return result
-		}
-		if !filter.Match(entry) {
-			continue
-		}
-		size += proto.Size(entry.toWire())
-		if size > pageBytes && len(result.entries) > 0 {
-			result.next = position
-			return result
-		}
-		result.entries = append(result.entries, entry)
+	bounds.end = r.end
+	bounds.dropped = oldest - 1
+	for position := max(from, oldest); position < r.end && len(batch) < copyBatch; position++ {
+		batch = append(batch, r.entries[(position-1)%capacity])
 	}
-	return result
+	return batch
 }
 
 // Handler returns the twirp service for the control address.
--- a/process/timeline/timeline_test.go
+++ b/process/timeline/timeline_test.go
@@ -2,20 +2,31 @@
 
 import (
 	"context"
+	"flag"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
 
 	"bergamotbank/errkind"
 	"bergamotbank/event"
 	"bergamotbank/process/timeline"
 )
 
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "20261204")
+	_ = flag.Set("rapid.checks", "200")
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
 // epoch is the physical time at which the rings of the tests stand.
 var epoch = time.Date(2026, 6, 1, 12, 0, 0, 0, time.UTC)
 
@@ -27,7 +38,7 @@
 	})
 }
 
-func serve(t *testing.T, ring *timeline.Ring) netip.AddrPort {
+func serveOn(t testing.TB, ring *timeline.Ring) netip.AddrPort {
 	mux := http.NewServeMux()
 	prefix, handler := ring.Handler()
 	mux.Handle(prefix, handler)
@@ -36,6 +47,10 @@
 	return netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
 }
 
+func serve(t *testing.T, ring *timeline.Ring) netip.AddrPort {
+	return serveOn(t, ring)
+}
+
 func kinds(entries []timeline.Entry) string {
 	names := make([]string, 0, len(entries))
 	for _, entry := range entries {
@@ -147,3 +162,48 @@
 		})
 	}
 }
+
+func TestCausesComeFirstWithSkewedClocks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const processes = 3
+		var rings []*timeline.Ring
+		// clocks are vector clocks: the naive account of what each process knows.
+		clocks := make([][processes]int, processes)
+		for range processes {
+			skew := time.Duration(rapid.IntRange(-5000, 5000).Draw(t, "skew")) * time.Millisecond
+			rings = append(rings, newRing("p", 100, epoch.Add(skew)))
+		}
+		known := make(map[uint64][processes]int)
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			p := rapid.IntRange(0, processes-1).Draw(t, "process")
+			if rapid.Bool().Draw(t, "message") {
+				to := rapid.IntRange(0, processes-1).Draw(t, "to")
+				rings[to].Observe(rings[p].Stamp())
+				for i := range processes {
+					clocks[to][i] = max(clocks[to][i], clocks[p][i])
+				}
+				continue
+			}
+			clocks[p][p]++
+			known[uint64(step)+1] = clocks[p]
+			rings[p].Record(event.Event{Kind: event.ViewChanged, Count: uint64(step) + 1})
+		}
+		entries := timeline.Merge(rings[2].Entries(), rings[0].Entries(), rings[1].Entries())
+		if len(entries) != len(known) {
+			t.Fatalf("%d entries of %d", len(entries), len(known))
+		}
+		for i, effect := range entries {
+			for _, later := range entries[i+1:] {
+				if happenedBefore(known[later.Event.Count], known[effect.Event.Count]) {
+					t.Fatalf("event %d comes after its effect %d", later.Event.Count, effect.Event.Count)
+				}
+			}
+		}
+	})
+}
+
+// happenedBefore tells whether the event with vector clock a is a cause of that
+// with b.
+func happenedBefore(a, b [3]int) bool {
+	return a != b && a[0] <= b[0] && a[1] <= b[1] && a[2] <= b[2]
+}
