Let a fleet of balancers that restarts as a whole serve sooner

A balancer with empty memory waited for the answers of all balancers it knew, two a second, so that a whole fleet served only after the time-out of 10 s. Five that are as empty as itself are now enough, unless one that says that it is ready was heard: pings carry readiness, and that one is asked first.

--- a/process/membership/join.go
+++ b/process/membership/join.go
@@ -17,6 +17,10 @@
 // without ready peers listens before it serves.
 const joinHeartbeats = 2
 
+// joinAnswers is the number of balancers that must be as empty as this one
+// before it serves; fewer when fewer are known.
+const joinAnswers = 5
+
 // joining is the way of a balancer with empty memory to readiness.
 type joining struct {
 	ready bool
@@ -26,6 +30,8 @@
 	candidates []*joinCandidate
 	nextPull   time.Time
 	nextIndex  int
+	// readyPeer is a balancer that said that it is ready. It must then be asked.
+	readyPeer netip.AddrPort
 }
 
 // joinCandidate is a balancer that may hold the whole state.
@@ -49,14 +55,43 @@
 func (j *joining) restart(now time.Time) {
 	j.ready = false
 	j.nextPull = now
+	j.readyPeer = netip.AddrPort{}
 	for _, candidate := range j.candidates {
 		candidate.answered = false
 	}
 }
 
-func (j *joining) allAnswered() bool {
-	unanswered := slices.ContainsFunc(j.candidates, func(c *joinCandidate) bool { return !c.answered })
-	return !j.directoryPending && !unanswered
+// noteReady remembers a ready balancer, which is asked next.
+func (j *joining) noteReady(addr netip.AddrPort) {
+	if !j.ready && !j.readyPeer.IsValid() {
+		j.readyPeer = addr
+		j.nextPull = time.Time{}
+	}
+}
+
+// allEmpty tells whether enough balancers have answered, none of them ready.
+func (j *joining) allEmpty() bool {
+	answered := 0
+	for _, candidate := range j.candidates {
+		if candidate.answered {
+			answered++
+		}
+	}
+	enough := answered >= min(len(j.candidates), joinAnswers)
+	return enough && !j.directoryPending && !j.readyPeer.IsValid()
+}
+
+// next returns the address of the balancer to ask next.
+func (j *joining) next() (netip.AddrPort, bool) {
+	if j.readyPeer.IsValid() {
+		return j.readyPeer, true
+	}
+	if len(j.candidates) == 0 {
+		return netip.AddrPort{}, false
+	}
+	candidate := j.candidates[j.nextIndex%len(j.candidates)]
+	j.nextIndex++
+	return candidate.addr, true
 }
 
 // tickJoin pulls the state from the next candidate and decides on readiness.
@@ -68,23 +103,24 @@
 		c.join.add([]netip.AddrPort{peer.peer.Control}, c.self.Control)
 	}
 	c.decideReady(now)
-	if c.join.ready || len(c.join.candidates) == 0 || now.Before(c.join.nextPull) {
+	if c.join.ready || now.Before(c.join.nextPull) {
 		return
 	}
-	c.join.nextPull = now.Add(pullPeriod)
-	candidate := c.join.candidates[c.join.nextIndex%len(c.join.candidates)]
-	c.join.nextIndex++
-	c.act(pullAction{from: candidate.addr})
+	from, found := c.join.next()
+	if found {
+		c.join.nextPull = now.Add(pullPeriod)
+		c.act(pullAction{from: from})
+	}
 }
 
-// decideReady declares the balancer ready without a ready peer when all
+// decideReady declares the balancer ready without a ready peer when its
 // candidates are as empty as this one, or when none answers for long.
 func (c *nodeCore) decideReady(now time.Time) {
 	listened := now.Sub(c.started)
 	if listened < joinHeartbeats*c.timing.Heartbeat {
 		return
 	}
-	if c.join.allAnswered() || listened >= c.timing.JoinTimeout {
+	if c.join.allEmpty() || listened >= c.timing.JoinTimeout {
 		c.becomeReady(now)
 	}
 }
@@ -104,7 +140,11 @@
 			candidate.answered = err == nil
 		}
 	}
-	if err == nil && ready && !c.join.ready {
+	if err != nil || !ready {
+		c.join.readyPeer = netip.AddrPort{}
+		return
+	}
+	if !c.join.ready {
 		c.becomeReady(now)
 	}
 }
--- a/process/membership/probe.go
+++ b/process/membership/probe.go
@@ -106,6 +106,7 @@
 		Nonce: nonce,
 		Self:  peerToWire(c.self, statusAlive),
 		State: c.state.total(),
+		Ready: c.join.ready,
 	}}})
 }
 
@@ -200,6 +201,9 @@
 // handlePing answers a probe.
 func (c *nodeCore) handlePing(now time.Time, from netip.AddrPort, ping *pb.Ping) {
 	c.meet(now, ping.Self)
+	if ping.Ready {
+		c.join.noteReady(from)
+	}
 	c.send(from, &pb.Envelope{Body: &pb.Envelope_Ack{Ack: &pb.Ack{
 		Nonce: ping.Nonce,
 		Self:  peerToWire(c.self, statusAlive),
@@ -239,7 +243,13 @@
 	if probe, ok := c.probes.pending[ack.Nonce]; ok && ack.Self.GetName() == probe.name {
 		delete(c.probes.pending, ack.Nonce)
 	}
-	if sender == ack.Self.GetName() && ack.State != c.state.total() {
+	if sender != ack.Self.GetName() {
+		return
+	}
+	if ack.Ready {
+		c.join.noteReady(from)
+	}
+	if ack.State != c.state.total() {
 		c.openExchange(now, from)
 	}
 }
--- a/process/membership/restart_test.go
+++ b/process/membership/restart_test.go
@@ -106,6 +106,23 @@
 	})
 }
 
+func TestAllBalancersRestartAtOnce(t *testing.T) {
+	convey.Convey("Balancers that all start with empty memory learn the servers again and serve", t, func() {
+		f := newAndes(18, 10, 10)
+		_, settled := f.settle()
+		convey.So(settled, convey.ShouldBeTrue)
+		f.run(time.Second)
+		for _, n := range f.nodes {
+			f.startNode(n, f.seeds(3))
+		}
+		f.run(tickPeriod)
+		convey.So(f.settled(), convey.ShouldBeFalse)
+		took, settled := f.runUntil(8*time.Second, f.settled)
+		convey.So(settled, convey.ShouldBeTrue)
+		t.Logf("settled after %v", took)
+	})
+}
+
 func TestLeaveIsRepeated(t *testing.T) {
 	convey.Convey("A server whose first messages at its end are lost is out within a second", t, func() {
 		f := newAndes(16, 2, 3)
