Keep one copy of each record and record the homes' silence at agents

A balancer held each record in its entry and again in the view. Entries now point into the newest view, and a server that leaves it takes a copy along, so that old views can be freed. Agents record when a home falls silent or is taken up.

--- a/process/membership/agenthomes.go
+++ b/process/membership/agenthomes.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"bergamotbank/event"
 	pb "bergamotbank/process/membership/membershippb"
 )
 
@@ -46,6 +47,9 @@
 		mute := now.Sub(h.answered) > c.timing.SilentAfter
 		if unnamed || mute {
 			delete(c.homes, addr)
+			if mute {
+				c.act(recordAction{event: event.Event{Kind: event.PeerSilent, Peer: h.peer.Name, Domain: h.peer.Domain}})
+			}
 			c.addContacts([]netip.AddrPort{addr})
 		}
 	}
@@ -131,6 +135,7 @@
 		if !known {
 			h = &home{answered: now, next: now}
 			c.homes[peer.Control] = h
+			c.act(recordAction{event: event.Event{Kind: event.PeerBack, Peer: peer.Name, Domain: peer.Domain}})
 		}
 		if h.peer.Name != peer.Name {
 			h.ackedIncarnation, h.ackedSequence = 0, 0
--- a/process/membership/bench_test.go
+++ b/process/membership/bench_test.go
@@ -127,7 +127,7 @@
 func BenchmarkTableAfterChange(b *testing.B) {
 	core := loadTargetSize()
 	for b.Loop() {
-		core.tableStale = true
+		core.tableStale, core.tableBuilt = true, time.Time{}
 		core.refreshTable(core.last)
 	}
 	report("membership_homes_after_balancer_change", float64(b.Elapsed().Microseconds())/float64(b.N), "us")
--- a/process/membership/gossip.go
+++ b/process/membership/gossip.go
@@ -183,7 +183,7 @@
 func (c *nodeCore) addEntry(batch *gossipBatch, key rumorKey) bool {
 	if key.server {
 		entry, ok := c.state.servers[key.name]
-		return !ok || batch.addRecord(recordToWire(entry.record, entry.status))
+		return !ok || batch.addRecord(recordToWire(*entry.record, entry.status))
 	}
 	entry, ok := c.state.peers[key.name]
 	return !ok || batch.addPeer(peerToWire(entry.peer, entry.status))
--- a/process/membership/join.go
+++ b/process/membership/join.go
@@ -179,7 +179,7 @@
 	}
 	end := min(start+pageEntries, len(servers))
 	for _, entry := range servers[start:end] {
-		response.Records = append(response.Records, recordToWire(entry.record, entry.status))
+		response.Records = append(response.Records, recordToWire(*entry.record, entry.status))
 	}
 	if end < len(servers) {
 		response.Next = servers[end-1].record.Server
--- a/process/membership/merge_test.go
+++ b/process/membership/merge_test.go
@@ -57,7 +57,7 @@
 		if a.record.Server != server {
 			continue
 		}
-		e := serverEntry{record: newest.record, status: newest.status}
+		e := serverEntry{record: &newest.record, status: newest.status}
 		if !found || e.compare(a.record, a.status) < 0 {
 			newest, found = a, true
 		}
@@ -104,7 +104,7 @@
 func describe(s *state) string {
 	var lines []string
 	for _, e := range s.servers {
-		lines = append(lines, fmt.Sprintf("%+v %d live=%v", e.record, e.status, s.live(e)))
+		lines = append(lines, fmt.Sprintf("%+v %d live=%v", *e.record, e.status, s.live(e)))
 	}
 	slices.Sort(lines)
 	return fmt.Sprintf("%s\ntotal %x", strings.Join(lines, "\n"), s.total())
@@ -116,7 +116,7 @@
 		s := merged(all)
 		fresh := newState()
 		for _, e := range s.servers {
-			fresh.mergeServer(e.record, e.status, time.Unix(0, 0))
+			fresh.mergeServer(*e.record, e.status, time.Unix(0, 0))
 		}
 		if s.total() != fresh.total() {
 			t.Fatalf("digest kept by steps is %x, computed anew %x", s.total(), fresh.total())
@@ -124,7 +124,7 @@
 		for _, e := range s.servers {
 			s.removeServer(e)
 		}
-		if s.total() != 0 || len(s.addrs) != 0 {
+		if s.total() != 0 || len(s.addrs) != 0 || s.shared != 0 {
 			t.Fatalf("digest of the emptied state is %x", s.total())
 		}
 	})
--- a/process/membership/nodecore.go
+++ b/process/membership/nodecore.go
@@ -252,7 +252,7 @@
 		age := now.Sub(entry.changed)
 		switch {
 		case entry.status == statusSilent && age > c.timing.ForgetAfter:
-			c.state.mergeServer(entry.record, statusGone, now)
+			c.state.mergeServer(*entry.record, statusGone, now)
 		case entry.status == statusGone && age > c.timing.TombstoneLife:
 			c.state.removeServer(entry)
 		}
--- a/process/membership/nodemerge.go
+++ b/process/membership/nodemerge.go
@@ -49,7 +49,7 @@
 		if replaced == nil {
 			return
 		}
-		c.mergeRecord(now, replaced.record, statusGone)
+		c.mergeRecord(now, *replaced.record, statusGone)
 	}
 }
 
--- a/process/membership/silence.go
+++ b/process/membership/silence.go
@@ -273,12 +273,12 @@
 		switch c.evidence(server) {
 		case evidenceOpen:
 		case evidenceStrong:
-			c.mergeRecord(now, server.entry.record, statusSilent)
+			c.mergeRecord(now, *server.entry.record, statusSilent)
 		case evidenceWeak:
 			if mass[domain] {
 				held[domain]++
 			} else if server.since > c.timing.SilentAfter+weakDelay {
-				c.mergeRecord(now, server.entry.record, statusSilent)
+				c.mergeRecord(now, *server.entry.record, statusSilent)
 			}
 		}
 	}
--- a/process/membership/state.go
+++ b/process/membership/state.go
@@ -15,7 +15,10 @@
 
 // serverEntry is what a balancer holds about a backend server.
 type serverEntry struct {
-	record  Record
+	// record is never modified. It lies in the newest view when inView is set, so
+	// that a balancer keeps one copy of each record.
+	record  *Record
+	inView  bool
 	status  status
 	hash    uint64
 	changed time.Time
@@ -25,7 +28,7 @@
 
 func (e *serverEntry) compare(r Record, st status) int {
 	order := compareVersions(e.record.Incarnation, e.record.Sequence, e.status, r.Incarnation, r.Sequence, st)
-	return cmp.Or(order, compareRecords(e.record, r))
+	return cmp.Or(order, compareRecords(*e.record, r))
 }
 
 // compareRecords breaks the tie between two records that claim the same
@@ -77,6 +80,8 @@
 	digests map[string]*domainDigest
 	names   map[string]string
 	order   []*serverEntry // all servers by name; nil when stale
+	// shared is the number of alive servers beyond the first at each address.
+	shared int
 }
 
 func newState() *state {
@@ -118,7 +123,8 @@
 	if known {
 		r.Server = entry.record.Server
 	}
-	entry.record = r
+	entry.record = &r
+	entry.inView = false
 	entry.status = st
 	entry.changed = now
 	s.index(entry)
@@ -134,6 +140,9 @@
 	key := packAddr(e.record.Packet)
 	e.sameAddr = s.addrs[key]
 	s.addrs[key] = e
+	if e.sameAddr != nil {
+		s.shared++
+	}
 }
 
 // unindex takes an alive server out of the digests and the addresses.
@@ -145,15 +154,17 @@
 	key := packAddr(e.record.Packet)
 	next := e.sameAddr
 	e.sameAddr = nil
-	if first := s.addrs[key]; first != e {
-		first.unlink(e, next)
+	first := s.addrs[key]
+	if first == e && next == nil {
+		delete(s.addrs, key)
 		return
 	}
-	if next == nil {
-		delete(s.addrs, key)
+	s.shared--
+	if first == e {
+		s.addrs[key] = next
 		return
 	}
-	s.addrs[key] = next
+	first.unlink(e, next)
 }
 
 // unlink takes a server that has a predecessor out of the list of an address.
@@ -192,7 +203,7 @@
 
 // live tells whether a server belongs into the view.
 func (s *state) live(e *serverEntry) bool {
-	return e.status == statusAlive && s.superseded(e) == nil
+	return e.status == statusAlive && (s.shared == 0 || s.superseded(e) == nil)
 }
 
 // mergePeer takes in an announcement of a balancer, with results as those of
@@ -290,17 +301,26 @@
 	return s.order
 }
 
+// usable tells whether a server belongs into the view of self.
+func (s *state) usable(e *serverEntry, self Peer) bool {
+	_, ok := AgreeProtocol(self.MinProtocol, self.MaxProtocol, e.record.MinProtocol, e.record.MaxProtocol)
+	return ok && s.live(e)
+}
+
+// leaveView takes the record out of an older view, which can then be freed.
+func (e *serverEntry) leaveView() {
+	own := *e.record
+	e.record = &own
+	e.inView = false
+}
+
 // view returns a snapshot of what is alive and supports a protocol version of
-// self, without self.
+// self, without self. The entries' records move into it.
 func (s *state) view(self Peer) View {
 	order := s.sorted()
-	usable := func(e *serverEntry) bool {
-		_, ok := AgreeProtocol(self.MinProtocol, self.MaxProtocol, e.record.MinProtocol, e.record.MaxProtocol)
-		return ok && s.live(e)
-	}
 	live := 0
 	for _, e := range order {
-		if usable(e) {
+		if s.usable(e, self) {
 			live++
 		}
 	}
@@ -309,8 +329,12 @@
 		Peers:   make([]Peer, 0, len(s.peers)),
 	}
 	for _, e := range order {
-		if usable(e) {
-			view.Servers = append(view.Servers, e.record)
+		if s.usable(e, self) {
+			view.Servers = append(view.Servers, *e.record)
+			e.record = &view.Servers[len(view.Servers)-1]
+			e.inView = true
+		} else if e.inView {
+			e.leaveView()
 		}
 	}
 	for name, e := range s.peers {
