--- a/request/admission/gate_test.go
+++ b/request/admission/gate_test.go
@@ -151,6 +151,29 @@
 	})
 }
 
+func TestTrailersPass(t *testing.T) {
+	convey.Convey("Trailers reach the caller, and answers without a body stay without one", t, func() {
+		b := newBench(t, httpBackend(t, func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodHead {
+				w.Header().Set("Content-Length", "7")
+				return
+			}
+			w.Header().Set("Trailer", "X-Checksum")
+			_, _ = io.WriteString(w, "text")
+			w.Header().Set("X-Checksum", "17")
+		}), Options{})
+		resp, err := b.client.Get(b.front.URL)
+		convey.So(err, convey.ShouldBeNil)
+		text, err := io.ReadAll(resp.Body)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(string(text), convey.ShouldEqual, "text")
+		convey.So(resp.Trailer.Get("X-Checksum"), convey.ShouldEqual, "17")
+		head := b.do(http.MethodHead, "/", "")
+		convey.So(head.err, convey.ShouldBeNil)
+		convey.So(head.header.Get("Content-Length"), convey.ShouldEqual, "7")
+	})
+}
+
 func TestBackendServerFails(t *testing.T) {
 	cases := []struct {
 		name   string
--- a/request/admission/handoff.go
+++ b/request/admission/handoff.go
@@ -90,6 +90,15 @@
 	}
 }
 
+// avoidFailing hands a request off when the own backend server takes nothing at
+// present, and tells whether that settled it. Otherwise the request can wait here.
+func (x *exchange) avoidFailing() bool {
+	if !x.gate.seen.Load().paused {
+		return false
+	}
+	return x.handOff(errkind.New(errkind.BackendUnavailable, "the backend server takes no requests at present"))
+}
+
 // handOff gives a request that was not run to a sibling, and tells whether that
 // settled it. When it did not, the request is still not run.
 func (x *exchange) handOff(reason error) bool {
--- a/request/admission/handoff_test.go
+++ b/request/admission/handoff_test.go
@@ -49,6 +49,31 @@
 	})
 }
 
+func TestFailingBackendServerIsAvoided(t *testing.T) {
+	convey.Convey("While the own backend server resets, requests run at a sibling", t, func() {
+		f := newFleet(t, 2)
+		f.serve = func(name string, w http.ResponseWriter, r *http.Request) {
+			if name == "s1" && r.Method == http.MethodPost {
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.WriteString(w, name)
+		}
+		lost, served := 0, 0
+		for range 50 {
+			got := f.agent("s1").post("tags")
+			switch got.promise() {
+			case "200   ":
+				served++
+			case "502 backend_failed unknown unknown":
+				lost++
+			}
+		}
+		convey.So(lost, convey.ShouldBeGreaterThan, 0)
+		convey.So(lost, convey.ShouldBeLessThan, 10)
+		convey.So(served, convey.ShouldEqual, 50-lost)
+	})
+}
+
 func TestHandOffFails(t *testing.T) {
 	convey.Convey("A sibling without room leaves the request not run", t, func() {
 		f := newFleet(t, 2)
--- a/request/admission/serve.go
+++ b/request/admission/serve.go
@@ -68,6 +68,9 @@
 			return
 		}
 	}
+	if err == nil && x.avoidFailing() {
+		return
+	}
 	if err == nil {
 		err = x.admit()
 	}
--- a/request/backend/client.go
+++ b/request/backend/client.go
@@ -20,8 +20,11 @@
 const (
 	// dialTimeout bounds the opening of a connection.
 	dialTimeout = time.Second
-	// bufferSize is the size in bytes of the read and write buffers.
-	bufferSize = 4 << 10
+	// writeBufferSize is the size in bytes of the buffer of a request.
+	writeBufferSize = 4 << 10
+	// readBufferSize is the size in bytes of the buffer of an answer. Larger reads
+	// go past it; it stays small because each open stream holds one.
+	readBufferSize = 1 << 10
 	// maxInformational is the number of 1xx answers accepted before the answer.
 	maxInformational = 5
 )
@@ -101,7 +104,7 @@
 // writeRequest sends the request. A failure is seen by the reader, which either
 // gets an early answer or a closed connection.
 func writeRequest(conn net.Conn, req *http.Request, onSend func() bool) {
-	w := bufio.NewWriterSize(&announcingWriter{conn: conn, onSend: onSend}, bufferSize)
+	w := bufio.NewWriterSize(&announcingWriter{conn: conn, onSend: onSend}, writeBufferSize)
 	req.Close = true
 	err := req.Write(w)
 	if err == nil {
@@ -128,7 +131,7 @@
 }
 
 func readResponse(conn net.Conn, req *http.Request) (*http.Response, error) {
-	r := bufio.NewReaderSize(conn, bufferSize)
+	r := bufio.NewReaderSize(conn, readBufferSize)
 	for range maxInformational {
 		resp, err := http.ReadResponse(r, req)
 		if err != nil {
--- a/request/ledger/ledger_test.go
+++ b/request/ledger/ledger_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -206,12 +207,20 @@
 	}
 }
 
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
 func TestMemoryIsBounded(t *testing.T) {
 	convey.Convey("Evicted keys raise the time for which the home vouches", t, func() {
 		g := newGroup("1")
 		day := start.Add(24 * time.Hour)
 		g.see("1", day)
 		book := g["1"]
+		before := heap()
 		result := Result{Status: 200, Body: make([]byte, 1000), BodyKept: true}
 		for i := range maxEntries + 10 {
 			now := day.Add(time.Duration(i) * time.Millisecond)
@@ -219,6 +228,7 @@
 			book.Claim(c, now)
 			book.Complete(c, result, now)
 		}
+		fmt.Printf("bench ledger/memory_at_%d_keys %.1f MB\n", maxEntries, float64(heap()-before)/(1<<20))
 		now := day.Add(time.Minute)
 		convey.So(book.Len(), convey.ShouldEqual, maxEntries)
 		convey.So(book.bodyBytes, convey.ShouldBeLessThanOrEqualTo, maxBodyBytes)
