Announce only limits that the server has borne, refuse by the slowest usual answer

A trial against the stand-in server (6 slots, 900 requests a second, 20 ms work, cold for 5 s) showed the announced weight move between 10 and 25 with each growth that was taken back. A limit on trial is no longer announced. Some requests were started that could not finish in time, as a cold server's answers spread widely: the estimate now is the mean latency and three mean deviations. A 504 of the backend server counts as a missed deadline and no longer as a failure.

--- a/request/admission/serve.go
+++ b/request/admission/serve.go
@@ -249,6 +249,8 @@
 	switch {
 	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
 		return limit.Refused
+	case status == http.StatusGatewayTimeout:
+		return limit.TimedOut
 	case status >= http.StatusInternalServerError:
 		return limit.Failed
 	default:
--- a/request/lifecycle/controller.go
+++ b/request/lifecycle/controller.go
@@ -130,10 +130,10 @@
 	service := c.limiter.Latency()
 	busy := c.limiter.InFlight() + c.waiting.Ahead(deadline) + 1 - c.limiter.Limit()
 	if busy <= 0 {
-		return service
+		return c.limiter.LatencyBound()
 	}
 	wait := service * time.Duration(busy) / time.Duration(c.limiter.Limit())
-	return wait + service
+	return wait + c.limiter.LatencyBound()
 }
 
 // Stream notes that a started request streams its answer: it gives its place
@@ -227,7 +227,7 @@
 	if c.draining && now.After(c.drainUntil) {
 		return errkind.Draining, true
 	}
-	if now.Add(c.limiter.Latency()).After(entry.Deadline) {
+	if now.Add(c.limiter.LatencyBound()).After(entry.Deadline) {
 		return errkind.DeadlineTooClose, true
 	}
 	return 0, false
--- a/request/limit/limit.go
+++ b/request/limit/limit.go
@@ -82,6 +82,9 @@
 	// maxHintedPause bounds the wait when the health endpoint goes on telling that
 	// the server is ill.
 	maxHintedPause = 5 * time.Second
+	// boundDeviations is the number of mean deviations above the latency that few
+	// answers exceed.
+	boundDeviations = 3
 	// stallFactor times the usual latency without any answer is a stall.
 	stallFactor = 10
 	// stallMargin is added to the bound of a stall.
@@ -102,8 +105,11 @@
 // Limiter holds the limit of one backend server. It is not safe for concurrent
 // use.
 type Limiter struct {
-	slots    int
-	limit    int
+	slots int
+	limit int
+	// borne is the largest limit that the server has borne since the last fall. A
+	// limit above it is on trial and not announced.
+	borne    int
 	inFlight int
 	draining bool
 	warm     bool
@@ -121,7 +127,7 @@
 // New returns the limiter of a backend server with the given number of slots,
 // at least one. The backend server counts as cold.
 func New(slots int, now time.Time) *Limiter {
-	l := &Limiter{limit: 1, progress: now, ramp: newRamp(now)}
+	l := &Limiter{limit: 1, borne: 1, progress: now, ramp: newRamp(now)}
 	l.SetSlots(slots)
 	return l
 }
@@ -130,6 +136,7 @@
 func (l *Limiter) SetSlots(slots int) {
 	l.slots = max(slots, 1)
 	l.limit = min(l.limit, l.slots)
+	l.borne = min(l.borne, l.slots)
 	if l.limit < l.slots {
 		l.warm = false
 	}
@@ -151,6 +158,12 @@
 // unknown.
 func (l *Limiter) Latency() time.Duration { return l.ramp.recent }
 
+// LatencyBound returns a latency that few answers exceed at present, zero when
+// unknown.
+func (l *Limiter) LatencyBound() time.Duration {
+	return l.ramp.recent + boundDeviations*l.ramp.deviation
+}
+
 // Drain makes the state Draining for good. It does not change the limit, which
 // requests already admitted still need.
 func (l *Limiter) Drain() { l.draining = true }
@@ -224,6 +237,7 @@
 		l.fall(now)
 	case findingWorse:
 		l.limit = max(l.limit-1, 1)
+		l.borne = min(l.borne, l.limit)
 		l.warm = false
 		l.ramp.stepBack(now)
 	case findingBears:
@@ -232,6 +246,7 @@
 }
 
 func (l *Limiter) grow(now time.Time) {
+	l.borne = l.limit
 	if l.limit == l.slots {
 		l.warm = true
 		l.ramp.settle(now)
@@ -296,6 +311,7 @@
 	}
 	l.ramp.fall(l.warm, now)
 	l.limit = 1
+	l.borne = 1
 	l.warm = false
 }
 
@@ -312,7 +328,7 @@
 		return Draining
 	case l.warm:
 		return Warm
-	case l.limit > 1:
+	case l.borne > 1:
 		return Warming
 	default:
 		return Cold
@@ -328,8 +344,8 @@
 		return failingWeight
 	case l.warm:
 		return FullWeight
-	case l.limit > 1:
-		return uint16(coldWeight + (FullWeight-coldWeight)*(l.limit-1)/l.slots)
+	case l.borne > 1:
+		return uint16(coldWeight + (FullWeight-coldWeight)*(l.borne-1)/l.slots)
 	default:
 		return coldWeight
 	}
--- a/request/limit/ramp.go
+++ b/request/limit/ramp.go
@@ -78,6 +78,8 @@
 	first time.Duration
 	// recent is a moving average over the last few answers.
 	recent time.Duration
+	// deviation is a moving average of the distance from recent.
+	deviation time.Duration
 	// baseline is the usual latency of the warm server; zero when not known.
 	baseline   time.Duration
 	baselineAt time.Time
@@ -132,6 +134,7 @@
 	if r.recent == 0 {
 		r.recent = latency
 	}
+	r.deviation += ((latency - r.recent).Abs() - r.deviation) / recentShare
 	r.recent += (latency - r.recent) / recentShare
 }
 
