--- a/request/admission/pass.go
+++ b/request/admission/pass.go
@@ -1,8 +1,6 @@
 package admission
 
 import (
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -147,75 +145,24 @@
 // copyBody copies the body with a buffer of fixed size, so that a slow caller
 // slows the backend server down instead of filling memory.
 func (x *exchange) copyBody(answer *backend.Exchange) error {
-	small := make([]byte, smallBufferSize)
-	full := false
-	control := http.NewResponseController(x.w)
-	unknown := answer.Response.ContentLength < 0
-	if unknown {
-		_ = control.Flush()
+	c := &bodyCopy{
+		exchange: x,
+		answer:   answer,
+		control:  http.NewResponseController(x.w),
+		unknown:  answer.Response.ContentLength < 0,
+		small:    make([]byte, smallBufferSize),
+	}
+	if c.unknown {
+		_ = c.control.Flush()
 	}
 	for {
-		if !unknown {
-			_ = answer.SetReadDeadline(time.Now().Add(serverStall))
-		}
-		buffer := small
-		var pooled *[copyBufferSize]byte
-		if full {
-			pooled = x.gate.buffers.Get().(*[copyBufferSize]byte)
-			buffer = pooled[:]
-		}
-		n, readErr := answer.Response.Body.Read(buffer)
-		full = n >= smallBufferSize
-		var err error
-		if n > 0 {
-			err = x.forward(control, buffer[:n], unknown)
-		}
-		if pooled != nil {
-			x.gate.buffers.Put(pooled)
-		}
-		if err != nil {
+		done, err := c.next()
+		if done || err != nil {
 			return err
 		}
-		switch {
-		case errors.Is(readErr, io.EOF):
-			return nil
-		case x.ctx.Err() != nil:
-			return errCallerGone
-		case readErr != nil:
-			return errkind.Wrap(readErr, errkind.BackendFailed, "the answer broke off")
-		}
 	}
 }
 
 func isEventStream(resp *http.Response) bool {
 	return strings.HasPrefix(resp.Header.Get("Content-Type"), eventStreamType)
 }
-
-// forward passes bytes on to the caller. The answer to a keyed request is read to
-// its end also when the caller has gone, so that a repeat can have it.
-func (x *exchange) forward(control *http.ResponseController, p []byte, flush bool) error {
-	x.captured.add(p)
-	if x.callerGone != nil {
-		return nil
-	}
-	err := x.write(control, p, flush)
-	if err != nil && x.permit != nil && !x.captured.overflow {
-		x.callerGone = err
-		return nil
-	}
-	return err
-}
-
-func (x *exchange) write(control *http.ResponseController, p []byte, flush bool) error {
-	_ = control.SetWriteDeadline(time.Now().Add(callerStall))
-	if _, err := x.w.Write(p); err != nil {
-		return errkind.Wrap(err, errkind.Canceled, "write to the caller")
-	}
-	if !flush {
-		return nil
-	}
-	if err := control.Flush(); err != nil {
-		return errkind.Wrap(err, errkind.Canceled, "write to the caller")
-	}
-	return nil
-}
