--- a/request/admission/gate_test.go
+++ b/request/admission/gate_test.go
@@ -256,8 +256,10 @@
 		convey.So(total.Load(), convey.ShouldEqual, calls-refused)
 	})
 	convey.Convey("A caller that goes away cancels its request at the backend server", t, func() {
+		started := make(chan struct{})
 		gone := make(chan struct{})
 		b := newBench(t, httpBackend(t, func(_ http.ResponseWriter, r *http.Request) {
+			close(started)
 			<-r.Context().Done()
 			close(gone)
 		}), Options{})
@@ -265,7 +267,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		req, _ := http.NewRequestWithContext(ctx, http.MethodGet, b.front.URL, nil)
 		go func() {
-			waitFor(t, "the request runs", func() bool { return b.gate.Open() == 1 })
+			<-started
 			cancel()
 		}()
 		_, err := b.client.Do(req)
