--- a/request/admission/serve.go
+++ b/request/admission/serve.go
@@ -68,6 +68,9 @@
 			return
 		}
 	}
+	if err == nil && x.avoidFailing() {
+		return
+	}
 	if err == nil {
 		err = x.admit()
 	}
@@ -246,6 +249,8 @@
 	switch {
 	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
 		return limit.Refused
+	case status == http.StatusGatewayTimeout:
+		return limit.TimedOut
 	case status >= http.StatusInternalServerError:
 		return limit.Failed
 	default:
