--- a/connection/flows/flows_test.go
+++ b/connection/flows/flows_test.go
@@ -181,6 +181,18 @@
 			convey.So(o.path, convey.ShouldResemble, []int{0, 1})
 			convey.So(w.data(0, caller, holder).delivered, convey.ShouldBeTrue)
 		})
+		convey.Convey("flows live on while every server drains", func() {
+			holder := w.establish(0, caller)
+			w.settle([]steering.Server{drained(0), drained(1)})
+			w.pass(5 * time.Minute)
+			w.settle([]steering.Server{drained(0), drained(1), drained(2)})
+			w.pass(time.Second)
+			for balancer := range w.balancers {
+				o := w.data(balancer, caller, holder)
+				convey.So(o.delivered && o.agent == holder, convey.ShouldBeTrue)
+				convey.So(w.send(balancer, toService(caller+1, syn, 100, 0)).delivered, convey.ShouldBeFalse)
+			}
+		})
 		convey.Convey("a draining server without a successor drops them", func() {
 			w.agents[0].SetDraining(true)
 			w.agents[0].SetServers(fleet(0, 0), nil, w.now)
@@ -336,6 +348,8 @@
 			convey.So(w.agents[1].Registrations(), convey.ShouldEqual, 1)
 		})
 		convey.Convey("registrations are renewed and end with their holder", func() {
+			// A view without any server, not even this one, is no knowledge.
+			w.agents[0].SetServers(nil, nil, w.now)
 			w.pass(2 * flows.RegistrationLifetime)
 			convey.So(w.agents[1].Registrations(), convey.ShouldEqual, 1)
 			w.agents[0].SetSuspended(true)
@@ -345,6 +359,24 @@
 	})
 }
 
+func TestMessagesAreDeterministic(t *testing.T) {
+	convey.Convey("The same input gives the same messages", t, func() {
+		var runs [2][]flows.Message
+		for i := range runs {
+			w := newWorld(7, 1, flows.Options{})
+			w.settle(fleet(0, 0))
+			for caller := range 3000 {
+				w.establish(0, caller)
+			}
+			w.settle(append(fleet(1, 6), drained(0)))
+			w.now = w.now.Add(flows.TickInterval)
+			runs[i] = w.agents[0].Tick(w.now)
+		}
+		convey.So(len(runs[0]), convey.ShouldBeGreaterThan, 6)
+		convey.So(runs[0], convey.ShouldResemble, runs[1])
+	})
+}
+
 func drained(i int) steering.Server {
 	s := server(i)
 	s.Weight = 0
