--- a/version/spread/loopback_test.go
+++ b/version/spread/loopback_test.go
@@ -161,3 +161,44 @@
 		}
 	}
 }
+
+// BenchmarkStoreCalls prints the calls to the store of real processes in four
+// failure domains, after a start of all at once and at rest.
+func BenchmarkStoreCalls(b *testing.B) {
+	const domains = 4
+	const rest = 10 * time.Second
+	for range b.N {
+		for _, each := range []int{2, 4, 8, 16} {
+			f := newFleet(b)
+			f.publishText(0)
+			before := f.store.Calls()
+			f.startTogether(domains, each, 300*time.Millisecond)
+			eventually(b, "version 1 in force", f.inForce(1))
+			fmt.Printf("bench restart_store_calls/processes=%d %d calls\n", domains*each, f.store.Calls()-before)
+			time.Sleep(time.Second)
+			before = f.store.Calls()
+			time.Sleep(rest)
+			fmt.Printf("bench store_calls/processes=%d %.2f calls/s\n", domains*each, float64(f.store.Calls()-before)/rest.Seconds())
+			for _, p := range f.all() {
+				f.remove(p)
+			}
+		}
+	}
+}
+
+// BenchmarkSilentWatch prints the time from acceptance to in force when the
+// watches are silent for good and nobody hands the version over.
+func BenchmarkSilentWatch(b *testing.B) {
+	const changes = 10
+	for range b.N {
+		f := newFleet(b)
+		f.startMany(3, 2)
+		f.change(0, condition{}, nil)
+		var times []time.Duration
+		for n := range changes {
+			times = append(times, f.change(n+1, condition{faults: storetest.Faults{SilentWatches: true}}, nil))
+		}
+		slices.Sort(times)
+		fmt.Printf("bench in_force_max/silent_watch %.1f ms\n", float64(times[len(times)-1].Microseconds())/1000)
+	}
+}
