Watch the names of keys, and read the value only after a change

Each call of the watch that ended without a change carried the whole root, of 7,435 bytes at 1,600 services, every two seconds. It now asks for the names of the keys and costs one more read for each change. The published API offers the query, and the stand-in serves it. A longer wait was ruled out: a watch that is silent for good would be noticed later than the five seconds a version has.

--- a/version/store/storetest/fake.go
+++ b/version/store/storetest/fake.go
@@ -222,25 +222,34 @@
 
 func (s *Server) read(w http.ResponseWriter, r *http.Request, key string) {
 	query := r.URL.Query()
+	list := query.Has("recurse") || query.Has("keys")
 	after, _ := strconv.ParseUint(query.Get("index"), 10, 64)
 	wait, _ := time.ParseDuration(query.Get("wait"))
-	if after > 0 && !s.await(r, key, after, wait) {
+	if after > 0 && !s.await(r, key, list, after, wait) {
 		return
 	}
 	s.mu.Lock()
-	found, index := s.lookup(key, query.Has("recurse"))
+	found, index := s.lookup(key, list)
 	s.mu.Unlock()
 	w.Header().Set("X-Consul-Index", strconv.FormatUint(index, 10))
 	if len(found) == 0 {
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	_ = json.NewEncoder(w).Encode(found)
+	if !query.Has("keys") {
+		_ = json.NewEncoder(w).Encode(found)
+		return
+	}
+	var keys []string
+	for _, p := range found {
+		keys = append(keys, p.Key)
+	}
+	_ = json.NewEncoder(w).Encode(keys)
 }
 
-func (s *Server) lookup(key string, recurse bool) ([]pair, uint64) {
-	if recurse {
-		return s.list(key), s.index
+func (s *Server) lookup(key string, list bool) ([]pair, uint64) {
+	if list {
+		return s.lookupAll(key)
 	}
 	p, found := s.pairs[key]
 	if !found {
@@ -249,14 +258,26 @@
 	return []pair{p}, p.ModifyIndex
 }
 
+func (s *Server) lookupAll(prefix string) ([]pair, uint64) {
+	found := s.list(prefix)
+	index := uint64(0)
+	for _, p := range found {
+		index = max(index, p.ModifyIndex)
+	}
+	if index == 0 {
+		index = s.index
+	}
+	return found, index
+}
+
 // await blocks a watch and tells whether it is to be answered.
-func (s *Server) await(r *http.Request, key string, after uint64, wait time.Duration) bool {
+func (s *Server) await(r *http.Request, key string, list bool, after uint64, wait time.Duration) bool {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		s.mu.Lock()
 		silent := s.faults.SilentWatches
-		_, index := s.lookup(key, false)
+		_, index := s.lookup(key, list)
 		changed := s.changed
 		s.mu.Unlock()
 		if silent {
--- a/version/store/watch.go
+++ b/version/store/watch.go
@@ -34,7 +34,10 @@
 }
 
 func (w *watch) step(ctx context.Context) {
-	entry, index, err := w.poll(ctx)
+	index, err := w.poll(ctx)
+	if err == nil && (index != w.index || index == 0) {
+		err = w.tell(ctx)
+	}
 	if ctx.Err() != nil {
 		return
 	}
@@ -43,20 +46,26 @@
 		return
 	}
 	w.failures = 0
-	changed := index != w.index || index == 0
 	// The published API asks clients to start over when the index goes back.
 	if index < w.index {
 		index = 0
 	}
 	w.index = index
-	if changed {
-		w.handle(entry)
-	}
 	if index == 0 {
 		sleep(ctx, pause(1))
 	}
 }
 
+// tell reads the key after a change. The value may be newer than the index of
+// the change; the next call then ends at once and the value is read again.
+func (w *watch) tell(ctx context.Context) error {
+	entry, err := w.client.Get(ctx, w.key)
+	if err == nil {
+		w.handle(entry)
+	}
+	return err
+}
+
 func (w *watch) fail(ctx context.Context, err error) {
 	w.failures++
 	if w.failed != nil {
@@ -65,28 +74,22 @@
 	sleep(ctx, pause(w.failures))
 }
 
-// poll makes one blocking query.
-func (w *watch) poll(ctx context.Context) (Entry, uint64, error) {
+// poll makes one blocking query and returns the index. It asks for the names of
+// the keys only, since most calls end without a change.
+func (w *watch) poll(ctx context.Context) (uint64, error) {
 	options := w.client.options
-	r := request{method: http.MethodGet, path: kvPath + w.key, timeout: options.Timeout}
+	r := request{method: http.MethodGet, path: kvPath + w.key, query: "keys", timeout: options.Timeout}
 	if w.index > 0 {
-		r.query = fmt.Sprintf("index=%d&wait=%dms", w.index, options.Wait.Milliseconds())
+		r.query = fmt.Sprintf("keys&index=%d&wait=%dms", w.index, options.Wait.Milliseconds())
 		r.timeout = options.Wait + options.Wait/16 + options.Grace
 	}
 	start := time.Now()
 	a, _, err := w.client.send(ctx, r)
 	if err != nil {
 		w.noteSilence(ctx, time.Since(start), r.timeout)
-		return Entry{}, 0, err
-	}
-	if err := refusal(r, a); err != nil {
-		return Entry{}, 0, err
-	}
-	entries, err := decodeEntries(a)
-	if err != nil || len(entries) == 0 {
-		return Entry{}, a.index, err
+		return 0, err
 	}
-	return entries[0], a.index, nil
+	return a.index, refusal(r, a)
 }
 
 func (w *watch) noteSilence(ctx context.Context, elapsed, timeout time.Duration) {
