--- a/version/spread/failure_test.go
+++ b/version/spread/failure_test.go
@@ -34,6 +34,22 @@
 	})
 }
 
+func TestSilentConnectionsBetweenPeers(t *testing.T) {
+	convey.Convey("A version spreads though all open connections went silent for good", t, func() {
+		f := newFleet(t)
+		f.startMany(1, 3)
+		f.publishText(0)
+		eventually(t, "version 1 in force", f.inForce(1))
+		f.store.SetFaults(storetest.Faults{SilentWatches: true})
+		result := f.publishText(1)
+		f.store.SetFaults(storetest.Faults{Down: true, SilentWatches: true})
+		f.network.silenced.Add(1)
+		err := spread.NewOperator().Offer(t.Context(), f.all()[0].peer.Control, *result.Made, result.Fresh)
+		convey.So(err, convey.ShouldBeNil)
+		eventually(t, "version 2 in force", f.inForce(2))
+	})
+}
+
 func TestProcessThatJoinsDuringAnOutage(t *testing.T) {
 	convey.Convey("A process that starts while the store is down learns from its peers", t, func() {
 		f := newFleet(t)
--- a/version/spread/fleet_test.go
+++ b/version/spread/fleet_test.go
@@ -78,7 +78,7 @@
 type fleet struct {
 	t         testing.TB
 	store     *storetest.Server
-	bytes     atomic.Int64
+	network   network
 	mu        sync.Mutex
 	processes []*process
 }
@@ -110,12 +110,12 @@
 
 // start adds a process; peers returns whom it knows.
 func (f *fleet) start(name, domain string, leaf bool, peers func() []spread.Peer) *process {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	socket, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		f.t.Fatal(err)
 	}
 	p := &process{
-		peer: spread.Peer{Name: name, Domain: domain, Control: netip.MustParseAddrPort(listener.Addr().String())},
+		peer: spread.Peer{Name: name, Domain: domain, Control: netip.MustParseAddrPort(socket.Addr().String())},
 		done: make(chan struct{}), at: make(map[uint64]time.Time),
 	}
 	if !leaf {
@@ -127,7 +127,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(p.spreader.Handler())
 	p.server = &http.Server{Handler: mux, ReadHeaderTimeout: time.Second}
-	go func() { _ = p.server.Serve(countingListener{listener, &f.bytes}) }()
+	go func() { _ = p.server.Serve(listener{socket, &f.network}) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
 	if !leaf {
--- a/version/spread/loopback_test.go
+++ b/version/spread/loopback_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"fmt"
-	"net"
 	"slices"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -107,34 +105,6 @@
 	}
 }
 
-// countingListener counts the bytes of its connections, both ways.
-type countingListener struct {
-	net.Listener
-	bytes *atomic.Int64
-}
-
-func (l countingListener) Accept() (net.Conn, error) {
-	connection, err := l.Listener.Accept()
-	return countingConn{connection, l.bytes}, err
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // BenchmarkPeerBytes prints the bytes that a process moves to and from peers, at
 // rest and for a change of one service.
 func BenchmarkPeerBytes(b *testing.B) {
@@ -147,16 +117,16 @@
 			f.publishConfig(many(b, services, 80))
 			eventually(b, "version 1 in force", f.inForce(1))
 			time.Sleep(time.Second)
-			before := f.bytes.Load()
+			before := f.network.bytes.Load()
 			time.Sleep(rest)
-			atRest := float64(f.bytes.Load()-before) / rest.Seconds()
+			atRest := float64(f.network.bytes.Load()-before) / rest.Seconds()
 			fmt.Printf("bench peer_bytes_at_rest/services=%d %.0f bytes/s/process\n", services, atRest/(domains*each))
-			before = f.bytes.Load()
+			before = f.network.bytes.Load()
 			started := time.Now()
 			f.publishConfig(many(b, services, 81))
 			eventually(b, "version 2 in force", f.inForce(2))
 			time.Sleep(2 * time.Second)
-			moved := float64(f.bytes.Load()-before) - atRest*time.Since(started).Seconds()
+			moved := float64(f.network.bytes.Load()-before) - atRest*time.Since(started).Seconds()
 			fmt.Printf("bench peer_bytes_per_change/services=%d %.0f bytes/process\n", services, moved/(domains*each))
 		}
 	}
