--- a/request/admission/engine.go
+++ b/request/admission/engine.go
@@ -42,6 +42,8 @@
 	slots       int
 	connections int
 	well        bool
+	// atOnce refuses an arrival that cannot start at once.
+	atOnce bool
 }
 
 // decision tells whether a request starts or why it is refused.
@@ -115,6 +117,9 @@
 	switch ev.kind {
 	case eventArrive:
 		e.waiters[ev.id] = ev.decided
+		if ev.atOnce {
+			return c.ArriveAtOnce(ev.id, ev.deadline, now)
+		}
 		return c.Arrive(ev.id, ev.deadline, now)
 	case eventCancel:
 		return e.cancel(ev, now)
--- a/request/admission/handoff.go
+++ b/request/admission/handoff.go
@@ -181,8 +181,3 @@
 	inner.URL = target
 	g.serve(w, inner, from)
 }
-
-// acceptsHandOff tells whether a request handed on can start at once.
-func (x *exchange) acceptsHandOff() bool {
-	return x.origin.hops == 0 || x.gate.seen.Load().room > 0
-}
--- a/request/admission/serve.go
+++ b/request/admission/serve.go
@@ -94,7 +94,7 @@
 	if x.gate.draining.Load() {
 		return errkind.New(errkind.Draining, "the backend server is leaving")
 	}
-	if x.gate.counters.open.Load() > x.gate.maxOpen.Load() || x.gate.seen.Load().full || !x.acceptsHandOff() {
+	if x.gate.counters.open.Load() > x.gate.maxOpen.Load() || x.gate.seen.Load().full {
 		return errkind.New(errkind.Overloaded, "no room for a further request")
 	}
 	if x.gate.options.DependencyHealthy == nil {
@@ -110,7 +110,7 @@
 func (x *exchange) admit() error {
 	decided := make(chan decision, 1)
 	x.state.Queue()
-	arrival := engineEvent{kind: eventArrive, id: x.id, deadline: x.deadline, decided: decided}
+	arrival := engineEvent{kind: eventArrive, id: x.id, deadline: x.deadline, decided: decided, atOnce: x.origin.hops > 0}
 	if !x.gate.engine.post(arrival) {
 		return errkind.New(errkind.Draining, "the agent has stopped")
 	}
--- a/request/lifecycle/controller.go
+++ b/request/lifecycle/controller.go
@@ -112,6 +112,15 @@
 	return c.settle(now)
 }
 
+// ArriveAtOnce takes a request that a sibling has handed on: it starts or is
+// refused.
+func (c *Controller) ArriveAtOnce(id queue.ID, deadline time.Time, now time.Time) []Action {
+	if c.Room(now) == 0 {
+		return []Action{{Kind: ActionRefuse, ID: id, Reason: errkind.Overloaded}}
+	}
+	return c.Arrive(id, deadline, now)
+}
+
 func (c *Controller) admit(deadline, now time.Time) (errkind.Kind, bool) {
 	switch {
 	case c.draining:
--- a/request/lifecycle/controller_test.go
+++ b/request/lifecycle/controller_test.go
@@ -71,6 +71,14 @@
 		c.FinishStream(limit.Sample{}, start)
 		convey.So(c.Open(), convey.ShouldEqual, 1)
 	})
+	convey.Convey("A request handed on starts at once or is refused", t, func() {
+		c := NewController(1, 100, start)
+		convey.So(kinds(c.ArriveAtOnce(1, deadline, start)), convey.ShouldResemble, []ActionKind{ActionStart})
+		refused := c.ArriveAtOnce(2, deadline, start)
+		convey.So(refused[0].Reason, convey.ShouldEqual, errkind.Overloaded)
+		c.Finish(limit.Sample{Latency: time.Millisecond}, start)
+		convey.So(kinds(c.ArriveAtOnce(3, deadline, start)), convey.ShouldResemble, []ActionKind{ActionStart})
+	})
 	convey.Convey("A cancelled request leaves the queue and never starts", t, func() {
 		c := NewController(1, 100, start)
 		c.Arrive(1, deadline, start)
