Transfer keys to a new agent only when that reaches further back

In a service whose agents all started together every agent would have asked all others for all keys again and again for ten minutes, since none could vouch for an earlier time. An agent now asks for the times first, a message of some bytes, and for the keys only when they reach back at least a second further. Members are confirmed at each look until they are known.

--- a/request/ledgerrpc/adopt.go
+++ b/request/ledgerrpc/adopt.go
@@ -9,12 +9,17 @@
 	"bergamotbank/request/ledger/ledgerpb"
 )
 
+// minGain is the least time further back that makes it worth to transfer all keys
+// of the peers.
+const minGain = time.Second
+
 // adopt learns the keys of the peers, so that the agent can vouch for times
-// before its own start. It tells whether it has asked them.
-func (k *Keeper) adopt(ctx context.Context) bool {
+// before its own start. It asks for the keys only when the peers say that they
+// reach further back.
+func (k *Keeper) adopt(ctx context.Context) {
 	peers, quorum := k.adoptable(k.options.Now())
-	if len(peers) == 0 {
-		return false
+	if len(peers) == 0 || !k.worthAdopting(ctx, peers, quorum) {
+		return
 	}
 	replies := exportAll(ctx, k.options.Service, peers)
 	now := k.options.Now()
@@ -23,19 +28,42 @@
 	statements := make([]ledger.Statement, 0, len(replies))
 	for _, reply := range replies {
 		k.learn(reply, now)
-		if reply.GetVouches() {
-			statements = append(statements, ledger.Statement{
-				Since:  now.Add(-time.Duration(reply.GetSinceMs()) * time.Millisecond),
-				Quorum: int(reply.GetQuorum()),
-			})
-		}
+		statements = appendStatement(statements, reply, now)
 	}
 	own, ok := k.book.VouchesSince()
 	plan, enough := ledger.PlanAdoption(statements, quorum)
 	if ok && enough && plan.Since.Before(own.Since) {
 		k.ring.Adopt(plan.Since, plan.Quorum)
 	}
-	return true
+}
+
+func (k *Keeper) worthAdopting(ctx context.Context, peers []ledgerpb.Ledger, quorum int) bool {
+	var statements []ledger.Statement
+	replies := askMembers(ctx, k.options.Service, peers)
+	now := k.options.Now()
+	for _, reply := range replies {
+		statements = appendStatement(statements, reply, now)
+	}
+	own, _ := k.statement()
+	plan, enough := ledger.PlanAdoption(statements, quorum)
+	return enough && plan.Since.Before(own.Since.Add(-minGain))
+}
+
+// stater is a reply with a statement about the memory of a peer.
+type stater interface {
+	GetVouches() bool
+	GetSinceMs() int64
+	GetQuorum() int32
+}
+
+func appendStatement(statements []ledger.Statement, reply stater, now time.Time) []ledger.Statement {
+	if !reply.GetVouches() {
+		return statements
+	}
+	return append(statements, ledger.Statement{
+		Since:  now.Add(-time.Duration(reply.GetSinceMs()) * time.Millisecond),
+		Quorum: int(reply.GetQuorum()),
+	})
 }
 
 // adoptable returns the peers to learn from once the agent is known to all, while
--- a/request/ledgerrpc/confirm.go
+++ b/request/ledgerrpc/confirm.go
@@ -17,7 +17,10 @@
 	if len(peers) == 0 {
 		return
 	}
-	replies := askMembers(ctx, k.options.Service, peers)
+	var replies []ledger.Knowledge
+	for _, reply := range askMembers(ctx, k.options.Service, peers) {
+		replies = append(replies, ledger.Knowledge{Members: reply.GetMembers(), Confirmed: reply.GetConfirmed()})
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.ring.Confirm(replies, k.options.Now())
@@ -40,11 +43,11 @@
 	return peers
 }
 
-func askMembers(ctx context.Context, service string, peers []ledgerpb.Ledger) []ledger.Knowledge {
+func askMembers(ctx context.Context, service string, peers []ledgerpb.Ledger) []*ledgerpb.MembersReply {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var mu sync.Mutex
-	var replies []ledger.Knowledge
+	var replies []*ledgerpb.MembersReply
 	var wait sync.WaitGroup
 	for _, peer := range peers {
 		wait.Go(func() {
@@ -54,7 +57,7 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			replies = append(replies, ledger.Knowledge{Members: reply.GetMembers(), Confirmed: reply.GetConfirmed()})
+			replies = append(replies, reply)
 		})
 	}
 	wait.Wait()
--- a/request/ledgerrpc/keeper.go
+++ b/request/ledgerrpc/keeper.go
@@ -107,10 +107,12 @@
 			return
 		case <-update.C:
 			k.update(k.options.Now())
-		case <-adopt.C:
 			k.confirm(ctx)
-			if k.adopt(ctx) {
-				pause = min(2*pause, maxAdoptPause)
+		case <-adopt.C:
+			k.adopt(ctx)
+			pause = min(2*pause, maxAdoptPause)
+			if !k.Confirmed() {
+				pause = minAdoptPause
 			}
 			adopt.Reset(pause)
 		}
@@ -166,6 +168,12 @@
 	return k.ring.Members(), k.ring.Confirmed()
 }
 
+func (k *Keeper) statement() (ledger.Statement, bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.book.VouchesSince()
+}
+
 func (k *Keeper) export(now time.Time) (ledger.Statement, bool, []ledger.Entry) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/request/ledgerrpc/server.go
+++ b/request/ledgerrpc/server.go
@@ -70,7 +70,14 @@
 		return nil, err
 	}
 	members, confirmed := s.keeper.members()
-	return &ledgerpb.MembersReply{Members: members, Confirmed: confirmed}, nil
+	statement, vouches := s.keeper.statement()
+	return &ledgerpb.MembersReply{
+		Members:   members,
+		Confirmed: confirmed,
+		Vouches:   vouches,
+		SinceMs:   s.keeper.options.Now().Sub(statement.Since).Milliseconds(),
+		Quorum:    int32(statement.Quorum),
+	}, nil
 }
 
 // Export implements ledgerpb.Ledger.
