--- a/request/admission/gate_test.go
+++ b/request/admission/gate_test.go
@@ -151,6 +151,29 @@
 	})
 }
 
+func TestTrailersPass(t *testing.T) {
+	convey.Convey("Trailers reach the caller, and answers without a body stay without one", t, func() {
+		b := newBench(t, httpBackend(t, func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodHead {
+				w.Header().Set("Content-Length", "7")
+				return
+			}
+			w.Header().Set("Trailer", "X-Checksum")
+			_, _ = io.WriteString(w, "text")
+			w.Header().Set("X-Checksum", "17")
+		}), Options{})
+		resp, err := b.client.Get(b.front.URL)
+		convey.So(err, convey.ShouldBeNil)
+		text, err := io.ReadAll(resp.Body)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(string(text), convey.ShouldEqual, "text")
+		convey.So(resp.Trailer.Get("X-Checksum"), convey.ShouldEqual, "17")
+		head := b.do(http.MethodHead, "/", "")
+		convey.So(head.err, convey.ShouldBeNil)
+		convey.So(head.header.Get("Content-Length"), convey.ShouldEqual, "7")
+	})
+}
+
 func TestBackendServerFails(t *testing.T) {
 	cases := []struct {
 		name   string
@@ -233,8 +256,10 @@
 		convey.So(total.Load(), convey.ShouldEqual, calls-refused)
 	})
 	convey.Convey("A caller that goes away cancels its request at the backend server", t, func() {
+		started := make(chan struct{})
 		gone := make(chan struct{})
 		b := newBench(t, httpBackend(t, func(_ http.ResponseWriter, r *http.Request) {
+			close(started)
 			<-r.Context().Done()
 			close(gone)
 		}), Options{})
@@ -242,7 +267,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		req, _ := http.NewRequestWithContext(ctx, http.MethodGet, b.front.URL, nil)
 		go func() {
-			waitFor(t, "the request runs", func() bool { return b.gate.Open() == 1 })
+			<-started
 			cancel()
 		}()
 		_, err := b.client.Do(req)
--- a/request/admission/serve.go
+++ b/request/admission/serve.go
@@ -68,6 +68,9 @@
 			return
 		}
 	}
+	if err == nil && x.avoidFailing() {
+		return
+	}
 	if err == nil {
 		err = x.admit()
 	}
@@ -91,7 +94,7 @@
 	if x.gate.draining.Load() {
 		return errkind.New(errkind.Draining, "the backend server is leaving")
 	}
-	if x.gate.counters.open.Load() > x.gate.maxOpen.Load() || x.gate.seen.Load().full || !x.acceptsHandOff() {
+	if x.gate.counters.open.Load() > x.gate.maxOpen.Load() || x.gate.seen.Load().full {
 		return errkind.New(errkind.Overloaded, "no room for a further request")
 	}
 	if x.gate.options.DependencyHealthy == nil {
@@ -107,7 +110,7 @@
 func (x *exchange) admit() error {
 	decided := make(chan decision, 1)
 	x.state.Queue()
-	arrival := engineEvent{kind: eventArrive, id: x.id, deadline: x.deadline, decided: decided}
+	arrival := engineEvent{kind: eventArrive, id: x.id, deadline: x.deadline, decided: decided, atOnce: x.origin.hops > 0}
 	if !x.gate.engine.post(arrival) {
 		return errkind.New(errkind.Draining, "the agent has stopped")
 	}
@@ -246,6 +249,8 @@
 	switch {
 	case status == http.StatusTooManyRequests, status == http.StatusServiceUnavailable:
 		return limit.Refused
+	case status == http.StatusGatewayTimeout:
+		return limit.TimedOut
 	case status >= http.StatusInternalServerError:
 		return limit.Failed
 	default:
