Take a root read back with an older index for a stale read

After a lost answer a stale read, whose index is below that of the base, counted as proof that the write had no effect, so an operator could be told refused for a version that was made. The case "stale" of the new test gave lost before and gives pending now.

--- a/version/publish/publish_test.go
+++ b/version/publish/publish_test.go
@@ -174,6 +174,33 @@
 	})
 }
 
+func TestJudge(t *testing.T) {
+	b := base{version: Version{Root: Root{Version: 5}}, index: 50}
+	full := make([]Operation, recentOperations)
+	for i := range full {
+		full[i] = Operation{ID: fmt.Sprint(i), Version: uint64(20 + i)}
+	}
+	cases := []struct {
+		name  string
+		root  Root
+		index uint64
+		want  verdict
+	}{
+		{"remembered", Root{Version: 6, Recent: []Operation{{ID: "mine", Version: 6}}}, 51, made},
+		{"as before", Root{Version: 5}, 50, pending},
+		{"stale", Root{Version: 4}, 49, pending},
+		{"only the epoch moved", Root{Version: 5}, 51, lost},
+		{"another version", Root{Version: 6, Recent: []Operation{{ID: "other", Version: 6}}}, 51, lost},
+		{"displaced", Root{Version: 51, Recent: full}, 90, forgotten},
+	}
+	for _, c := range cases {
+		convey.Convey("A root that is "+c.name, t, func() {
+			got, _ := judge(b, c.root, c.index, "mine")
+			convey.So(got, convey.ShouldEqual, c.want)
+		})
+	}
+}
+
 func TestRefusalBeforeAnOutage(t *testing.T) {
 	convey.Convey("A write that the store refused is refused though the store goes down next", t, func() {
 		server := newServer(t)
--- a/version/publish/settle.go
+++ b/version/publish/settle.go
@@ -27,7 +27,8 @@
 	if version, found := root.find(operation); found {
 		return made, version
 	}
-	if index == b.index {
+	// An index below that of the base comes from a stale read.
+	if index <= b.index {
 		return pending, 0
 	}
 	if len(root.Recent) == recentOperations && root.Recent[0].Version > b.version.Root.Version+1 {
