--- a/process/ctl/args.go
+++ b/process/ctl/args.go
@@ -95,7 +95,7 @@
 // parseArguments reads a command line. Errors: Usage.
 func parseArguments(args []string, stdout io.Writer) (parsed, error) {
 	var p parsed
-	parser, err := arg.NewParser(arg.Config{Program: programName, IgnoreDefault: false}, &p.arguments)
+	parser, err := arg.NewParser(arg.Config{Program: programName}, &p.arguments)
 	if err != nil {
 		return p, errkind.Wrap(err, errkind.Internal, "command line")
 	}
