Drop acknowledgements that newer ones overtook; take balancers of an out domain out of the fabric

Cause 1: packets of a flow travel over different balancers, so acknowledgements arrive out of order, and the agent's TCP takes the window of each as the latest. An old "window full" then replaces a newer open window that the caller does not repeat. The rule now lives with the flow, in connection/flows, and drops only segments without data whose acknowledgement is not newer and whose window ends left of the largest seen; duplicates that ask for a retransmission pass.

--- a/connection/encap/segment.go
+++ b/connection/encap/segment.go
@@ -86,6 +86,12 @@
 	Sequence uint32
 	// Acknowledgement is the acknowledgement number.
 	Acknowledgement uint32
+	// Window is the window as it stands in the segment, not scaled.
+	Window uint16
+	// WindowScale is the shift of later windows that a SYN announces.
+	WindowScale uint8
+	// PayloadLength is the number of data bytes.
+	PayloadLength int
 }
 
 // ToService returns the flow key of a segment sent by the caller.
@@ -127,5 +133,19 @@
 	s.Flags = tcp.Flags()
 	s.Sequence = tcp.SequenceNumber()
 	s.Acknowledgement = tcp.AckNumber()
+	s.Window = tcp.WindowSize()
+	s.WindowScale = windowScale(tcp)
+	s.PayloadLength = len(payload) - int(tcp.DataOffset())
 	return nil
 }
+
+// windowScale returns the window scale of a SYN, 0 for one without the option
+// and for other segments.
+func windowScale(tcp header.TCP) uint8 {
+	if tcp.Flags()&header.TCPFlagSyn == 0 {
+		return 0
+	}
+	isAnswer := tcp.Flags()&header.TCPFlagAck != 0
+	options := header.ParseSynOptions(tcp.Options(), isAnswer)
+	return uint8(max(options.WS, 0))
+}
--- a/connection/flows/core.go
+++ b/connection/flows/core.go
@@ -66,6 +66,8 @@
 	reset bool
 	// registered tells that another agent knows of this flow.
 	registered bool
+	// window tells old acknowledgements from new ones.
+	window sendWindow
 }
 
 // Options are the settings of a Core.
--- a/connection/flows/decision.go
+++ b/connection/flows/decision.go
@@ -41,22 +41,25 @@
 	ReasonForeignReset
 	// ReasonSuperseded is an answer to a caller that took another agent's answer.
 	ReasonSuperseded
+	// ReasonStaleAcknowledgement is an acknowledgement that a newer one overtook.
+	ReasonStaleAcknowledgement
 
 	// ReasonCount is the number of reasons.
 	ReasonCount
 )
 
 var reasonNames = [ReasonCount]string{
-	ReasonNone:         "none",
-	ReasonSuspended:    "suspended",
-	ReasonWrongService: "wrong_service",
-	ReasonHopLimit:     "hop_limit",
-	ReasonNoHolder:     "no_holder",
-	ReasonDraining:     "draining",
-	ReasonTableFull:    "table_full",
-	ReasonUnknownFlow:  "unknown_flow",
-	ReasonForeignReset: "foreign_reset",
-	ReasonSuperseded:   "superseded",
+	ReasonNone:                 "none",
+	ReasonSuspended:            "suspended",
+	ReasonWrongService:         "wrong_service",
+	ReasonHopLimit:             "hop_limit",
+	ReasonNoHolder:             "no_holder",
+	ReasonDraining:             "draining",
+	ReasonTableFull:            "table_full",
+	ReasonUnknownFlow:          "unknown_flow",
+	ReasonForeignReset:         "foreign_reset",
+	ReasonSuperseded:           "superseded",
+	ReasonStaleAcknowledgement: "stale_acknowledgement",
 }
 
 // String returns the stable name of the reason in metrics.
--- a/connection/flows/inbound.go
+++ b/connection/flows/inbound.go
@@ -35,6 +35,9 @@
 	if f.phase == halfOpen {
 		return c.inboundHalfOpen(f, s, h, now)
 	}
+	if f.window.stale(s) {
+		return drop(ReasonStaleAcknowledgement)
+	}
 	c.noteInbound(f, s)
 	return deliver()
 }
@@ -82,7 +85,9 @@
 	if len(c.flows) >= MaxFlows || c.halfOpen >= MaxHalfOpen {
 		return drop(ReasonTableFull)
 	}
-	c.flows[key] = &flow{hash: hash, seen: now, callerISN: s.Sequence}
+	f := &flow{hash: hash, seen: now, callerISN: s.Sequence}
+	f.window.start(s)
+	c.flows[key] = f
 	c.halfOpen++
 	return deliver()
 }
@@ -120,6 +125,7 @@
 func (c *Core) inboundHalfOpen(f *flow, s *encap.Segment, h *encap.Header, now time.Time) Decision {
 	if isNewSYN(s, f) {
 		f.callerISN = s.Sequence
+		f.window.start(s)
 		f.superseded = false
 		return deliver()
 	}
--- a/fleet/commands.go
+++ b/fleet/commands.go
@@ -83,6 +83,21 @@
 	return errkind.Wrap(err, errkind.Malformed, "GET http://%s%s", addr, path)
 }
 
+// FabricBalancer is what the fabric tells of a balancer.
+type FabricBalancer struct {
+	// Name is the name of the balancer.
+	Name string `json:"name"`
+	// Alive tells whether the fabric sends packets to it.
+	Alive bool `json:"alive"`
+}
+
+// FabricBalancers returns the balancers that the fabric knows.
+func (f *Fleet) FabricBalancers(ctx context.Context) ([]FabricBalancer, error) {
+	var balancers []FabricBalancer
+	err := f.ReadJSON(ctx, f.FabricControl(), "/balancers", &balancers)
+	return balancers, err
+}
+
 // AddBalancer starts a balancer on a further entry VM of a domain and adds it to
 // the fabric.
 func (f *Fleet) AddBalancer(ctx context.Context, domain string) (BalancerVM, error) {
--- a/fleet/failure_test.go
+++ b/fleet/failure_test.go
@@ -81,6 +81,7 @@
 		before := packetsOfDomain(t, f, "pasco")
 		time.Sleep(settle)
 		convey.So(packetsOfDomain(t, f, "pasco"), convey.ShouldResemble, before)
+		convey.So(fabricSendsTo(t, f, "pasco"), convey.ShouldBeFalse)
 		convey.So(f.SetFault(t.Context(), f.Store(), `{}`), convey.ShouldBeNil)
 		_, err = f.Ctl(t.Context(), "domain", "in", "pasco")
 		convey.So(err, convey.ShouldBeNil)
@@ -117,6 +118,22 @@
 	return total
 }
 
+// fabricSendsTo tells whether the fabric takes a balancer of a failure domain
+// for alive, and so sends packets to it.
+func fabricSendsTo(t *testing.T, f *fleet.Fleet, domain string) bool {
+	t.Helper()
+	balancers, err := f.FabricBalancers(t.Context())
+	convey.So(err, convey.ShouldBeNil)
+	for _, vm := range f.Balancers() {
+		for _, status := range balancers {
+			if vm.Domain == domain && vm.Name == status.Name && status.Alive {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // waitUntil waits until condition holds.
 func waitUntil(t *testing.T, what string, condition func() bool) {
 	t.Helper()
--- a/fleet/start.go
+++ b/fleet/start.go
@@ -176,22 +176,16 @@
 	return f.waitFabric(ctx)
 }
 
-// balancerStatus is what the fabric tells of a balancer.
-type balancerStatus struct {
-	Name  string `json:"name"`
-	Alive bool   `json:"alive"`
-}
-
 // waitFabric waits until the fabric takes every balancer for alive.
 func (f *Fleet) waitFabric(ctx context.Context) error {
 	limited, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	for {
-		var balancers []balancerStatus
-		if err := f.ReadJSON(limited, f.FabricControl(), "/balancers", &balancers); err != nil {
+		balancers, err := f.FabricBalancers(limited)
+		if err != nil {
 			return err
 		}
-		if !slices.ContainsFunc(balancers, func(b balancerStatus) bool { return !b.Alive }) {
+		if !slices.ContainsFunc(balancers, func(b FabricBalancer) bool { return !b.Alive }) {
 			return nil
 		}
 		select {
--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -173,6 +173,8 @@
 		return false, "the view of the backend servers is not complete"
 	case !b.planner.planned():
 		return false, "no configuration is in force"
+	case b.currentConfig().DomainOut(b.settings.Domain):
+		return false, "the failure domain is out"
 	}
 	return true, ""
 }
