--- a/fleet/failure_test.go
+++ b/fleet/failure_test.go
@@ -195,3 +195,18 @@
 		convey.So(duplicateRuns(t, f), convey.ShouldEqual, 0)
 	})
 }
+
+func TestSlowDownloadsFinish(t *testing.T) {
+	t.Parallel()
+	convey.Convey("Downloads to slow callers end whole though their packets are sprayed", t, func() {
+		f := startSmall(t)
+		catalogue := f.ServiceAddress("catalogue").String()
+		callers := startLoad(t, f, runTime,
+			"--downloads", "http://"+catalogue+"/download?bytes=2000000",
+			"--downloads-per-second", "5", "--download-rate", "400000", "--download-timeout", "20s")
+		report := callers.end()
+		shouldBeUnharmed(report)
+		convey.So(report.Downloads.Timeout, convey.ShouldEqual, 0)
+		convey.So(report.Downloads.Answered, convey.ShouldBeGreaterThan, 0)
+	})
+}
