flows: test the repeat of a lost release

Switched off in a scratch copy, the repeat was missed by no test. The new one loses the release of an ended flow and fails without the repeat.

--- a/connection/flows/flows_test.go
+++ b/connection/flows/flows_test.go
@@ -362,6 +362,18 @@
 			w.pass(time.Second)
 			convey.So(w.agents[1].Registrations(), convey.ShouldEqual, 0)
 		})
+		convey.Convey("a lost release is repeated when the caller reuses its port", func() {
+			w.agents[0].SetServers(append(fleet(1, 1), drained(0)), nil, w.now)
+			w.agents[0].Outbound(toCaller(1, rst, ownISN(0)+1, 102), w.now)
+			w.lose = func() bool { return true }
+			w.pass(flows.ClosingTimeout + 2*time.Second)
+			w.lose = func() bool { return false }
+			convey.So(w.agents[1].Registrations(), convey.ShouldEqual, 1)
+			o := w.send(0, toService(1, syn, 5000, 0))
+			convey.So(o.path, convey.ShouldResemble, []int{1, 0, 1})
+			w.pass(time.Second)
+			convey.So(w.agents[1].Registrations(), convey.ShouldEqual, 0)
+		})
 		convey.Convey("a reset that the endpoint does not accept leaves it open", func() {
 			w.send(0, toService(1, rst, 5000, 0))
 			convey.So(w.agents[0].Flows(), convey.ShouldEqual, 0)
