Name incarnations and out domains to the steering tables, serve no address without a service

Reported by the packet path's tests: without the incarnation, flows registered at an owner that restarted stall until the next refresh (up to 20 s); without the domains that are out, balancers went on naming former owners there; and an agent whose service was removed kept its old address.

--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
@@ -265,14 +266,17 @@
 	return spread.Peer{Name: peer.Name, Domain: peer.Domain, Control: peer.Control}
 }
 
-// applySnapshot puts a configuration version in force at this agent.
+// applySnapshot puts a configuration version in force at this agent. An agent
+// whose service is no longer configured serves no address.
 func (a *Agent) applySnapshot(snapshot config.Snapshot) {
 	a.world.setConfig(snapshot.Config)
+	var address netip.AddrPort
 	service, ok := snapshot.Config.Service(a.settings.Agent.Service)
 	if ok {
-		a.endpoint.SetService(service.AddrPort())
+		address = service.AddrPort()
 		a.gate.SetLimits(service.Slots, service.Connections, service.Timeout)
 	}
+	a.endpoint.SetService(address)
 	a.endpoint.SetSuspended(snapshot.Config.DomainOut(a.settings.Domain))
 	a.endpoint.SetServers(a.world.routes())
 }
--- /dev/null
+++ b/process/balancer/bench_test.go
@@ -0,0 +1,66 @@
+package balancer
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"bergamotbank/connection/forward"
+	"bergamotbank/process/membership"
+	"bergamotbank/version/config"
+)
+
+// Sizes of the target: backend servers and services.
+const (
+	targetServers  = 26000
+	targetServices = 1600
+	targetDomains  = 13
+)
+
+// benchFleet returns a configuration and a view with a number of servers.
+func benchFleet(servers, services int) (*config.Config, membership.View) {
+	c := &config.Config{}
+	for d := range targetDomains {
+		c.Domains = append(c.Domains, config.Domain{Name: fmt.Sprintf("domain-%02d", d)})
+	}
+	for s := range services {
+		addr := netip.AddrFrom4([4]byte{198, 18, byte(s >> 8), byte(s)})
+		c.Services = append(c.Services, config.Service{Name: fmt.Sprintf("service-%04d", s), Address: addr, Port: 80})
+	}
+	var view membership.View
+	for i := range servers {
+		view.Servers = append(view.Servers, membership.Record{
+			Server:  fmt.Sprintf("server-%05d", i),
+			Service: c.Services[i%services].Name,
+			Domain:  c.Domains[i%targetDomains].Name,
+			Packet:  netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 7000),
+			State:   membership.Warm,
+			Weight:  100,
+		})
+	}
+	return c, view
+}
+
+// BenchmarkPlaneAfterChange measures the work of a balancer after the weight of
+// one server has changed.
+func BenchmarkPlaneAfterChange(b *testing.B) {
+	for _, part := range []int{8, 4, 2, 1} {
+		servers, services := targetServers/part, targetServices/part
+		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
+			c, view := benchFleet(servers, services)
+			now := time.Unix(1_800_000_000, 0)
+			plane := forward.NewPlane(nil, 1, serviceInputs(c, view), now)
+			weight := uint16(50)
+			start := time.Now()
+			for b.Loop() {
+				weight ^= 1
+				view.Servers[7].Weight = weight
+				now = now.Add(time.Second)
+				plane = forward.NewPlane(plane, 1, serviceInputs(c, view), now)
+			}
+			each := time.Since(start) / time.Duration(b.N)
+			fmt.Printf("bench balancer_plane_after_change_%d_servers %.3f ms\n", servers, each.Seconds()*1000)
+		})
+	}
+}
--- a/process/balancer/planner.go
+++ b/process/balancer/planner.go
@@ -86,9 +86,14 @@
 // servers.
 func serviceInputs(c *config.Config, view membership.View) []forward.ServiceInput {
 	servers := routing.Services(view, c)
+	outDomains := routing.OutDomains(c)
 	inputs := make([]forward.ServiceInput, 0, len(c.Services))
 	for _, service := range c.Services {
-		inputs = append(inputs, forward.ServiceInput{Address: service.AddrPort(), Servers: servers[service.Name]})
+		inputs = append(inputs, forward.ServiceInput{
+			Address:    service.AddrPort(),
+			Servers:    servers[service.Name],
+			OutDomains: outDomains,
+		})
 	}
 	return inputs
 }
--- a/process/routing/routing.go
+++ b/process/routing/routing.go
@@ -17,10 +17,11 @@
 		weight = 0
 	}
 	return steering.Server{
-		Name:   record.Server,
-		Domain: record.Domain,
-		Addr:   record.Packet,
-		Weight: weight,
+		Name:        record.Server,
+		Domain:      record.Domain,
+		Addr:        record.Packet,
+		Weight:      weight,
+		Incarnation: record.Incarnation,
 	}
 }
 
