Rebuild only the steering inputs of services whose servers changed

Cause: after each change of one server's weight a balancer grouped all records anew, compared and copied the inputs of all services.

--- a/connection/forward/plane.go
+++ b/connection/forward/plane.go
@@ -26,8 +26,9 @@
 
 // service is the steering state of one service.
 type service struct {
-	servers []steering.Server
-	history steering.History
+	servers    []steering.Server
+	outDomains []string
+	history    steering.History
 }
 
 // Plane is the immutable forwarding state of a balancer: the steering tables of
@@ -40,7 +41,7 @@
 // NewPlane returns the plane for a configuration version and the servers of
 // each service. It takes over the former tables of the previous plane, which
 // may be nil. A service with unchanged servers shares its table with the
-// previous plane.
+// previous plane. The inputs are kept and must not be modified afterwards.
 func NewPlane(previous *Plane, version uint64, services []ServiceInput, now time.Time) *Plane {
 	p := &Plane{
 		version:  version,
@@ -69,12 +70,25 @@
 		previous = &service{}
 	}
 	table := previous.history.Current()
-	if table == nil || !slices.Equal(previous.servers, input.Servers) {
+	known := table != nil && equalServers(previous.servers, input.Servers)
+	if known && slices.Equal(previous.outDomains, input.OutDomains) && !previous.history.Outdated(now, FormerTableAge) {
+		return previous
+	}
+	if !known {
 		table = steering.Build(input.Servers)
 	}
 	history := previous.history.Push(table, now, FormerTableAge)
 	return &service{
-		servers: slices.Clone(input.Servers),
-		history: history.WithOut(slices.Clone(input.OutDomains)),
+		servers:    input.Servers,
+		outDomains: input.OutDomains,
+		history:    history.WithOut(input.OutDomains),
+	}
+}
+
+// equalServers compares two lists, at once when they are the same slice.
+func equalServers(a, b []steering.Server) bool {
+	if len(a) == len(b) && len(a) > 0 && &a[0] == &b[0] {
+		return true
 	}
+	return slices.Equal(a, b)
 }
--- a/process/balancer/bench_test.go
+++ b/process/balancer/bench_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
 	"bergamotbank/connection/forward"
 	"bergamotbank/process/membership"
+	"bergamotbank/process/routing"
 	"bergamotbank/version/config"
 )
 
@@ -50,14 +52,16 @@
 		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
 			c, view := benchFleet(servers, services)
 			now := time.Unix(1_800_000_000, 0)
-			plane := forward.NewPlane(nil, 1, serviceInputs(c, view), now)
+			var tracker routing.Tracker
+			plane := forward.NewPlane(nil, 1, serviceInputs(&tracker, c, view), now)
 			weight := uint16(50)
 			start := time.Now()
 			for b.Loop() {
 				weight ^= 1
+				view = membership.View{Servers: slices.Clone(view.Servers)}
 				view.Servers[7].Weight = weight
 				now = now.Add(time.Second)
-				plane = forward.NewPlane(plane, 1, serviceInputs(c, view), now)
+				plane = forward.NewPlane(plane, 1, serviceInputs(&tracker, c, view), now)
 			}
 			each := time.Since(start) / time.Duration(b.N)
 			fmt.Printf("bench balancer_plane_after_change_%d_servers %.3f ms\n", servers, each.Seconds()*1000)
--- a/process/balancer/planner.go
+++ b/process/balancer/planner.go
@@ -59,6 +59,7 @@
 // run builds planes until ctx ends.
 func (p *planner) run(ctx context.Context) error {
 	var plane *forward.Plane
+	var tracker routing.Tracker
 	for {
 		select {
 		case <-ctx.Done():
@@ -69,7 +70,7 @@
 		if snapshot.Config == nil {
 			continue
 		}
-		plane = forward.NewPlane(plane, snapshot.Version, serviceInputs(snapshot.Config, view), time.Now())
+		plane = forward.NewPlane(plane, snapshot.Version, serviceInputs(&tracker, snapshot.Config, view), time.Now())
 		p.forwarder.SetPlane(plane)
 		p.ready.Store(true)
 		p.recorder.Record(event.Event{Kind: event.TableChanged, Version: snapshot.Version, Count: uint64(len(view.Servers))})
@@ -84,8 +85,8 @@
 
 // serviceInputs joins each configured service with its announced backend
 // servers.
-func serviceInputs(c *config.Config, view membership.View) []forward.ServiceInput {
-	servers := routing.Services(view, c)
+func serviceInputs(tracker *routing.Tracker, c *config.Config, view membership.View) []forward.ServiceInput {
+	servers := tracker.Update(view, c)
 	outDomains := routing.OutDomains(c)
 	inputs := make([]forward.ServiceInput, 0, len(c.Services))
 	for _, service := range c.Services {
--- a/process/balancer/planner_test.go
+++ b/process/balancer/planner_test.go
@@ -4,13 +4,15 @@
 	"testing"
 
 	"github.com/smartystreets/goconvey/convey"
+
+	"bergamotbank/process/routing"
 )
 
 func TestServiceInputsOfADomainThatIsOut(t *testing.T) {
 	convey.Convey("Servers of a domain that is out get no flows and are no former owners", t, func() {
 		c, view := benchFleet(26, 2)
 		c.Domains[3].Out = true
-		for _, input := range serviceInputs(c, view) {
+		for _, input := range serviceInputs(&routing.Tracker{}, c, view) {
 			convey.So(input.OutDomains, convey.ShouldResemble, []string{c.Domains[3].Name})
 			for _, server := range input.Servers {
 				convey.So(server.Domain, convey.ShouldNotEqual, c.Domains[3].Name)
@@ -20,7 +22,7 @@
 	convey.Convey("Servers of services that are not configured are left out", t, func() {
 		c, view := benchFleet(26, 2)
 		c.Services = c.Services[:1]
-		inputs := serviceInputs(c, view)
+		inputs := serviceInputs(&routing.Tracker{}, c, view)
 		convey.So(len(inputs), convey.ShouldEqual, 1)
 		convey.So(len(inputs[0].Servers), convey.ShouldEqual, 13)
 	})
--- a/version/steering/history.go
+++ b/version/steering/history.go
@@ -55,6 +55,16 @@
 	return h
 }
 
+// Outdated tells whether a former table was replaced before now minus keep.
+func (h *History) Outdated(now time.Time, keep time.Duration) bool {
+	for _, f := range h.former {
+		if now.Sub(f.until) > keep {
+			return true
+		}
+	}
+	return false
+}
+
 // Current returns the current table, or nil when there is none.
 func (h *History) Current() *Table {
 	return h.current
