--- a/Makefile
+++ b/Makefile
@@ -9,7 +9,7 @@
 
 export CGO_ENABLED := 1
 
-.PHONY: build test race lint fmt generate setup spec demo bench capacity clean
+.PHONY: build test race lint fmt generate setup demo bench capacity clean
 
 build:
 	mkdir -p bin
@@ -18,6 +18,35 @@
 demo: build
 	bin/demo
 
+# BENCH runs the benchmarks of a package that match a pattern and keeps the
+# lines "bench NAME VALUE UNIT".
+BENCH = go test -run '^$$' -bench '$(2)' -benchtime $(3) $(1) | grep '^bench'
+
+bench:
+	$(call BENCH,./connection/forward,.,1s)
+	$(call BENCH,./version/steering,.,1s)
+	$(call BENCH,./connection/flows,.,1s)
+	$(call BENCH,./connection/endpoint,.,1x)
+	$(call BENCH,./process/membership,Detection|MassRestart,1x)
+	$(call BENCH,./process/membership,Heartbeat,20000x)
+	$(call BENCH,./version/spread,Loopback,1x)
+	$(call BENCH,./fleet,.,1x)
+	go test -v -run 'Overload|Ramp' ./request/limit | grep '^bench'
+	go test -run '^$$' -bench 'keyed|Keyed' -benchtime 2s ./request/admission | grep '^Benchmark'
+
+# capacity measures the slopes and prints the table of docs/CAPACITY.md.
+capacity:
+	mkdir -p out
+	($(call BENCH,./process/membership,ControlTraffic,1x); \
+	$(call BENCH,./process/membership,Memory|ViewAfterChange,20x); \
+	$(call BENCH,./process/balancer,PlaneAfterChange,50x); \
+	$(call BENCH,./version/steering,Memory,1x); \
+	$(call BENCH,./version/spread,ModelLoad|PeerBytes,1x); \
+	$(call BENCH,./version/publish,ChangeBytes,1x); \
+	$(call BENCH,./connection/flows,RegistrationBytes,1x); \
+	go test -v -run StreamMemory ./request/admission | grep '^bench') > out/capacity.txt
+	go run ./capacity < out/capacity.txt
+
 test:
 	go test ./...
 
--- /dev/null
+++ b/capacity/capacity_test.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"bergamotbank/errkind"
+)
+
+func TestReadFigures(t *testing.T) {
+	convey.Convey("Only bench lines are read", t, func() {
+		f, err := readFigures(strings.NewReader("ok pkg\nbench a 1.5 ms\nBenchmarkA 1 2 ns/op\n"))
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(f.get("a"), convey.ShouldEqual, 1.5)
+		convey.So(f.complete(), convey.ShouldBeNil)
+	})
+	convey.Convey("A value that is no number is refused", t, func() {
+		_, err := readFigures(strings.NewReader("bench a much ms\n"))
+		convey.So(errkind.Is(err, errkind.Malformed), convey.ShouldBeTrue)
+	})
+	convey.Convey("A table with a missing figure is refused and names it", t, func() {
+		_, err := derive(&figures{values: map[string]float64{}})
+		convey.So(errkind.Is(err, errkind.Partial), convey.ShouldBeTrue)
+		convey.So(err.Error(), convey.ShouldContainSubstring, "membership_bytes_balancer_at_2600")
+	})
+}
+
+func TestLimit(t *testing.T) {
+	convey.Convey("A bound that is exceeded is marked", t, func() {
+		convey.So(row{value: 2, bound: 1}.limit(), convey.ShouldEqual, "1, **exceeded**")
+		convey.So(row{value: 1, bound: 1}.limit(), convey.ShouldEqual, "1")
+		convey.So(row{value: 1}.limit(), convey.ShouldEqual, "")
+	})
+}
--- /dev/null
+++ b/capacity/main.go
@@ -0,0 +1,30 @@
+// Command capacity reads the lines "bench NAME VALUE UNIT" of the measurements
+// and prints what each role needs at the target size, as a Markdown table.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"bergamotbank/errkind"
+)
+
+func main() {
+	err := run()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "capacity:", err)
+	}
+	os.Exit(errkind.ExitCode(err))
+}
+
+func run() error {
+	figures, err := readFigures(os.Stdin)
+	if err != nil {
+		return err
+	}
+	rows, err := derive(figures)
+	if err != nil {
+		return err
+	}
+	return printTable(os.Stdout, rows)
+}
--- /dev/null
+++ b/fleet/bench_test.go
@@ -0,0 +1,153 @@
+package fleet_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"bergamotbank/fleet"
+	"bergamotbank/standin/caller"
+)
+
+// Lengths of the measurements.
+const (
+	warmUp       = 6 * time.Second
+	measured     = 6 * time.Second
+	packetSample = 50 * time.Millisecond
+	domainWatch  = 8 * time.Second
+)
+
+// benchFleet starts the small layout for a measurement.
+func benchFleet(b *testing.B, work time.Duration) *fleet.Fleet {
+	b.Helper()
+	text, err := os.ReadFile(filepath.Join("..", "examples", "andes", "config.toml"))
+	if err != nil {
+		b.Fatal(err)
+	}
+	f, err := fleet.Start(b.Context(), fleet.Options{
+		Binaries: binaries, Directory: b.TempDir(), Layout: smallLayout, Config: text, Work: work, Cold: 100 * time.Millisecond,
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(f.Close)
+	return f
+}
+
+// BenchmarkPath measures the time of an echo through the whole path beside one
+// to a backend server directly, in one run. The stand-in fabric delays each of
+// its two passes by 1 ms.
+func BenchmarkPath(b *testing.B) {
+	f := benchFleet(b, time.Millisecond)
+	ordering := "http://" + f.ServiceAddress("ordering").String()
+	direct := "http://" + f.Servers("ordering")[0].Backend.String()
+	for b.Loop() {
+		runOrders(b, f, warmUp, "--orders", ordering+"/orders")
+		through := runOrders(b, f, measured, "--orders", ordering+"/orders")
+		report("path_through_p50", through.Orders.P50, "ms")
+		report("path_through_p99", through.Orders.P99, "ms")
+		beside := runOrders(b, f, measured, "--orders", direct+"/orders", "--direct")
+		report("path_direct_p50", beside.Orders.P50, "ms")
+		report("path_direct_p99", beside.Orders.P99, "ms")
+	}
+}
+
+func report(name string, value float64, unit string) {
+	fmt.Printf("bench %s %.2f %s\n", name, value, unit)
+}
+
+// directFlag makes runOrders leave the fabric out.
+const directFlag = "--direct"
+
+// runOrders runs callers with a low rate of orders and returns their report.
+func runOrders(b *testing.B, f *fleet.Fleet, duration time.Duration, arguments ...string) caller.Report {
+	b.Helper()
+	path := filepath.Join(b.TempDir(), "report.json")
+	start := f.Caller
+	if arguments[len(arguments)-1] == directFlag {
+		arguments = arguments[:len(arguments)-1]
+		start = f.DirectCaller
+	}
+	arguments = append(arguments, "--orders-per-second", "40", "--duration", duration.String(), "--report", path, "--repeat", "unknown")
+	process, err := start(arguments...)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := process.Wait(); err != nil {
+		b.Fatal(err)
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		b.Fatal(err)
+	}
+	var r caller.Report
+	if err := json.Unmarshal(text, &r); err != nil {
+		b.Fatal(err)
+	}
+	return r
+}
+
+// BenchmarkDomainOut measures the time from acceptance to the last packet of a
+// failure domain that is taken out, with the store up and down.
+func BenchmarkDomainOut(b *testing.B) {
+	for _, outage := range []bool{false, true} {
+		f := benchFleet(b, 5*time.Millisecond)
+		callers, err := f.Caller("--orders", "http://"+f.ServiceAddress("ordering").String()+"/orders",
+			"--orders-per-second", "100", "--duration", "60s", "--report", filepath.Join(b.TempDir(), "r.json"))
+		if err != nil {
+			b.Fatal(err)
+		}
+		time.Sleep(warmUp)
+		if _, err := f.Ctl(b.Context(), "domain", "out", "pasco"); err != nil {
+			b.Fatal(err)
+		}
+		accepted := time.Now()
+		name := "domain_out_last_packet_store_up"
+		if outage {
+			name = "domain_out_last_packet_store_down"
+			if err := f.SetFault(b.Context(), f.Store(), `{"outage": "refuse"}`); err != nil {
+				b.Fatal(err)
+			}
+		}
+		report(name, lastPacket(b, f, accepted).Seconds(), "s")
+		callers.Kill()
+	}
+}
+
+// lastPacket returns the time after accepted at which the packet counters of the
+// failure domain changed last, seen in samples.
+func lastPacket(b *testing.B, f *fleet.Fleet, accepted time.Time) time.Duration {
+	b.Helper()
+	var last time.Duration
+	var before packets
+	for time.Since(accepted) < domainWatch {
+		now := countPackets(b, f, "pasco")
+		if now != before {
+			last = time.Since(accepted)
+		}
+		before = now
+		time.Sleep(packetSample)
+	}
+	return last
+}
+
+// countPackets adds up the counters of the agents of a failure domain.
+func countPackets(b *testing.B, f *fleet.Fleet, domain string) packets {
+	b.Helper()
+	var total packets
+	for _, vm := range f.Servers("") {
+		if vm.Domain != domain {
+			continue
+		}
+		var metrics endpointMetrics
+		if err := f.ReadJSON(b.Context(), vm.Control, "/debug/vars", &metrics); err != nil {
+			b.Fatal(err)
+		}
+		total.Delivered += metrics.Endpoint.Delivered
+		total.Sent += metrics.Endpoint.Sent
+	}
+	return total
+}
--- a/fleet/commands.go
+++ b/fleet/commands.go
@@ -17,6 +17,16 @@
 	"bergamotbank/errkind"
 )
 
+// DirectCaller starts a stand-in for callers that uses the machine's own TCP and
+// so meets backend servers without the system.
+func (f *Fleet) DirectCaller(arguments ...string) (*Process, error) {
+	f.mu.Lock()
+	f.callers++
+	number := f.callers
+	f.mu.Unlock()
+	return f.launch(fmt.Sprintf("direct-caller-%d", number), "standin", append([]string{"caller"}, arguments...)...)
+}
+
 // maxReason is the largest part of a refusal's text that is shown, in bytes.
 const maxReason = 1 << 10
 
--- a/fleet/failure_test.go
+++ b/fleet/failure_test.go
@@ -100,6 +100,11 @@
 	Sent      uint64
 }
 
+// endpointMetrics is the part of an agent's metrics that counts packets.
+type endpointMetrics struct {
+	Endpoint packets `json:"endpoint"`
+}
+
 // packetsOfDomain adds up the counters of the agents of a failure domain.
 func packetsOfDomain(t *testing.T, f *fleet.Fleet, domain string) packets {
 	t.Helper()
@@ -108,9 +113,7 @@
 		if vm.Domain != domain {
 			continue
 		}
-		var metrics struct {
-			Endpoint packets `json:"endpoint"`
-		}
+		var metrics endpointMetrics
 		convey.So(f.ReadJSON(t.Context(), vm.Control, "/debug/vars", &metrics), convey.ShouldBeNil)
 		total.Delivered += metrics.Endpoint.Delivered
 		total.Sent += metrics.Endpoint.Sent
