--- a/connection/flows/flows_test.go
+++ b/connection/flows/flows_test.go
@@ -48,6 +48,36 @@
 	return len(broken)
 }
 
+func TestHolderWithoutNews(t *testing.T) {
+	convey.Convey("Streams of an agent whose view stands still outlive ten changes", t, func() {
+		const callers = 100
+		w := newWorld(20, 2, flows.Options{})
+		w.settle(fleet(0, 0))
+		for caller := range callers {
+			w.establish(caller%2, caller)
+		}
+		broken := make(map[int]bool)
+		for change := 1; change <= 10; change++ {
+			servers := append(fleet(change, change), drained(0))
+			for balancer := range w.balancers {
+				w.steer(balancer, servers)
+			}
+			for _, a := range w.agents[1:] {
+				a.SetServers(servers, nil, w.now)
+			}
+			for range 6 {
+				for caller := range callers {
+					if !w.data(caller%2, caller, 0).delivered {
+						broken[caller] = true
+					}
+				}
+				w.pass(time.Minute)
+			}
+		}
+		convey.So(len(broken), convey.ShouldEqual, 0)
+	})
+}
+
 func TestBalancersWithOldViews(t *testing.T) {
 	convey.Convey("Flows live while one balancer keeps an old view for 10 s and agents learn late", t, func() {
 		const callers = 200
@@ -332,6 +362,18 @@
 			w.pass(time.Second)
 			convey.So(w.agents[1].Registrations(), convey.ShouldEqual, 0)
 		})
+		convey.Convey("a lost release is repeated when the caller reuses its port", func() {
+			w.agents[0].SetServers(append(fleet(1, 1), drained(0)), nil, w.now)
+			w.agents[0].Outbound(toCaller(1, rst, ownISN(0)+1, 102), w.now)
+			w.lose = func() bool { return true }
+			w.pass(flows.ClosingTimeout + 2*time.Second)
+			w.lose = func() bool { return false }
+			convey.So(w.agents[1].Registrations(), convey.ShouldEqual, 1)
+			o := w.send(0, toService(1, syn, 5000, 0))
+			convey.So(o.path, convey.ShouldResemble, []int{1, 0, 1})
+			w.pass(time.Second)
+			convey.So(w.agents[1].Registrations(), convey.ShouldEqual, 0)
+		})
 		convey.Convey("a reset that the endpoint does not accept leaves it open", func() {
 			w.send(0, toService(1, rst, 5000, 0))
 			convey.So(w.agents[0].Flows(), convey.ShouldEqual, 0)
--- a/fleet/failure_test.go
+++ b/fleet/failure_test.go
@@ -100,6 +100,11 @@
 	Sent      uint64
 }
 
+// endpointMetrics is the part of an agent's metrics that counts packets.
+type endpointMetrics struct {
+	Endpoint packets `json:"endpoint"`
+}
+
 // packetsOfDomain adds up the counters of the agents of a failure domain.
 func packetsOfDomain(t *testing.T, f *fleet.Fleet, domain string) packets {
 	t.Helper()
@@ -108,9 +113,7 @@
 		if vm.Domain != domain {
 			continue
 		}
-		var metrics struct {
-			Endpoint packets `json:"endpoint"`
-		}
+		var metrics endpointMetrics
 		convey.So(f.ReadJSON(t.Context(), vm.Control, "/debug/vars", &metrics), convey.ShouldBeNil)
 		total.Delivered += metrics.Endpoint.Delivered
 		total.Sent += metrics.Endpoint.Sent
@@ -195,3 +198,18 @@
 		convey.So(duplicateRuns(t, f), convey.ShouldEqual, 0)
 	})
 }
+
+func TestSlowDownloadsFinish(t *testing.T) {
+	t.Parallel()
+	convey.Convey("Downloads to slow callers end whole though their packets are sprayed", t, func() {
+		f := startSmall(t)
+		catalogue := f.ServiceAddress("catalogue").String()
+		callers := startLoad(t, f, runTime,
+			"--downloads", "http://"+catalogue+"/download?bytes=2000000",
+			"--downloads-per-second", "5", "--download-rate", "400000", "--download-timeout", "20s")
+		report := callers.end()
+		shouldBeUnharmed(report)
+		convey.So(report.Downloads.Timeout, convey.ShouldEqual, 0)
+		convey.So(report.Downloads.Answered, convey.ShouldBeGreaterThan, 0)
+	})
+}
