Count returning servers as cold, end planned stops with 0, complete the events

The agent now takes its backend server for cold when its domain returns. - A planned stop ended with exit code 1, as the spreader returned the error of its ended context. A fleet test stops both roles. - process_ready, domain_out and domain_in were never recorded, balancers wrote past the counters and the log, and events of an agent lacked its domain and carried the process name as server, so that the time line's filters missed them. The recorder of a process now completes events about itself. - Drops were a list without names; they are an object by reason. - Agents of a domain that is out reported that they were ready.

--- a/connection/endpoint/counters.go
+++ b/connection/endpoint/counters.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"encoding/json"
 	"errors"
 	"sync/atomic"
 
@@ -30,8 +31,23 @@
 	RegistrationBytes uint64
 	// RegistrationsRefused counts flow hashes of other agents not taken.
 	RegistrationsRefused uint64
-	// Drops counts packets dropped by decision, by flows.Reason.
-	Drops [flows.ReasonCount]uint64
+	// Drops counts packets dropped by decision.
+	Drops DropCounts
+}
+
+// DropCounts counts dropped packets by flows.Reason.
+type DropCounts [flows.ReasonCount]uint64
+
+// MarshalJSON writes the counts that are not zero under the names of the
+// reasons.
+func (d DropCounts) MarshalJSON() ([]byte, error) {
+	named := make(map[string]uint64)
+	for i, count := range d {
+		if count > 0 {
+			named[flows.Reason(i).String()] = count
+		}
+	}
+	return json.Marshal(named)
 }
 
 // counters is the shared form of Counters.
--- a/fleet/failure_test.go
+++ b/fleet/failure_test.go
@@ -199,6 +199,19 @@
 	})
 }
 
+func TestPlannedStopEndsWithoutError(t *testing.T) {
+	t.Parallel()
+	convey.Convey("A balancer and an agent end with exit code 0 after SIGTERM", t, func() {
+		f := startSmall(t)
+		balancer := f.Process(f.Balancers()[0].Name)
+		agent := f.Process(f.Servers("catalogue")[0].AgentName())
+		convey.So(balancer.Stop(), convey.ShouldBeNil)
+		convey.So(agent.Stop(), convey.ShouldBeNil)
+		convey.So(balancer.Wait(), convey.ShouldBeNil)
+		convey.So(agent.Wait(), convey.ShouldBeNil)
+	})
+}
+
 func TestSlowDownloadsFinish(t *testing.T) {
 	t.Parallel()
 	convey.Convey("Downloads to slow callers end whole though their packets are sprayed", t, func() {
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -30,19 +30,21 @@
 
 // Agent is one running agent.
 type Agent struct {
-	settings  settings.Settings
-	logger    *zap.Logger
-	ring      *timeline.Ring
-	recorder  event.Recorder
-	endpoint  *endpoint.Endpoint
-	announcer *membership.Announcer
-	spreader  *spread.Spreader
-	gate      *admission.Gate
-	control   *control.Server
-	calls     *calls
-	world     *world
-	draining  atomic.Bool
-	drain     chan struct{}
+	settings   settings.Settings
+	logger     *zap.Logger
+	ring       *timeline.Ring
+	recorder   event.Recorder
+	endpoint   *endpoint.Endpoint
+	announcer  *membership.Announcer
+	spreader   *spread.Spreader
+	gate       *admission.Gate
+	control    *control.Server
+	calls      *calls
+	world      *world
+	draining   atomic.Bool
+	configured atomic.Bool
+	out        atomic.Bool
+	drain      chan struct{}
 }
 
 // New opens the addresses of an agent and builds its parts. Nothing runs before
@@ -55,7 +57,11 @@
 		drain:    make(chan struct{}, 1),
 		world:    newWorld(s),
 	}
-	a.recorder = metrics.NewRecorder(a.ring, logger)
+	a.recorder = metrics.NewRecorder(a.ring, logger, metrics.Origin{
+		Service: s.Agent.Service,
+		Server:  s.Agent.Server,
+		Domain:  s.Domain,
+	})
 	if err := a.openEndpoint(); err != nil {
 		return nil, err
 	}
@@ -80,7 +86,7 @@
 		Listen:   a.settings.Packet,
 		Fabric:   a.settings.Agent.Fabric,
 		Source:   a.settings.Agent.Source,
-		Name:     a.settings.Name,
+		Name:     a.settings.Agent.Server,
 		Recorder: a.recorder,
 	})
 	if err != nil {
@@ -166,7 +172,7 @@
 // Run works until ctx ends, which is a planned stop: the agent drains and then
 // returns.
 func (a *Agent) Run(ctx context.Context) error {
-	a.recorder.Record(event.Event{Kind: event.ProcessStarted, Peer: a.settings.Name, Server: a.settings.Agent.Server, Domain: a.settings.Domain})
+	a.recorder.Record(event.Event{Kind: event.ProcessStarted, Peer: a.settings.Name})
 	work, finish := context.WithCancel(context.WithoutCancel(ctx))
 	defer finish()
 	group, groupCtx := errgroup.WithContext(work)
@@ -199,6 +205,7 @@
 		case <-a.drain:
 			go a.drainNow(work)
 		case <-ctx.Done():
+			a.recorder.Record(event.Event{Kind: event.ProcessStopping, Peer: a.settings.Name})
 			a.drainNow(work)
 			a.announcer.Leave(work)
 			return
@@ -217,7 +224,7 @@
 // timeout.
 func (a *Agent) drainNow(ctx context.Context) {
 	if !a.draining.Swap(true) {
-		a.recorder.Record(event.Event{Kind: event.DrainStarted, Server: a.settings.Agent.Server, Service: a.settings.Agent.Service})
+		a.recorder.Record(event.Event{Kind: event.DrainStarted})
 		a.announcer.SetState(membership.Draining, 0)
 		a.endpoint.SetDraining(true)
 	}
@@ -227,7 +234,7 @@
 		a.logger.Warn("stopped before all work had finished", zap.Error(err))
 		return
 	}
-	a.recorder.Record(event.Event{Kind: event.DrainFinished, Server: a.settings.Agent.Server, Service: a.settings.Agent.Service})
+	a.recorder.Record(event.Event{Kind: event.DrainFinished})
 }
 
 func (a *Agent) ready() (ok bool, reason string) {
@@ -236,6 +243,8 @@
 		return false, "draining"
 	case a.spreader.Current().Config == nil:
 		return false, "no configuration is in force"
+	case a.out.Load():
+		return false, "the failure domain is out"
 	}
 	return true, ""
 }
@@ -277,8 +286,25 @@
 		a.gate.SetLimits(service.Slots, service.Connections, service.Timeout)
 	}
 	a.endpoint.SetService(address)
-	a.endpoint.SetSuspended(snapshot.Config.DomainOut(a.settings.Domain))
+	a.setOut(snapshot.Config.DomainOut(a.settings.Domain))
 	a.endpoint.SetServers(a.world.routes())
+	if !a.configured.Swap(true) {
+		a.recorder.Record(event.Event{Kind: event.ProcessReady, Version: snapshot.Version})
+	}
+}
+
+// setOut suspends the agent while its failure domain is out. On return its
+// backend server counts as cold.
+func (a *Agent) setOut(out bool) {
+	wasOut := a.out.Swap(out)
+	a.endpoint.SetSuspended(out)
+	switch {
+	case out && !wasOut:
+		a.recorder.Record(event.Event{Kind: event.DomainOut})
+	case wasOut && !out:
+		a.gate.Chill()
+		a.recorder.Record(event.Event{Kind: event.DomainIn})
+	}
 }
 
 // applyView takes a new view of the service's backend servers.
--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -32,6 +32,7 @@
 	settings  settings.Settings
 	logger    *zap.Logger
 	ring      *timeline.Ring
+	recorder  event.Recorder
 	forwarder *forward.Forwarder
 	node      *membership.Node
 	spreader  *spread.Spreader
@@ -48,7 +49,8 @@
 		logger:   logger,
 		ring:     timeline.NewRing(timeline.Options{Process: s.Name, Capacity: s.TimelineEvents}),
 	}
-	recorder := metrics.NewRecorder(b.ring, logger)
+	recorder := metrics.NewRecorder(b.ring, logger, metrics.Origin{Domain: s.Domain})
+	b.recorder = recorder
 	var err error
 	b.forwarder, err = forward.New(forward.Options{
 		Listen:      s.Packet,
@@ -128,7 +130,7 @@
 // Run works until ctx ends, which is a planned stop: the balancer reports that
 // it is not ready, goes on forwarding for the grace period and then leaves.
 func (b *Balancer) Run(ctx context.Context) error {
-	b.ring.Record(event.Event{Kind: event.ProcessStarted, Peer: b.settings.Name, Domain: b.settings.Domain})
+	b.recorder.Record(event.Event{Kind: event.ProcessStarted, Peer: b.settings.Name})
 	work, finish := context.WithCancel(context.WithoutCancel(ctx))
 	defer finish()
 	group, groupCtx := errgroup.WithContext(work)
@@ -157,7 +159,7 @@
 // stop waits until the fabric has noticed that the balancer is leaving.
 func (b *Balancer) stop(ctx context.Context) {
 	b.stopping.Store(true)
-	b.ring.Record(event.Event{Kind: event.ProcessStopping, Peer: b.settings.Name, Domain: b.settings.Domain})
+	b.recorder.Record(event.Event{Kind: event.ProcessStopping, Peer: b.settings.Name})
 	b.logger.Info("stopping", zap.Duration("grace", time.Duration(b.settings.Balancer.StopGrace)))
 	select {
 	case <-time.After(time.Duration(b.settings.Balancer.StopGrace)):
--- a/process/balancer/planner.go
+++ b/process/balancer/planner.go
@@ -20,6 +20,7 @@
 	recorder  event.Recorder
 	changed   chan struct{}
 	ready     atomic.Bool
+	domains   *routing.DomainWatch
 
 	mu       sync.Mutex
 	snapshot config.Snapshot
@@ -27,7 +28,7 @@
 }
 
 func newPlanner(forwarder *forward.Forwarder, recorder event.Recorder) *planner {
-	return &planner{forwarder: forwarder, recorder: recorder, changed: make(chan struct{}, 1)}
+	return &planner{forwarder: forwarder, recorder: recorder, changed: make(chan struct{}, 1), domains: routing.NewDomainWatch(recorder)}
 }
 
 func (p *planner) setSnapshot(snapshot config.Snapshot) {
@@ -72,11 +73,19 @@
 		}
 		plane = forward.NewPlane(plane, snapshot.Version, serviceInputs(&tracker, snapshot.Config, view), time.Now())
 		p.forwarder.SetPlane(plane)
-		p.ready.Store(true)
+		p.noteReady()
+		p.domains.Note(snapshot)
 		p.recorder.Record(event.Event{Kind: event.TableChanged, Version: snapshot.Version, Count: uint64(len(view.Servers))})
 	}
 }
 
+// noteReady records that the first plane is in use.
+func (p *planner) noteReady() {
+	if !p.ready.Swap(true) {
+		p.recorder.Record(event.Event{Kind: event.ProcessReady})
+	}
+}
+
 func (p *planner) inputs() (config.Snapshot, membership.View) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/process/metrics/metrics.go
+++ b/process/metrics/metrics.go
@@ -22,24 +22,33 @@
 // eventsName is the name of the event counters at /debug/vars.
 const eventsName = "events"
 
+// Origin names what the events of a process are about unless they say otherwise.
+type Origin struct {
+	// Service, Server and Domain fill these fields of events that leave all
+	// three empty, which then are about the process itself.
+	Service, Server, Domain string
+}
+
 // Recorder counts each event by kind, logs it and passes it on.
 type Recorder struct {
 	next   event.Recorder
 	logger *zap.Logger
+	origin Origin
 	counts *expvar.Map
 }
 
 // NewRecorder returns a Recorder in front of next.
-func NewRecorder(next event.Recorder, logger *zap.Logger) *Recorder {
+func NewRecorder(next event.Recorder, logger *zap.Logger, origin Origin) *Recorder {
 	counts, ok := expvar.Get(eventsName).(*expvar.Map)
 	if !ok {
 		counts = expvar.NewMap(eventsName)
 	}
-	return &Recorder{next: next, logger: logger, counts: counts}
+	return &Recorder{next: next, logger: logger, origin: origin, counts: counts}
 }
 
 // Record counts, logs and passes on the event.
 func (r *Recorder) Record(e event.Event) {
+	e = r.origin.fill(e)
 	r.counts.Add(string(e.Kind), 1)
 	r.next.Record(e)
 	entry := r.logger.Check(levelOf(e.Kind), string(e.Kind))
@@ -47,3 +56,16 @@
 		entry.Write(fields(e)...)
 	}
 }
+
+// fill completes an event that is about the process itself, or about its own
+// backend server.
+func (o Origin) fill(e event.Event) event.Event {
+	own := e.Server == "" && e.Domain == "" && e.Service == ""
+	if !own && (e.Server == "" || e.Server != o.Server) {
+		return e
+	}
+	e.Service = o.Service
+	e.Server = o.Server
+	e.Domain = o.Domain
+	return e
+}
--- a/request/admission/engine.go
+++ b/request/admission/engine.go
@@ -29,6 +29,7 @@
 	eventFinishStream
 	eventLimits
 	eventDrain
+	eventChill
 	eventHint
 )
 
@@ -135,6 +136,8 @@
 		return c.SetLimits(ev.slots, ev.connections, now)
 	case eventDrain:
 		return c.Drain(now)
+	case eventChill:
+		return c.Chill(now)
 	case eventHint:
 		return c.Hint(ev.well, now)
 	}
--- a/request/admission/gate.go
+++ b/request/admission/gate.go
@@ -145,6 +145,12 @@
 	g.engine.post(engineEvent{kind: eventLimits, slots: slots, connections: connections})
 }
 
+// Chill takes the backend server for cold again: it begins with one request at a
+// time, as after its failure domain was out.
+func (g *Gate) Chill() {
+	g.engine.post(engineEvent{kind: eventChill})
+}
+
 // Run runs the engine and its timers until ctx ends.
 func (g *Gate) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
--- a/request/lifecycle/controller.go
+++ b/request/lifecycle/controller.go
@@ -196,6 +196,12 @@
 	return c.settle(now)
 }
 
+// Chill takes the backend server for cold again.
+func (c *Controller) Chill(now time.Time) []Action {
+	c.limiter.Chill(now)
+	return c.settle(now)
+}
+
 // Hint passes on what the health endpoint of the backend server tells.
 func (c *Controller) Hint(well bool, now time.Time) []Action {
 	c.limiter.Hint(well, now)
--- a/request/limit/limit.go
+++ b/request/limit/limit.go
@@ -315,6 +315,15 @@
 	l.warm = false
 }
 
+// Chill takes the backend server for cold again, as after its failure domain was
+// out. It is no fall: nothing failed.
+func (l *Limiter) Chill(now time.Time) {
+	l.ramp = newRamp(now)
+	l.limit = 1
+	l.borne = 1
+	l.warm = false
+}
+
 func (l *Limiter) lengthenPause(now time.Time) {
 	l.pause = min(max(2*l.pause, initialPause), maxPause)
 	l.pauseUntil = now.Add(l.pause)
--- a/version/spread/spread.go
+++ b/version/spread/spread.go
@@ -149,14 +149,14 @@
 	return server.PathPrefix(), server
 }
 
-// Run works until ctx ends and returns its error.
+// Run works until ctx ends and returns nil then.
 func (s *Spreader) Run(ctx context.Context) error {
 	s.running.Go(func() { s.applyLoop(ctx) })
 	s.loop(ctx)
 	s.stopWatch()
 	s.running.Wait()
 	s.client.close()
-	return ctx.Err()
+	return nil
 }
 
 // loop owns the machine.
