--- a/fleet/failure_test.go
+++ b/fleet/failure_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -226,3 +227,39 @@
 		convey.So(report.Downloads.Answered, convey.ShouldBeGreaterThan, 0)
 	})
 }
+
+// relayText adds a tcp service to the operators' text.
+const relayText = `
+[[service]]
+name = "relay"
+address = "198.18.0.30"
+port = 7000
+protocol = "tcp"
+slots = 2
+connections = 100
+`
+
+func TestTCPService(t *testing.T) {
+	t.Parallel()
+	convey.Convey("A tcp service relays flows, also while a balancer is replaced", t, func() {
+		layout := fleet.Layout{Domains: []fleet.DomainLayout{
+			{Name: "junin", Balancers: 2, Servers: []fleet.ServerGroup{{Service: "relay", Count: 2}}},
+		}}
+		f, err := fleet.Start(t.Context(), fleet.Options{
+			Binaries: binaries, Directory: t.TempDir(), Layout: layout,
+			Config: append(andesText(t), relayText...), Work: time.Millisecond, Cold: time.Millisecond,
+		})
+		convey.So(err, convey.ShouldBeNil)
+		t.Cleanup(f.Close)
+		report := filepath.Join(t.TempDir(), "report.json")
+		process, err := f.Caller("--echo", f.ServiceAddress("relay").String(), "--echo-flows", "20",
+			"--status-interval", "100ms", "--duration", "8s", "--report", report)
+		convey.So(err, convey.ShouldBeNil)
+		time.Sleep(settle)
+		convey.So(f.RemoveBalancer(t.Context(), f.Balancers()[0].Name), convey.ShouldBeNil)
+		result := (&load{t: t, process: process, report: report}).read()
+		convey.So(result.Totals.BrokenFlows, convey.ShouldEqual, 0)
+		convey.So(result.Echo.Answered, convey.ShouldEqual, 20)
+		convey.So(result.Echo.Lines, convey.ShouldBeGreaterThan, 100)
+	})
+}
--- a/fleet/load_test.go
+++ b/fleet/load_test.go
@@ -46,6 +46,15 @@
 
 // end waits for the end of the run and returns its report.
 func (l *load) end() caller.Report {
+	report := l.read()
+	l.logSamples("orders", report.Orders)
+	l.logSamples("status", report.Status)
+	l.logSamples("downloads", report.Downloads)
+	return report
+}
+
+// read waits for the end of the run and reads its report.
+func (l *load) read() caller.Report {
 	select {
 	case <-l.process.Done():
 	case <-time.After(endTimeout):
@@ -56,9 +65,6 @@
 	convey.So(err, convey.ShouldBeNil)
 	var report caller.Report
 	convey.So(json.Unmarshal(text, &report), convey.ShouldBeNil)
-	l.logSamples("orders", report.Orders)
-	l.logSamples("status", report.Status)
-	l.logSamples("downloads", report.Downloads)
 	return report
 }
 
--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -5,9 +5,7 @@
 
 import (
 	"context"
-	"net/netip"
 	"sync/atomic"
-	"time"
 
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
@@ -196,47 +194,6 @@
 	return group.Wait()
 }
 
-// waitForStop drains when ordered to and returns when the process has to end.
-func (a *Agent) waitForStop(ctx, work context.Context) {
-	for {
-		select {
-		case <-work.Done():
-			return
-		case <-a.drain:
-			go a.drainNow(work)
-		case <-ctx.Done():
-			a.recorder.Record(event.Event{Kind: event.ProcessStopping, Peer: a.settings.Name})
-			a.drainNow(work)
-			a.announcer.Leave(work)
-			return
-		}
-	}
-}
-
-func (a *Agent) startDrain() {
-	select {
-	case a.drain <- struct{}{}:
-	default:
-	}
-}
-
-// drainNow refuses new work and waits for the open work, at most for the stop
-// timeout.
-func (a *Agent) drainNow(ctx context.Context) {
-	if !a.draining.Swap(true) {
-		a.recorder.Record(event.Event{Kind: event.DrainStarted})
-		a.announcer.SetState(membership.Draining, 0)
-		a.endpoint.SetDraining(true)
-	}
-	limited, cancel := context.WithTimeout(ctx, time.Duration(a.settings.Agent.StopTimeout))
-	defer cancel()
-	if err := a.gate.Drain(limited); err != nil {
-		a.logger.Warn("stopped before all work had finished", zap.Error(err))
-		return
-	}
-	a.recorder.Record(event.Event{Kind: event.DrainFinished})
-}
-
 func (a *Agent) ready() (ok bool, reason string) {
 	switch {
 	case a.draining.Load():
@@ -274,41 +231,3 @@
 func newSpreadPeer(peer membership.Peer) spread.Peer {
 	return spread.Peer{Name: peer.Name, Domain: peer.Domain, Control: peer.Control}
 }
-
-// applySnapshot puts a configuration version in force at this agent. An agent
-// whose service is no longer configured serves no address.
-func (a *Agent) applySnapshot(snapshot config.Snapshot) {
-	a.world.setConfig(snapshot.Config)
-	var address netip.AddrPort
-	service, ok := snapshot.Config.Service(a.settings.Agent.Service)
-	if ok {
-		address = service.AddrPort()
-		a.gate.SetLimits(service.Slots, service.Connections, service.Timeout)
-	}
-	a.endpoint.SetService(address)
-	a.setOut(snapshot.Config.DomainOut(a.settings.Domain))
-	a.endpoint.SetServers(a.world.routes())
-	if !a.configured.Swap(true) {
-		a.recorder.Record(event.Event{Kind: event.ProcessReady, Version: snapshot.Version})
-	}
-}
-
-// setOut suspends the agent while its failure domain is out. On return its
-// backend server counts as cold.
-func (a *Agent) setOut(out bool) {
-	wasOut := a.out.Swap(out)
-	a.endpoint.SetSuspended(out)
-	switch {
-	case out && !wasOut:
-		a.recorder.Record(event.Event{Kind: event.DomainOut})
-	case wasOut && !out:
-		a.gate.Chill()
-		a.recorder.Record(event.Event{Kind: event.DomainIn})
-	}
-}
-
-// applyView takes a new view of the service's backend servers.
-func (a *Agent) applyView(view membership.View) {
-	a.world.setView(view)
-	a.endpoint.SetServers(a.world.routes())
-}
--- /dev/null
+++ b/process/agent/drain.go
@@ -0,0 +1,52 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotbank/event"
+	"bergamotbank/process/membership"
+)
+
+// waitForStop drains when ordered to and returns when the process has to end.
+func (a *Agent) waitForStop(ctx, work context.Context) {
+	for {
+		select {
+		case <-work.Done():
+			return
+		case <-a.drain:
+			go a.drainNow(work)
+		case <-ctx.Done():
+			a.recorder.Record(event.Event{Kind: event.ProcessStopping, Peer: a.settings.Name})
+			a.drainNow(work)
+			a.announcer.Leave(work)
+			return
+		}
+	}
+}
+
+func (a *Agent) startDrain() {
+	select {
+	case a.drain <- struct{}{}:
+	default:
+	}
+}
+
+// drainNow refuses new work and waits for the open work, at most for the stop
+// timeout.
+func (a *Agent) drainNow(ctx context.Context) {
+	if !a.draining.Swap(true) {
+		a.recorder.Record(event.Event{Kind: event.DrainStarted})
+		a.announcer.SetState(membership.Draining, 0)
+		a.endpoint.SetDraining(true)
+	}
+	limited, cancel := context.WithTimeout(ctx, time.Duration(a.settings.Agent.StopTimeout))
+	defer cancel()
+	if err := a.gate.Drain(limited); err != nil {
+		a.logger.Warn("stopped before all work had finished", zap.Error(err))
+		return
+	}
+	a.recorder.Record(event.Event{Kind: event.DrainFinished})
+}
