Give the duties of a process, peers for spreading and asking of peers one place each

Both roles ran their goroutines and translated peers by copies of the same code, two calls of the ledger asked peers alike, and domains and services were compared by two copies of one loop.

--- a/process/agent/agent.go
+++ b/process/agent/agent.go
@@ -8,15 +8,16 @@
 	"sync/atomic"
 
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"bergamotbank/connection/endpoint"
 	"bergamotbank/errkind"
 	"bergamotbank/event"
 	"bergamotbank/process/control"
 	"bergamotbank/process/directory"
+	"bergamotbank/process/duty"
 	"bergamotbank/process/membership"
 	"bergamotbank/process/metrics"
+	"bergamotbank/process/peers"
 	"bergamotbank/process/settings"
 	"bergamotbank/process/timeline"
 	"bergamotbank/request/admission"
@@ -171,10 +172,7 @@
 // returns.
 func (a *Agent) Run(ctx context.Context) error {
 	a.recorder.Record(event.Event{Kind: event.ProcessStarted, Peer: a.settings.Name})
-	work, finish := context.WithCancel(context.WithoutCancel(ctx))
-	defer finish()
-	group, groupCtx := errgroup.WithContext(work)
-	duties := []func(context.Context) error{
+	return duty.Run(ctx, a.stop,
 		a.control.Run,
 		a.endpoint.Run,
 		a.announcer.Run,
@@ -182,16 +180,8 @@
 		a.gate.Run,
 		a.calls.run,
 		a.accept,
-	}
-	for _, duty := range duties {
-		group.Go(func() error { return duty(groupCtx) })
-	}
-	group.Go(func() error {
-		a.waitForStop(ctx, groupCtx)
-		finish()
-		return nil
-	})
-	return group.Wait()
+		a.watchDrain,
+	)
 }
 
 func (a *Agent) ready() (ok bool, reason string) {
@@ -216,18 +206,9 @@
 
 // homes gives the balancers that this agent announces to to the spreader.
 func (a *Agent) homes() []spread.Peer {
-	homes := a.announcer.Homes()
-	peers := make([]spread.Peer, 0, len(homes))
-	for _, home := range homes {
-		peers = append(peers, newSpreadPeer(home))
-	}
-	return peers
+	return peers.AllForSpread(a.announcer.Homes())
 }
 
 func (a *Agent) hint(version uint64, from membership.Peer) {
-	a.spreader.Hint(version, newSpreadPeer(from))
-}
-
-func newSpreadPeer(peer membership.Peer) spread.Peer {
-	return spread.Peer{Name: peer.Name, Domain: peer.Domain, Control: peer.Control}
+	a.spreader.Hint(version, peers.ForSpread(from))
 }
--- a/process/agent/drain.go
+++ b/process/agent/drain.go
@@ -10,21 +10,21 @@
 	"bergamotbank/process/membership"
 )
 
-// waitForStop drains when ordered to and returns when the process has to end.
-func (a *Agent) waitForStop(ctx, work context.Context) {
-	for {
-		select {
-		case <-work.Done():
-			return
-		case <-a.drain:
-			go a.drainNow(work)
-		case <-ctx.Done():
-			a.recorder.Record(event.Event{Kind: event.ProcessStopping, Peer: a.settings.Name})
-			a.drainNow(work)
-			a.announcer.Leave(work)
-			return
-		}
+// stop drains and tells the balancers that the agent leaves.
+func (a *Agent) stop(work context.Context) {
+	a.recorder.Record(event.Event{Kind: event.ProcessStopping, Peer: a.settings.Name})
+	a.drainNow(work)
+	a.announcer.Leave(work)
+}
+
+// watchDrain drains when an operator orders it. The process goes on.
+func (a *Agent) watchDrain(ctx context.Context) error {
+	select {
+	case <-a.drain:
+		a.drainNow(ctx)
+	case <-ctx.Done():
 	}
+	return nil
 }
 
 func (a *Agent) startDrain() {
--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -11,15 +11,16 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"bergamotbank/connection/forward"
 	"bergamotbank/errkind"
 	"bergamotbank/event"
 	"bergamotbank/process/control"
 	"bergamotbank/process/directory"
+	"bergamotbank/process/duty"
 	"bergamotbank/process/membership"
 	"bergamotbank/process/metrics"
+	"bergamotbank/process/peers"
 	"bergamotbank/process/settings"
 	"bergamotbank/process/timeline"
 	"bergamotbank/version/config"
@@ -131,29 +132,13 @@
 // it is not ready, goes on forwarding for the grace period and then leaves.
 func (b *Balancer) Run(ctx context.Context) error {
 	b.recorder.Record(event.Event{Kind: event.ProcessStarted, Peer: b.settings.Name})
-	work, finish := context.WithCancel(context.WithoutCancel(ctx))
-	defer finish()
-	group, groupCtx := errgroup.WithContext(work)
-	duties := []func(context.Context) error{
+	return duty.Run(ctx, b.stop,
 		b.control.Run,
 		b.forwarder.Run,
 		b.node.Run,
 		b.spreader.Run,
 		b.planner.run,
-	}
-	for _, duty := range duties {
-		group.Go(func() error { return duty(groupCtx) })
-	}
-	group.Go(func() error {
-		select {
-		case <-ctx.Done():
-			b.stop(groupCtx)
-			finish()
-		case <-groupCtx.Done():
-		}
-		return nil
-	})
-	return group.Wait()
+	)
 }
 
 // stop waits until the fabric has noticed that the balancer is leaving.
@@ -183,20 +168,11 @@
 
 // spreadPeers gives the balancers of the current view to the spreader.
 func (b *Balancer) spreadPeers() []spread.Peer {
-	view := b.node.View()
-	peers := make([]spread.Peer, 0, len(view.Peers))
-	for _, peer := range view.Peers {
-		peers = append(peers, newSpreadPeer(peer))
-	}
-	return peers
+	return peers.AllForSpread(b.node.View().Peers)
 }
 
 func (b *Balancer) hint(version uint64, from membership.Peer) {
-	b.spreader.Hint(version, newSpreadPeer(from))
-}
-
-func newSpreadPeer(peer membership.Peer) spread.Peer {
-	return spread.Peer{Name: peer.Name, Domain: peer.Domain, Control: peer.Control}
+	b.spreader.Hint(version, peers.ForSpread(from))
 }
 
 // viewSize is the size of a view in the metrics.
--- a/request/ledgerrpc/adopt.go
+++ b/request/ledgerrpc/adopt.go
@@ -97,12 +97,20 @@
 func exportAll(ctx context.Context, service string, peers []ledgerpb.Ledger) []*ledgerpb.ExportReply {
 	ctx, cancel := context.WithTimeout(ctx, exportTimeout)
 	defer cancel()
+	return askAll(peers, func(peer ledgerpb.Ledger) (*ledgerpb.ExportReply, error) {
+		return peer.Export(ctx, &ledgerpb.ExportRequest{Service: service})
+	})
+}
+
+// askAll asks every peer at the same time and returns the answers of those that
+// give one.
+func askAll[Reply any](peers []ledgerpb.Ledger, ask func(ledgerpb.Ledger) (Reply, error)) []Reply {
 	var mu sync.Mutex
-	var replies []*ledgerpb.ExportReply
+	var replies []Reply
 	var wait sync.WaitGroup
 	for _, peer := range peers {
 		wait.Go(func() {
-			reply, err := peer.Export(ctx, &ledgerpb.ExportRequest{Service: service})
+			reply, err := ask(peer)
 			if err != nil {
 				return
 			}
--- a/request/ledgerrpc/confirm.go
+++ b/request/ledgerrpc/confirm.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 
 	"bergamotbank/request/ledger"
 	"bergamotbank/request/ledger/ledgerpb"
@@ -46,20 +45,7 @@
 func askMembers(ctx context.Context, service string, peers []ledgerpb.Ledger) []*ledgerpb.MembersReply {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var mu sync.Mutex
-	var replies []*ledgerpb.MembersReply
-	var wait sync.WaitGroup
-	for _, peer := range peers {
-		wait.Go(func() {
-			reply, err := peer.Members(ctx, &ledgerpb.MembersRequest{Service: service})
-			if err != nil {
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			replies = append(replies, reply)
-		})
-	}
-	wait.Wait()
-	return replies
+	return askAll(peers, func(peer ledgerpb.Ledger) (*ledgerpb.MembersReply, error) {
+		return peer.Members(ctx, &ledgerpb.MembersRequest{Service: service})
+	})
 }
--- a/version/config/diff.go
+++ b/version/config/diff.go
@@ -57,18 +57,35 @@
 }
 
 func diffDomains(before, after *Config) []Change {
+	return diffByName(before.Domains, after.Domains, differ[Domain]{
+		name:    func(d Domain) string { return d.Name },
+		removed: DomainRemoved,
+		added:   DomainAdded,
+		changed: diffDomain,
+	})
+}
+
+// differ tells how to compare two lists that are sorted by name.
+type differ[T any] struct {
+	name           func(T) string
+	removed, added ChangeKind
+	changed        func(before, after T) []Change
+}
+
+// diffByName returns the changes from one sorted list to another.
+func diffByName[T any](before, after []T, d differ[T]) []Change {
 	var changes []Change
 	i, j := 0, 0
-	for i < len(before.Domains) || j < len(after.Domains) {
+	for i < len(before) || j < len(after) {
 		switch {
-		case j == len(after.Domains) || i < len(before.Domains) && before.Domains[i].Name < after.Domains[j].Name:
-			changes = append(changes, Change{Kind: DomainRemoved, Name: before.Domains[i].Name})
+		case j == len(after) || i < len(before) && d.name(before[i]) < d.name(after[j]):
+			changes = append(changes, Change{Kind: d.removed, Name: d.name(before[i])})
 			i++
-		case i == len(before.Domains) || after.Domains[j].Name < before.Domains[i].Name:
-			changes = append(changes, Change{Kind: DomainAdded, Name: after.Domains[j].Name})
+		case i == len(before) || d.name(after[j]) < d.name(before[i]):
+			changes = append(changes, Change{Kind: d.added, Name: d.name(after[j])})
 			j++
 		default:
-			changes = append(changes, diffDomain(before.Domains[i], after.Domains[j])...)
+			changes = append(changes, d.changed(before[i], after[j])...)
 			i++
 			j++
 		}
@@ -89,23 +106,12 @@
 }
 
 func diffServices(before, after *Config) []Change {
-	var changes []Change
-	i, j := 0, 0
-	for i < len(before.Services) || j < len(after.Services) {
-		switch {
-		case j == len(after.Services) || i < len(before.Services) && before.Services[i].Name < after.Services[j].Name:
-			changes = append(changes, Change{Kind: ServiceRemoved, Name: before.Services[i].Name})
-			i++
-		case i == len(before.Services) || after.Services[j].Name < before.Services[i].Name:
-			changes = append(changes, Change{Kind: ServiceAdded, Name: after.Services[j].Name})
-			j++
-		default:
-			changes = append(changes, diffService(before.Services[i], after.Services[j])...)
-			i++
-			j++
-		}
-	}
-	return changes
+	return diffByName(before.Services, after.Services, differ[Service]{
+		name:    func(s Service) string { return s.Name },
+		removed: ServiceRemoved,
+		added:   ServiceAdded,
+		changed: diffService,
+	})
 }
 
 func diffService(before, after Service) []Change {
