--- a/request/admission/serve.go
+++ b/request/admission/serve.go
@@ -304,6 +304,9 @@
 func (g *Gate) count(verdict lifecycle.Verdict, id queue.ID) {
 	kind := event.RequestUnknown
 	switch {
+	case verdict.Abort && verdict.Kind == errkind.Canceled:
+		// The caller ended a stream or a download that had begun.
+		return
 	case verdict.Abort:
 		g.counters.cut.Add(1)
 	case verdict.Run == errkind.RunNone:
