--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -21,14 +21,16 @@
 )
 
 // benchFleet starts the small layout for a measurement.
-func benchFleet(b *testing.B, work time.Duration) *fleet.Fleet {
+func benchFleet(b *testing.B, work time.Duration, delayMS int) *fleet.Fleet {
 	b.Helper()
 	text, err := os.ReadFile(filepath.Join("..", "examples", "andes", "config.toml"))
 	if err != nil {
 		b.Fatal(err)
 	}
+	layout := smallLayout
+	layout.DomainDelayMS = delayMS
 	f, err := fleet.Start(b.Context(), fleet.Options{
-		Binaries: binaries, Directory: b.TempDir(), Layout: smallLayout, Config: text, Work: work, Cold: 100 * time.Millisecond,
+		Binaries: binaries, Directory: b.TempDir(), Layout: layout, Config: text, Work: work, Cold: 100 * time.Millisecond,
 	})
 	if err != nil {
 		b.Fatal(err)
@@ -37,24 +39,28 @@
 	return f
 }
 
-// BenchmarkPath measures the time of an echo through the whole path beside one
-// to a backend server directly, in one run. The stand-in fabric delays each of
-// its two passes by 1 ms.
+// BenchmarkPath measures the time of a keyed order and of an echo without a key
+// through the whole path beside one to a backend server directly, in one run.
+// The stand-in fabric delays each pass by the delay of the row.
 func BenchmarkPath(b *testing.B) {
-	f := benchFleet(b, time.Millisecond)
-	ordering := "http://" + f.ServiceAddress("ordering").String()
-	direct := "http://" + f.Servers("ordering")[0].Backend.String()
-	for b.Loop() {
-		runOrders(b, f, warmUp, "--orders", ordering+"/orders")
-		through := runOrders(b, f, measured, "--orders", ordering+"/orders")
-		report("path_through_p50", through.Orders.P50, "ms")
-		report("path_through_p99", through.Orders.P99, "ms")
-		beside := runOrders(b, f, measured, "--orders", direct+"/orders", "--direct")
-		report("path_direct_p50", beside.Orders.P50, "ms")
-		report("path_direct_p99", beside.Orders.P99, "ms")
+	for _, delayMS := range []int{0, 1} {
+		f := benchFleet(b, time.Millisecond, delayMS)
+		through := "http://" + f.ServiceAddress("ordering").String()
+		direct := "http://" + f.Servers("ordering")[0].Backend.String()
+		runOrders(b, f, warmUp, "--orders", through+"/orders")
+		name := fmt.Sprintf("path_delay_%dms", delayMS)
+		reportClass(name+"_order", runOrders(b, f, measured, "--orders", through+"/orders").Orders)
+		reportClass(name+"_echo", runOrders(b, f, measured, "--downloads", through+"/echo").Downloads)
+		reportClass(name+"_direct_order", runOrders(b, f, measured, "--orders", direct+"/orders", directFlag).Orders)
+		reportClass(name+"_direct_echo", runOrders(b, f, measured, "--downloads", direct+"/echo", directFlag).Downloads)
 	}
 }
 
+func reportClass(name string, class *caller.ClassReport) {
+	report(name+"_p50", class.P50, "ms")
+	report(name+"_p99", class.P99, "ms")
+}
+
 func report(name string, value float64, unit string) {
 	fmt.Printf("bench %s %.2f %s\n", name, value, unit)
 }
@@ -62,7 +68,7 @@
 // directFlag makes runOrders leave the fabric out.
 const directFlag = "--direct"
 
-// runOrders runs callers with a low rate of orders and returns their report.
+// runOrders runs callers with a low rate of requests and returns their report.
 func runOrders(b *testing.B, f *fleet.Fleet, duration time.Duration, arguments ...string) caller.Report {
 	b.Helper()
 	path := filepath.Join(b.TempDir(), "report.json")
@@ -71,7 +77,7 @@
 		arguments = arguments[:len(arguments)-1]
 		start = f.DirectCaller
 	}
-	arguments = append(arguments, "--orders-per-second", "40", "--duration", duration.String(), "--report", path, "--repeat", "unknown")
+	arguments = append(arguments, "--orders-per-second", "40", "--downloads-per-second", "40", "--duration", duration.String(), "--report", path, "--repeat", "unknown")
 	process, err := start(arguments...)
 	if err != nil {
 		b.Fatal(err)
@@ -94,7 +100,7 @@
 // failure domain that is taken out, with the store up and down.
 func BenchmarkDomainOut(b *testing.B) {
 	for _, outage := range []bool{false, true} {
-		f := benchFleet(b, 5*time.Millisecond)
+		f := benchFleet(b, 5*time.Millisecond, 1)
 		callers, err := f.Caller("--orders", "http://"+f.ServiceAddress("ordering").String()+"/orders",
 			"--orders-per-second", "100", "--duration", "60s", "--report", filepath.Join(b.TempDir(), "r.json"))
 		if err != nil {
