Give each fleet a layout of its own

Cause: a balancer added to one fleet was counted in the domains of the layout that parallel tests share.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -88,6 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
+	options.Layout.Domains = slices.Clone(options.Layout.Domains)
 	f := &Fleet{
 		options:   options,
 		services:  services,
