--- a/process/ctl/status.go
+++ b/process/ctl/status.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
 	"time"
 
 	"bergamotbank/errkind"
@@ -42,22 +45,42 @@
 }
 
 func (o statusOutput) lines() []string {
-	lines := []string{fmt.Sprintf("stored version %d %s", o.Stored, o.StoreError)}
+	stored := fmt.Sprintf("stored version %d", o.Stored)
+	if o.StoreError != "" {
+		stored = "stored version unknown: " + o.StoreError
+	}
+	var rows []string
 	for _, p := range o.Processes {
-		lines = append(lines, processLine(p))
+		rows = append(rows, processRow(p))
 	}
 	for _, m := range o.Missing {
-		lines = append(lines, fmt.Sprintf("%-16s %-20s %-21s missing", m.Domain, m.Name, m.Control))
+		rows = append(rows, fmt.Sprintf("%s\t%s\t%s\tmissing", m.Domain, m.Name, m.Control))
+	}
+	return append([]string{stored}, aligned(rows)...)
+}
+
+// columnGap is the number of spaces between two columns.
+const columnGap = 2
+
+// aligned pads the cells of rows, which tabs separate, to columns.
+func aligned(rows []string) []string {
+	if len(rows) == 0 {
+		return nil
 	}
-	return lines
+	var text strings.Builder
+	table := tabwriter.NewWriter(&text, 0, 0, columnGap, ' ', 0)
+	_, _ = io.WriteString(table, strings.Join(rows, "\n")+"\n")
+	_ = table.Flush()
+	return strings.Split(strings.TrimSuffix(text.String(), "\n"), "\n")
 }
 
-func processLine(p spread.ProcessStatus) string {
+// processRow returns the cells of one process, separated by tabs.
+func processRow(p spread.ProcessStatus) string {
 	role := "balancer"
 	if p.Leaf {
 		role = "agent"
 	}
-	line := fmt.Sprintf("%-16s %-20s %-21s %-8s version %d in force %d", p.Domain, p.Name, p.Control, role, p.Version, p.InForce)
+	line := fmt.Sprintf("%s\t%s\t%s\t%s\tversion %d in force %d", p.Domain, p.Name, p.Control, role, p.Version, p.InForce)
 	if !p.Ready {
 		line += " not ready"
 	}
