--- a/demo/main.go
+++ b/demo/main.go
@@ -25,6 +25,8 @@
 	Example  string        `arg:"--example" default:"examples/andes" help:"directory with config.toml and fleet.toml"`
 	Output   string        `arg:"--output" default:"out/demo" help:"directory for settings, logs, report and plot"`
 	Duration time.Duration `arg:"--duration" default:"24s" help:"time for which callers run"`
+	Orders   string        `arg:"--orders-service" default:"ordering" help:"service that takes orders and holds status streams"`
+	Files    string        `arg:"--downloads-service" default:"catalogue" help:"service that serves downloads"`
 }
 
 func main() {
@@ -51,7 +53,13 @@
 	}
 	defer f.Close()
 	fmt.Printf("ready: %d balancers, %d backend servers\n", len(f.Balancers()), len(f.Servers("")))
-	s := &scenario{fleet: f, output: line.Output, duration: line.Duration}
+	s := &scenario{
+		fleet:     f,
+		output:    line.Output,
+		duration:  line.Duration,
+		orders:    line.Orders,
+		downloads: line.Files,
+	}
 	result, err := s.play(ctx)
 	if err != nil {
 		return err
--- a/demo/scenario.go
+++ b/demo/scenario.go
@@ -31,6 +31,8 @@
 	fleet    *fleet.Fleet
 	output   string
 	duration time.Duration
+	// orders and downloads are the names of the services that callers use.
+	orders, downloads string
 }
 
 // play runs callers and changes and returns what came of it.
@@ -50,20 +52,20 @@
 }
 
 func (s *scenario) callerArguments(report string) []string {
-	ordering := "http://" + s.fleet.ServiceAddress("ordering").String()
-	catalogue := "http://" + s.fleet.ServiceAddress("catalogue").String()
+	orders := s.fleet.ServiceAddress(s.orders).String()
+	downloads := s.fleet.ServiceAddress(s.downloads).String()
 	return []string{
-		"--name", "andes",
+		"--name", "demo",
 		"--duration", s.duration.String(),
-		"--orders", ordering + "/orders",
+		"--orders", "http://" + orders + "/orders",
 		"--orders-per-second", ordersPerSecond,
-		"--status", ordering + "/status",
+		"--status", "http://" + orders + "/status",
 		"--streams", statusStreams,
-		"--downloads", catalogue + "/download",
+		"--downloads", "http://" + downloads + "/download",
 		"--downloads-per-second", downloadsPerSec,
 		"--repeat", "unknown",
-		"--service", s.fleet.ServiceAddress("ordering").String() + "=ordering",
-		"--service", s.fleet.ServiceAddress("catalogue").String() + "=catalogue",
+		"--service", orders + "=" + s.orders,
+		"--service", downloads + "=" + s.downloads,
 		"--report", report,
 		"--requests", filepath.Join(s.output, "requests.jsonl"),
 		"--plot", filepath.Join(s.output, "run.svg"),
@@ -90,7 +92,7 @@
 	if err := pause(ctx, s.duration/firstChangeShare); err != nil {
 		return err
 	}
-	leaving := s.fleet.Servers("ordering")[0]
+	leaving := s.fleet.Servers(s.orders)[0]
 	fmt.Printf("backend server %s drains\n", leaving.Name)
 	_, err = s.fleet.Ctl(ctx, "drain", leaving.Name)
 	return err
