--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -107,7 +107,7 @@
 			b.Fatal(err)
 		}
 		time.Sleep(warmUp)
-		if _, err := f.Ctl(b.Context(), "domain", "out", "pasco"); err != nil {
+		if _, err := f.Ctl(b.Context(), "domain", "out", outDomain); err != nil {
 			b.Fatal(err)
 		}
 		accepted := time.Now()
@@ -130,7 +130,7 @@
 	var last time.Duration
 	var before packets
 	for time.Since(accepted) < domainWatch {
-		now := countPackets(b, f, "pasco")
+		now := packetsOfDomain(b, f)
 		if now != before {
 			last = time.Since(accepted)
 		}
@@ -139,21 +139,3 @@
 	}
 	return last
 }
-
-// countPackets adds up the counters of the agents of a failure domain.
-func countPackets(b *testing.B, f *fleet.Fleet, domain string) packets {
-	b.Helper()
-	var total packets
-	for _, vm := range f.Servers("") {
-		if vm.Domain != domain {
-			continue
-		}
-		var metrics endpointMetrics
-		if err := f.ReadJSON(b.Context(), vm.Control, "/debug/vars", &metrics); err != nil {
-			b.Fatal(err)
-		}
-		total.Delivered += metrics.Endpoint.Delivered
-		total.Sent += metrics.Endpoint.Sent
-	}
-	return total
-}
--- a/fleet/failure_test.go
+++ b/fleet/failure_test.go
@@ -75,19 +75,19 @@
 		f := startSmall(t)
 		startLoad(t, f, 2*runTime)
 		time.Sleep(settle)
-		_, err := f.Ctl(t.Context(), "domain", "out", "pasco")
+		_, err := f.Ctl(t.Context(), "domain", "out", outDomain)
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(f.SetFault(t.Context(), f.Store(), `{"outage": "refuse"}`), convey.ShouldBeNil)
 		time.Sleep(inForceTime)
-		before := packetsOfDomain(t, f, "pasco")
+		before := packetsOfDomain(t, f)
 		time.Sleep(settle)
-		convey.So(packetsOfDomain(t, f, "pasco"), convey.ShouldResemble, before)
-		convey.So(fabricSendsTo(t, f, "pasco"), convey.ShouldBeFalse)
+		convey.So(packetsOfDomain(t, f), convey.ShouldResemble, before)
+		convey.So(fabricSendsTo(t, f, outDomain), convey.ShouldBeFalse)
 		convey.So(f.SetFault(t.Context(), f.Store(), `{}`), convey.ShouldBeNil)
-		_, err = f.Ctl(t.Context(), "domain", "in", "pasco")
+		_, err = f.Ctl(t.Context(), "domain", "in", outDomain)
 		convey.So(err, convey.ShouldBeNil)
 		waitUntil(t, "packets reach the domain again", func() bool {
-			return packetsOfDomain(t, f, "pasco") != before
+			return packetsOfDomain(t, f) != before
 		})
 	})
 }
@@ -106,16 +106,22 @@
 	Endpoint packets `json:"endpoint"`
 }
 
-// packetsOfDomain adds up the counters of the agents of a failure domain.
-func packetsOfDomain(t *testing.T, f *fleet.Fleet, domain string) packets {
-	t.Helper()
+// outDomain is the failure domain that tests take out.
+const outDomain = "pasco"
+
+// packetsOfDomain adds up the counters of the agents of the failure domain that
+// is taken out.
+func packetsOfDomain(tb testing.TB, f *fleet.Fleet) packets {
+	tb.Helper()
 	var total packets
 	for _, vm := range f.Servers("") {
-		if vm.Domain != domain {
+		if vm.Domain != outDomain {
 			continue
 		}
 		var metrics endpointMetrics
-		convey.So(f.ReadJSON(t.Context(), vm.Control, "/debug/vars", &metrics), convey.ShouldBeNil)
+		if err := f.ReadJSON(tb.Context(), vm.Control, "/debug/vars", &metrics); err != nil {
+			tb.Fatal(err)
+		}
 		total.Delivered += metrics.Endpoint.Delivered
 		total.Sent += metrics.Endpoint.Sent
 	}
