Announce a drain before refusing new work

Cause: a draining agent refused new flows at once, while balancers and its own view still named it the owner. A first packet then had nobody to go to and was dropped, which its caller notices after a second (one order of 1,008 ms at the drain in a trial, a peak of p99 of 1.0 s in the plot of a demo). Ruled out: the limit and the queue (no refusal at that time). The agent now announces the drain and goes on taking new work for a second, within the few seconds that a leaving server has. The demo's plot is a PNG now.

--- a/demo/scenario.go
+++ b/demo/scenario.go
@@ -68,7 +68,7 @@
 		"--service", downloads + "=" + s.downloads,
 		"--report", report,
 		"--requests", filepath.Join(s.output, "requests.jsonl"),
-		"--plot", filepath.Join(s.output, "run.svg"),
+		"--plot", filepath.Join(s.output, "run.png"),
 	}
 }
 
--- a/process/agent/drain.go
+++ b/process/agent/drain.go
@@ -34,12 +34,21 @@
 	}
 }
 
-// drainNow refuses new work and waits for the open work, at most for the stop
-// timeout.
+// announceGrace is the time for which a draining agent still takes new work, so
+// that balancers and siblings learn of the drain before it refuses: a new flow
+// that nobody takes costs its caller a second.
+const announceGrace = time.Second
+
+// drainNow announces the drain, refuses new work a moment later and waits for
+// the open work, at most for the stop timeout.
 func (a *Agent) drainNow(ctx context.Context) {
 	if !a.draining.Swap(true) {
 		a.recorder.Record(event.Event{Kind: event.DrainStarted})
 		a.announcer.SetState(membership.Draining, 0)
+		select {
+		case <-time.After(announceGrace):
+		case <-ctx.Done():
+		}
 		a.endpoint.SetDraining(true)
 	}
 	limited, cancel := context.WithTimeout(ctx, time.Duration(a.settings.Agent.StopTimeout))
