--- a/connection/forward/bench_test.go
+++ b/connection/forward/bench_test.go
@@ -24,14 +24,20 @@
 
 // bench is a load generator and a set of sinks in place of agents.
 type bench struct {
-	sinks []netip.AddrPort
-	got   atomic.Uint64
-	conns []*datagram.Conn
-	wg    sync.WaitGroup
+	// packets and writer are what the sender sends in each round.
+	packets [][]byte
+	writer  *datagram.Writer
+	sinks   []netip.AddrPort
+	got     atomic.Uint64
+	conns   []*datagram.Conn
+	wg      sync.WaitGroup
 }
 
 func newBench(b *testing.B) *bench {
-	s := &bench{}
+	s := &bench{writer: datagram.NewWriter()}
+	for i := range datagram.BatchSize {
+		s.packets = append(s.packets, tcpPacket(uint16(i+1), service, payloadSize))
+	}
 	for range benchAgents {
 		c := s.open(b)
 		s.sinks = append(s.sinks, c.Addr())
@@ -87,18 +93,13 @@
 // rate returns the packets a second that arrive while one sender sends as fast
 // as it can.
 func (s *bench) rate(from *datagram.Conn, to netip.AddrPort) float64 {
-	packets := make([][]byte, datagram.BatchSize)
-	for i := range packets {
-		packets[i] = tcpPacket(uint16(i+1), service, payloadSize)
-	}
-	writer := datagram.NewWriter()
 	before := s.got.Load()
 	start := time.Now()
 	for time.Since(start) < roundLength {
-		for _, p := range packets {
-			writer.Add(p, to)
+		for _, p := range s.packets {
+			s.writer.Add(p, to)
 		}
-		writer.Flush(from)
+		s.writer.Flush(from)
 	}
 	return float64(s.got.Load()-before) / time.Since(start).Seconds()
 }
--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -29,6 +29,7 @@
 	}
 	layout := smallLayout
 	layout.DomainDelayMS = delayMS
+	layout.CallerDelayMS = delayMS
 	f, err := fleet.Start(b.Context(), fleet.Options{
 		Binaries: binaries, Directory: b.TempDir(), Layout: layout, Config: text, Work: work, Cold: 100 * time.Millisecond,
 	})
--- a/fleet/path_test.go
+++ b/fleet/path_test.go
@@ -42,6 +42,7 @@
 // failure domains.
 var smallLayout = fleet.Layout{
 	DomainDelayMS: 1,
+	CallerDelayMS: 1,
 	Domains: []fleet.DomainLayout{
 		{Name: "junin", Balancers: 1, Servers: []fleet.ServerGroup{{Service: "ordering", Count: 2}, {Service: "catalogue", Count: 1}}},
 		{Name: "pasco", Balancers: 1, Servers: []fleet.ServerGroup{{Service: "ordering", Count: 1}, {Service: "catalogue", Count: 2}}},
--- a/fleet/place_test.go
+++ b/fleet/place_test.go
@@ -18,3 +18,15 @@
 		convey.So(err, convey.ShouldNotBeNil)
 	})
 }
+
+func TestTopology(t *testing.T) {
+	convey.Convey("Callers and failure domains have delays of their own", t, func() {
+		f := &Fleet{network: 16, options: Options{Layout: Layout{
+			DomainDelayMS: 5, CallerDelayMS: 1, Domains: []DomainLayout{{Name: "sapporo"}},
+		}}}
+		text := f.topology()
+		convey.So(text, convey.ShouldStartWith, "[default]\ndelay = \"5ms\"\n")
+		convey.So(text, convey.ShouldContainSubstring, "from = \"callers\"\nto = \"sapporo\"\nboth = true\ndelay = \"1ms\"")
+		convey.So(text, convey.ShouldContainSubstring, "network = \"127.16.1.0/24\"")
+	})
+}
--- a/fleet/start.go
+++ b/fleet/start.go
@@ -68,16 +68,29 @@
 	return err
 }
 
-// writeTopology writes the delays between failure domains for the fabric.
+// callerDomain names the network of callers in the fabric's topology.
+const callerDomain = "callers"
+
+// writeTopology writes the delays between failure domains, and between these and
+// callers, for the fabric.
 func (f *Fleet) writeTopology() (string, error) {
+	path := filepath.Join(f.options.Directory, "topology.toml")
+	err := os.WriteFile(path, []byte(f.topology()), 0o644)
+	return path, errkind.Wrap(err, errkind.Internal, "topology")
+}
+
+// topology returns the text of the fabric's topology. Callers send from
+// 127.0.0.1.
+func (f *Fleet) topology() string {
 	text := fmt.Sprintf("[default]\ndelay = \"%dms\"\n", f.options.Layout.DomainDelayMS)
+	text += fmt.Sprintf("\n[[member]]\nnetwork = \"127.0.0.1/32\"\ndomain = %q\n", callerDomain)
 	for d, domain := range f.options.Layout.Domains {
 		network := netip.PrefixFrom(f.network.address(d+1, 0, 0).Addr(), 24)
 		text += fmt.Sprintf("\n[[member]]\nnetwork = %q\ndomain = %q\n", network.String(), domain.Name)
+		text += fmt.Sprintf("\n[[link]]\nfrom = %q\nto = %q\nboth = true\ndelay = \"%dms\"\n",
+			callerDomain, domain.Name, f.options.Layout.CallerDelayMS)
 	}
-	path := filepath.Join(f.options.Directory, "topology.toml")
-	err := os.WriteFile(path, []byte(text), 0o644)
-	return path, errkind.Wrap(err, errkind.Internal, "topology")
+	return text
 }
 
 func (f *Fleet) startBalancers(context.Context) error {
