Keep the directory's prefix, the control paths and the fleet's requests in one place

The prefix of the directory stood in three packages, the paths of the control address in the daemon and in the command-line client, and the fleet built the same HTTP request and numbered callers in several functions.

--- a/fleet/commands.go
+++ b/fleet/commands.go
@@ -20,11 +20,16 @@
 // DirectCaller starts a stand-in for callers that uses the machine's own TCP and
 // so meets backend servers without the system.
 func (f *Fleet) DirectCaller(arguments ...string) (*Process, error) {
+	number := f.nextCaller()
+	return f.launch(fmt.Sprintf("direct-caller-%d", number), "standin", append([]string{"caller"}, arguments...)...)
+}
+
+// nextCaller numbers the stand-ins for callers.
+func (f *Fleet) nextCaller() int {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.callers++
-	number := f.callers
-	f.mu.Unlock()
-	return f.launch(fmt.Sprintf("direct-caller-%d", number), "standin", append([]string{"caller"}, arguments...)...)
+	return f.callers
 }
 
 // maxReason is the largest part of a refusal's text that is shown, in bytes.
@@ -46,10 +51,7 @@
 
 // Caller starts a stand-in for callers with an inner address of its own.
 func (f *Fleet) Caller(arguments ...string) (*Process, error) {
-	f.mu.Lock()
-	f.callers++
-	number := f.callers
-	f.mu.Unlock()
+	number := f.nextCaller()
 	address := netip.AddrFrom4([4]byte{198, 19, 1, byte(number)})
 	all := append([]string{"caller", "--fabric", f.Fabric().String(), "--address", address.String()}, arguments...)
 	return f.launch(fmt.Sprintf("caller-%d", number), "standin", all...)
@@ -62,13 +64,9 @@
 
 // send makes a request with a JSON body to a stand-in.
 func (f *Fleet) send(ctx context.Context, method string, addr netip.AddrPort, path, body string) error {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+addr.String()+path, strings.NewReader(body))
+	response, err := request(ctx, method, addr, path, body)
 	if err != nil {
-		return errkind.Wrap(err, errkind.Internal, "request")
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return errkind.Wrap(err, errkind.PeerUnavailable, "%s http://%s%s", method, addr, path)
+		return err
 	}
 	defer func() { _ = response.Body.Close() }()
 	if response.StatusCode != http.StatusOK {
@@ -80,19 +78,25 @@
 
 // ReadJSON reads a JSON document from a stand-in or a process into target.
 func (f *Fleet) ReadJSON(ctx context.Context, addr netip.AddrPort, path string, target any) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+path, nil)
+	response, err := request(ctx, http.MethodGet, addr, path, "")
 	if err != nil {
-		return errkind.Wrap(err, errkind.Internal, "request")
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return errkind.Wrap(err, errkind.PeerUnavailable, "GET http://%s%s", addr, path)
+		return err
 	}
 	defer func() { _ = response.Body.Close() }()
 	err = json.NewDecoder(response.Body).Decode(target)
 	return errkind.Wrap(err, errkind.Malformed, "GET http://%s%s", addr, path)
 }
 
+// request makes an HTTP request to a stand-in or a process.
+func request(ctx context.Context, method string, addr netip.AddrPort, path, body string) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+addr.String()+path, strings.NewReader(body))
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Internal, "request")
+	}
+	response, err := http.DefaultClient.Do(r)
+	return response, errkind.Wrap(err, errkind.PeerUnavailable, "%s http://%s%s", method, addr, path)
+}
+
 // FabricBalancer is what the fabric tells of a balancer.
 type FabricBalancer struct {
 	// Name is the name of the balancer.
--- a/fleet/start.go
+++ b/fleet/start.go
@@ -228,11 +228,7 @@
 
 // answers tells whether a GET of path at addr is answered with 200.
 func answers(ctx context.Context, addr netip.AddrPort, path string) bool {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr.String()+path, nil)
-	if err != nil {
-		return false
-	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := request(ctx, http.MethodGet, addr, path, "")
 	if err != nil {
 		return false
 	}
--- a/process/balancer/balancer.go
+++ b/process/balancer/balancer.go
@@ -121,7 +121,7 @@
 	b.control.Mount(b.node.Handler())
 	b.control.Mount(b.spreader.Handler())
 	b.control.Mount(b.ring.Handler())
-	b.control.Mount(ServersPath, http.HandlerFunc(b.listServers))
+	b.control.Mount(control.ServersPath, http.HandlerFunc(b.listServers))
 	metrics.Publish("forward", func() any { return b.forwarder.Counters() })
 	metrics.Publish("version", func() any { return b.spreader.Current().Version })
 	metrics.Publish("view", func() any { return newViewSize(b.node.View()) })
--- a/process/balancer/servers.go
+++ b/process/balancer/servers.go
@@ -7,16 +7,10 @@
 
 	"go.uber.org/zap"
 
+	"bergamotbank/process/control"
 	"bergamotbank/process/membership"
 )
 
-// ServersPath is the path at the control address that lists the backend servers
-// of the balancer's view. The query parameter "server" asks for one by name.
-const ServersPath = "/servers"
-
-// serverParameter is the query parameter with the name of a server.
-const serverParameter = "server"
-
 // ServerEntry is one backend server of the view.
 type ServerEntry struct {
 	// Server is the name of the backend server.
@@ -35,7 +29,7 @@
 
 // listServers answers with the backend servers of the view as JSON.
 func (b *Balancer) listServers(w http.ResponseWriter, r *http.Request) {
-	entries := serverEntries(b.node.View(), r.URL.Query().Get(serverParameter))
+	entries := serverEntries(b.node.View(), r.URL.Query().Get(control.ServerParameter))
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(entries); err != nil {
 		b.logger.Warn("list servers", zap.Error(err))
--- a/process/control/control.go
+++ b/process/control/control.go
@@ -22,6 +22,17 @@
 	shutdownTimeout   = 2 * time.Second
 )
 
+// Paths of the control address that bergamotctl uses.
+const (
+	// DrainPath takes the order to drain, at agents.
+	DrainPath = "/drain"
+	// ServersPath lists the backend servers of a balancer's view. The query
+	// parameter ServerParameter asks for one by name.
+	ServersPath = "/servers"
+	// ServerParameter is the query parameter with the name of a server.
+	ServerParameter = "server"
+)
+
 // Probe tells whether the process may be used. The reason is for people.
 type Probe func() (ok bool, reason string)
 
@@ -53,7 +64,7 @@
 	s := &Server{options: options, mux: http.NewServeMux(), listener: listener}
 	s.mux.HandleFunc("GET /healthz", s.health)
 	s.mux.HandleFunc("GET /readyz", s.ready)
-	s.mux.HandleFunc("POST /drain", s.drain)
+	s.mux.HandleFunc("POST "+DrainPath, s.drain)
 	s.mux.Handle("GET /debug/vars", expvar.Handler())
 	return s, nil
 }
--- a/process/ctl/drain.go
+++ b/process/ctl/drain.go
@@ -10,15 +10,9 @@
 	"net/url"
 
 	"bergamotbank/errkind"
+	"bergamotbank/process/control"
 )
 
-// drainPath is the endpoint of an agent that starts its drain.
-const drainPath = "/drain"
-
-// serversPath is the endpoint of a balancer that lists the backend servers of
-// its view.
-const serversPath = "/servers"
-
 // longestList bounds the answer to a look-up of one server, in bytes.
 const longestList = 64 << 10
 
@@ -64,9 +58,9 @@
 		if p.Leaf {
 			continue
 		}
-		control, ok := lookUpServer(ctx, p.Control, server)
+		address, ok := lookUpServer(ctx, p.Control, server)
 		if ok {
-			return control, nil
+			return address, nil
 		}
 	}
 	if err := f.complete(); err != nil {
@@ -76,10 +70,10 @@
 }
 
 // lookUpServer asks a balancer for the control address of a server's agent.
-func lookUpServer(ctx context.Context, balancerControl, server string) (control string, ok bool) {
+func lookUpServer(ctx context.Context, balancerControl, server string) (address string, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	target := "http://" + balancerControl + serversPath + "?server=" + url.QueryEscape(server)
+	target := "http://" + balancerControl + control.ServersPath + "?" + control.ServerParameter + "=" + url.QueryEscape(server)
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
 	if err != nil {
 		return "", false
@@ -97,8 +91,8 @@
 	return found[0].Control, true
 }
 
-func (c *command) drainAgent(ctx context.Context, server, control string) error {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+control+drainPath, http.NoBody)
+func (c *command) drainAgent(ctx context.Context, server, address string) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+control.DrainPath, http.NoBody)
 	if err != nil {
 		return errkind.Wrap(err, errkind.Malformed, "control address")
 	}
@@ -111,6 +105,6 @@
 		body, _ := io.ReadAll(io.LimitReader(response.Body, longestRefusal))
 		return errkind.New(errkind.PeerUnavailable, "agent of %s: status %d: %s", server, response.StatusCode, body)
 	}
-	output := drainOutput{Server: server, Control: control, Started: true}
+	output := drainOutput{Server: server, Control: address, Started: true}
 	return c.print(output, []string{fmt.Sprintf("drain of %s started", server)})
 }
--- a/process/ctl/drain_test.go
+++ b/process/ctl/drain_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/smartystreets/goconvey/convey"
+
+	"bergamotbank/process/control"
 )
 
 func TestLookUpServer(t *testing.T) {
@@ -21,7 +23,7 @@
 	for _, c := range cases {
 		convey.Convey("A balancer's view with "+c.name+" is read", t, func() {
 			balancer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				if r.URL.Path != serversPath || r.URL.Query().Get("server") != "a" {
+				if r.URL.Path != control.ServersPath || r.URL.Query().Get("server") != "a" {
 					w.WriteHeader(http.StatusNotFound)
 					return
 				}
--- a/process/ctl/fleet.go
+++ b/process/ctl/fleet.go
@@ -10,13 +10,10 @@
 	"time"
 
 	"bergamotbank/errkind"
+	"bergamotbank/process/membership"
 	"bergamotbank/version/spread"
 )
 
-// directoryPrefix begins the keys that list the balancers of each failure
-// domain.
-const directoryPrefix = "directory/"
-
 // parallelCalls bounds the processes asked at the same time.
 const parallelCalls = 32
 
@@ -71,7 +68,7 @@
 
 // directory reads the balancers from the store.
 func (c *command) directory(ctx context.Context) ([]spread.Peer, error) {
-	entries, err := c.store.List(ctx, directoryPrefix)
+	entries, err := c.store.List(ctx, membership.DirectoryPrefix)
 	if err != nil {
 		return nil, err
 	}
@@ -86,7 +83,7 @@
 			if err != nil {
 				return peers, errkind.Wrap(err, errkind.Malformed, "directory %s: %s", entry.Key, e.Name)
 			}
-			domain := strings.TrimPrefix(entry.Key, directoryPrefix)
+			domain := strings.TrimPrefix(entry.Key, membership.DirectoryPrefix)
 			peers = append(peers, spread.Peer{Name: e.Name, Domain: domain, Control: control})
 		}
 	}
--- a/process/directory/directory.go
+++ b/process/directory/directory.go
@@ -22,9 +22,6 @@
 	return membership.NewDirectory(keyValue{client})
 }
 
-// keyPrefix starts the keys of the lists, one per failure domain.
-const keyPrefix = "directory/"
-
 // listTimeout bounds the look-up of the lists.
 const listTimeout = 2 * time.Second
 
@@ -56,13 +53,13 @@
 func listed(client *store.Client) []string {
 	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
 	defer cancel()
-	entries, err := client.List(ctx, keyPrefix)
+	entries, err := client.List(ctx, membership.DirectoryPrefix)
 	if err != nil {
 		return nil
 	}
 	names := make([]string, 0, len(entries))
 	for _, entry := range entries {
-		names = append(names, strings.TrimPrefix(entry.Key, keyPrefix))
+		names = append(names, strings.TrimPrefix(entry.Key, membership.DirectoryPrefix))
 	}
 	return names
 }
--- a/process/membership/directory.go
+++ b/process/membership/directory.go
@@ -33,8 +33,8 @@
 }
 
 const (
-	// directoryPrefix is the prefix of the keys of the directory.
-	directoryPrefix = "directory/"
+	// DirectoryPrefix begins the keys of the directory, one per failure domain.
+	DirectoryPrefix = "directory/"
 	// directorySize is the largest number of balancers listed per failure domain.
 	directorySize = 8
 	// directoryAttempts is the number of attempts of a change that loses races.
@@ -67,7 +67,7 @@
 }
 
 func (d *storeDirectory) read(ctx context.Context, domain string) ([]Peer, uint64, error) {
-	value, index, err := d.kv.Get(ctx, directoryPrefix+domain)
+	value, index, err := d.kv.Get(ctx, DirectoryPrefix+domain)
 	if err != nil {
 		return nil, 0, errkind.Wrap(err, errkind.StoreUnavailable, "read directory of %q", domain)
 	}
@@ -148,7 +148,7 @@
 		if err != nil {
 			return err
 		}
-		swapped, err := d.kv.CompareAndSwap(ctx, directoryPrefix+domain, value, index)
+		swapped, err := d.kv.CompareAndSwap(ctx, DirectoryPrefix+domain, value, index)
 		if err != nil {
 			return errkind.Wrap(err, errkind.StoreUnavailable, "write directory of %q", domain)
 		}
