--- a/cmd/bergamotd/main.go
+++ b/cmd/bergamotd/main.go
@@ -13,9 +13,11 @@
 	"go.uber.org/zap"
 
 	"bergamotbank/errkind"
+	"bergamotbank/platform"
 	"bergamotbank/process/agent"
 	"bergamotbank/process/balancer"
 	"bergamotbank/process/logging"
+	"bergamotbank/process/passthrough"
 	"bergamotbank/process/settings"
 )
 
@@ -28,6 +30,9 @@
 type commandLine struct {
 	Balancer *roleCommand `arg:"subcommand:balancer" help:"take callers' packets from the fabric on an entry VM"`
 	Agent    *roleCommand `arg:"subcommand:agent" help:"serve callers' flows beside a backend server"`
+
+	PassthroughBalancer *roleCommand `arg:"subcommand:passthrough-balancer" help:"take callers' packets on the users' platform"`
+	PassthroughAgent    *roleCommand `arg:"subcommand:passthrough-agent" help:"carry the packets of a backend server on the users' platform"`
 }
 
 // Description is printed in the help text.
@@ -75,15 +80,26 @@
 
 // role returns the role that the command line names and its settings file.
 func (line commandLine) role() (role settings.Role, path string) {
-	if line.Balancer != nil {
+	switch {
+	case line.Balancer != nil:
 		return settings.RoleBalancer, line.Balancer.Settings
+	case line.PassthroughBalancer != nil:
+		return settings.RolePassthroughBalancer, line.PassthroughBalancer.Settings
+	case line.PassthroughAgent != nil:
+		return settings.RolePassthroughAgent, line.PassthroughAgent.Settings
 	}
 	return settings.RoleAgent, line.Agent.Settings
 }
 
 func build(role settings.Role, s settings.Settings, logger *zap.Logger) (runner, error) {
-	if role == settings.RoleBalancer {
+	switch role {
+	case settings.RoleBalancer:
 		return balancer.New(s, logger)
+	case settings.RolePassthroughBalancer:
+		return passthrough.NewBalancer(s, logger, platform.New(s.Store))
+	case settings.RolePassthroughAgent:
+		return passthrough.NewAgent(s, logger, platform.New(s.Store))
+	case settings.RoleAgent:
 	}
 	return agent.New(s, logger)
 }
--- /dev/null
+++ b/connection/gate/flow.go
@@ -0,0 +1,192 @@
+package gate
+
+import (
+	"math"
+	"time"
+
+	"bergamotbank/connection/passthrough"
+)
+
+// phase is the state of a flow at the agent.
+type phase uint8
+
+const (
+	// phaseOpening is a flow whose opening packet went to the server.
+	phaseOpening phase = iota
+	// phaseOpen is a flow that the caller has confirmed.
+	phaseOpen
+	// phaseClosed is a flow that has ended; late packets still pass.
+	phaseClosed
+	// phaseLost is a flow whose server incarnation has ended.
+	phaseLost
+)
+
+const (
+	callerFinished = 1 << iota
+	serverFinished
+	bothFinished = callerFinished | serverFinished
+)
+
+const (
+	// openingTimeout is how long a flow may stay unconfirmed; callers give up
+	// after 1.4 s.
+	openingTimeout = 3 * time.Second
+	// closedLinger keeps an ended flow for packets sent again, whose intervals
+	// grow to 1.6 s.
+	closedLinger = 5 * time.Second
+	// lostLinger keeps a lost flow, to answer its caller.
+	lostLinger = 10 * time.Second
+	// idleFlow is how long a flow without packets is kept.
+	idleFlow = 60 * time.Second
+	// registerAfter is the age at which an open flow is registered; most flows of
+	// a single request have ended by then.
+	registerAfter = 150 * time.Millisecond
+)
+
+// flow is what an agent knows of a flow that its server holds.
+type flow struct {
+	phase      phase
+	finished   uint8
+	hops       uint8
+	busy       bool
+	registered bool
+	serverSeq  uint32
+	answered   bool
+	confirmed  bool
+	callerAck  uint32
+	version    uint64
+	origin     passthrough.Endpoint
+	alternate  passthrough.Endpoint
+	opened     time.Duration
+	used       time.Duration
+}
+
+// answers tells whether a caller's packet confirms the opening by this server. All
+// packets of the server pass its agent, so a caller that goes on before the
+// server has answered speaks to another one.
+func (f *flow) answers(segment *passthrough.Segment) bool {
+	return f.answered && segment.Has(passthrough.Acknowledge) && segment.Ack-f.serverSeq < maxWindow
+}
+
+// maxWindow is the largest distance between the first sequence number of a server
+// and the acknowledgement of a caller's first packets, in bytes.
+const maxWindow = 1 << 16
+
+// callerPacket follows a caller's packet of a held flow.
+func (g *Gate) callerPacket(key passthrough.Flow, f *flow, segment *passthrough.Segment, now time.Duration) {
+	f.used = now
+	if segment.Has(passthrough.Acknowledge) {
+		f.callerAck = segment.Ack
+	}
+	if f.phase == phaseOpening {
+		f.phase = phaseOpen
+		g.open++
+		g.young = append(g.young, key)
+	}
+	if segment.Has(passthrough.Reset) {
+		g.close(f)
+		return
+	}
+	if segment.Has(passthrough.Finish) {
+		g.finish(f, callerFinished)
+	}
+	if len(segment.Payload) > 0 && !f.busy && f.phase == phaseOpen {
+		f.busy = true
+		g.work.open++
+		g.counters.Requests++
+		if g.options.OnRequest != nil {
+			g.options.OnRequest(key, segment.Payload)
+		}
+	}
+}
+
+// serverPacket follows a server's packet of a held flow.
+func (g *Gate) serverPacket(f *flow, segment *passthrough.Segment, now time.Duration) {
+	f.used = now
+	if segment.Has(passthrough.Open | passthrough.Acknowledge) {
+		f.serverSeq, f.answered = segment.Seq, true
+	} else {
+		f.confirmed = true
+	}
+	if len(segment.Payload) > 0 {
+		g.idle(f)
+	}
+	if segment.Has(passthrough.Reset) {
+		g.close(f)
+	} else if segment.Has(passthrough.Finish) {
+		g.finish(f, serverFinished)
+	}
+}
+
+// finish notes that one end has no more data.
+func (g *Gate) finish(f *flow, end uint8) {
+	f.finished |= end
+	if f.finished == bothFinished {
+		g.close(f)
+	}
+}
+
+func (g *Gate) idle(f *flow) {
+	if f.busy {
+		f.busy = false
+		g.work.open--
+	}
+}
+
+func (g *Gate) close(f *flow) {
+	g.idle(f)
+	if f.phase == phaseOpen {
+		g.open--
+	}
+	if f.phase != phaseLost {
+		f.phase = phaseClosed
+	}
+}
+
+// sweep forgets flows that are over.
+func (g *Gate) sweep(now time.Duration) {
+	for key, f := range g.flows {
+		if now-f.used < f.keep() {
+			continue
+		}
+		g.close(f)
+		delete(g.flows, key)
+	}
+}
+
+// keep returns how long the flow is kept after its last packet.
+func (f *flow) keep() time.Duration {
+	switch f.phase {
+	case phaseOpening:
+		return openingTimeout
+	case phaseClosed:
+		return closedLinger
+	case phaseLost:
+		return lostLinger
+	case phaseOpen:
+	}
+	return idleFlow
+}
+
+// workMeter averages the number of open requests.
+type workMeter struct {
+	open int
+	mean float64
+	last time.Duration
+}
+
+// workWindow is the time constant of the mean; long enough for the pauses of long
+// flows, short enough to follow a change of load.
+const workWindow = 1500 * time.Millisecond
+
+func (w *workMeter) update(now time.Duration) {
+	weight := 1 - math.Exp(-float64(now-w.last)/float64(workWindow))
+	w.mean += (float64(w.open) - w.mean) * weight
+	w.last = now
+}
+
+// Work returns the mean number of open requests.
+func (g *Gate) Work() float64 { return g.work.mean }
+
+// Flows returns the number of open flows.
+func (g *Gate) Flows() int { return g.open }
--- /dev/null
+++ b/connection/gate/registry.go
@@ -0,0 +1,114 @@
+package gate
+
+import (
+	"time"
+
+	"bergamotbank/connection/passthrough"
+	"bergamotbank/version/steering"
+)
+
+// SetAgents replaces the view of the agents that register flows with each other.
+// Flows whose owners changed or lost their memory are registered anew.
+func (g *Gate) SetAgents(agents []Agent) {
+	runs := make(map[passthrough.Endpoint]uint64, len(g.agents))
+	for _, agent := range g.agents {
+		runs[agent.Peer] = agent.Run
+	}
+	former := g.owners
+	g.agents = agents
+	servers := make([]steering.Server, 0, len(agents))
+	renewed := map[passthrough.Endpoint]bool{}
+	for _, agent := range agents {
+		servers = append(servers, steering.Server{Name: agent.Name, Addr: agent.Peer.AddrPort(), Weight: steering.FullWeight})
+		renewed[agent.Peer] = runs[agent.Peer] != agent.Run
+	}
+	g.owners = steering.Build(servers)
+	for key, f := range g.flows {
+		if !f.registered || f.phase != phaseOpen {
+			continue
+		}
+		a, b := owners(former, key)
+		c, d := owners(g.owners, key)
+		if (c != a && c != b) || renewed[c] {
+			g.enqueue(c, key)
+		}
+		if (d != a && d != b) || renewed[d] {
+			g.enqueue(d, key)
+		}
+	}
+}
+
+// ownersOf returns the two agents that keep the registration of a flow.
+func (g *Gate) ownersOf(key passthrough.Flow) (first, second passthrough.Endpoint) {
+	return owners(g.owners, key)
+}
+
+func owners(table *steering.Table, key passthrough.Flow) (first, second passthrough.Endpoint) {
+	hash := key.Hash()
+	if index, ok := table.Lookup(hash); ok {
+		first = passthrough.EndpointOf(table.Addr(index))
+	}
+	if index, ok := table.Lookup(hash >> 32); ok {
+		second = passthrough.EndpointOf(table.Addr(index))
+	}
+	return first, second
+}
+
+func (g *Gate) enqueue(owner passthrough.Endpoint, key passthrough.Flow) {
+	if owner != 0 && owner != g.options.Self {
+		g.pending[owner] = append(g.pending[owner], key)
+	}
+}
+
+// Registration takes a datagram of kind Register.
+func (g *Gate) Registration(datagram []byte) {
+	err := passthrough.ParseRegister(datagram, func(holder passthrough.Endpoint, incarnation uint32, key passthrough.Flow) {
+		g.registry.Put(key, registration{holder: holder, incarnation: incarnation})
+	})
+	if err != nil {
+		g.counters.Malformed++
+	}
+}
+
+// Tick ages what the gate keeps and sends registrations that are due.
+func (g *Gate) Tick(now time.Duration) {
+	g.work.update(now)
+	g.registry.Tick(now)
+	g.offers.Tick(now)
+	g.searches.Tick(now)
+	g.registerYoung(now)
+	for owner, keys := range g.pending {
+		for len(keys) > 0 {
+			n := min(len(keys), passthrough.MaxRegistrations)
+			g.options.Sender.Send(passthrough.AppendRegister(nil, g.options.Self, g.server.Incarnation, keys[:n]), owner)
+			keys = keys[n:]
+		}
+		delete(g.pending, owner)
+	}
+}
+
+// Sweep forgets flows that are over. It is for calls a second apart.
+func (g *Gate) Sweep(now time.Duration) { g.sweep(now) }
+
+// registerYoung queues the flows that have been open for long enough. The list is
+// in the order of opening.
+func (g *Gate) registerYoung(now time.Duration) {
+	done := 0
+	for _, key := range g.young {
+		f := g.flows[key]
+		if f != nil && f.phase == phaseOpen && now-f.opened < registerAfter {
+			break
+		}
+		done++
+		if f == nil || f.phase != phaseOpen || f.registered {
+			continue
+		}
+		f.registered = true
+		first, second := g.ownersOf(key)
+		g.enqueue(first, key)
+		if second != first {
+			g.enqueue(second, key)
+		}
+	}
+	g.young = append(g.young[:0], g.young[done:]...)
+}
--- /dev/null
+++ b/connection/gate/unknown.go
@@ -0,0 +1,202 @@
+package gate
+
+import (
+	"time"
+
+	"bergamotbank/connection/passthrough"
+	"bergamotbank/connection/steer"
+	"bergamotbank/errkind"
+)
+
+// offer is a packet of an unknown flow that was given to the server to see
+// whether it holds the flow. An agent that started beside a running server knows
+// none of the server's flows.
+type offer struct {
+	frame   passthrough.Frame
+	refused bool
+}
+
+// unknown handles a packet of a flow that this agent does not know.
+func (g *Gate) unknown(d *delivery, now time.Duration) {
+	if d.segment.Has(passthrough.Reset) {
+		return
+	}
+	if d.frame.Kind == passthrough.Registered && d.frame.Incarnation != 0 &&
+		g.server.Incarnation != 0 && d.frame.Incarnation != g.server.Incarnation {
+		// The registration names a former incarnation, which has ended.
+		g.reset(d.flow, d.segment.Ack, errkind.BackendUnavailable)
+		return
+	}
+	if g.mayHold(d.flow) {
+		g.offer(d)
+		return
+	}
+	g.passOn(d, now)
+}
+
+// mayHold tells whether the server may hold a flow unknown to the agent.
+func (g *Gate) mayHold(flow passthrough.Flow) bool {
+	if !g.server.Older && g.server.Incarnation != 0 {
+		return false
+	}
+	if g.server.State == steer.Down {
+		return false
+	}
+	o, asked := g.offers.Get(flow)
+	return !asked || !o.refused
+}
+
+func (g *Gate) offer(d *delivery) {
+	g.counters.Offered++
+	g.offers.Put(d.flow, offer{frame: d.frame})
+	g.toServer(d.packet)
+}
+
+// passOn sends a packet to its holder by registration, to the other owner of the
+// flow, or to all agents of the service.
+func (g *Gate) passOn(d *delivery, now time.Duration) {
+	if d.frame.Kind == passthrough.Search || d.frame.Kind == passthrough.Registered {
+		return
+	}
+	if r, ok := g.registry.Get(d.flow); ok && r.holder != g.options.Self {
+		g.forward(d, passthrough.Registered, r.holder, r.incarnation)
+		return
+	}
+	first, second := g.ownersOf(d.flow)
+	switch {
+	case d.frame.Kind == passthrough.Deliver && first != g.options.Self && first != 0:
+		g.forward(d, passthrough.Lookup, first, 0)
+	case second != g.options.Self && second != 0 && d.frame.Hops < maxLookupHops:
+		g.forward(d, passthrough.Lookup, second, 0)
+	default:
+		g.search(d, now)
+	}
+}
+
+// maxLookupHops is the number of agents that a lookup visits before the flow is
+// searched: the two owners and one agent whose view is behind.
+const maxLookupHops = 2
+
+func (g *Gate) forward(d *delivery, kind passthrough.Kind, to passthrough.Endpoint, incarnation uint32) {
+	frame := d.frame
+	frame.Kind = kind
+	frame.Hops++
+	frame.Incarnation = incarnation
+	frame.Put(d.datagram)
+	g.counters.PassedOn++
+	g.options.Sender.Send(d.datagram, to)
+}
+
+// search asks all agents of the services behind the flow's address.
+func (g *Gate) search(d *delivery, now time.Duration) {
+	if g.version == nil {
+		return
+	}
+	if last, ok := g.searches.Get(d.flow); ok && now-last < searchGap {
+		return
+	}
+	route := g.version.Route(d.flow.Service.AddrPort())
+	if route == nil {
+		return
+	}
+	g.searches.Put(d.flow, now)
+	g.counters.Searched++
+	frame := d.frame
+	frame.Kind = passthrough.Search
+	frame.Put(d.datagram)
+	for _, agent := range g.agents {
+		if agent.Peer != g.options.Self && route.Leads(agent.Service) {
+			g.options.Sender.Send(d.datagram, agent.Peer)
+		}
+	}
+}
+
+// Packet takes a packet that the backend server sent, in a buffer with FrameSize
+// free bytes in front of it.
+func (g *Gate) Packet(buffer []byte, now time.Duration) {
+	packet := buffer[passthrough.FrameSize:]
+	segment := &g.segment
+	if err := g.options.Format.Decode(packet, segment); err != nil {
+		g.counters.Malformed++
+		return
+	}
+	if segment.Has(passthrough.Returned) {
+		g.counters.Returned++
+		g.options.Format.ClearReturned(packet)
+		g.returned(buffer, segment, now)
+		return
+	}
+	key := segment.FromServer()
+	f := g.flows[key]
+	if f == nil {
+		f = g.adopt(key, segment, now)
+	}
+	g.serverPacket(f, segment, now)
+	g.toCaller(packet, key.Caller)
+}
+
+// adopt takes up a flow that the server turns out to hold, or that it answers the
+// opening packet of.
+func (g *Gate) adopt(key passthrough.Flow, segment *passthrough.Segment, now time.Duration) *flow {
+	g.counters.Adopted++
+	f := &flow{phase: phaseOpen, opened: now, used: now}
+	g.flows[key] = f
+	if segment.Has(passthrough.Open) {
+		f.phase = phaseOpening
+		return f
+	}
+	g.open++
+	g.young = append(g.young, key)
+	if o, ok := g.offers.Get(key); ok {
+		g.tell(o.frame.Origin, key)
+	}
+	return f
+}
+
+// returned handles a packet that the server did not accept.
+func (g *Gate) returned(buffer []byte, segment *passthrough.Segment, now time.Duration) {
+	d := delivery{datagram: buffer, packet: buffer[passthrough.FrameSize:], segment: segment, flow: segment.FromCaller()}
+	f := g.flows[d.flow]
+	if segment.IsOpening() {
+		if f == nil || f.phase != phaseOpening {
+			return
+		}
+		delete(g.flows, d.flow)
+		d.frame = passthrough.Frame{Kind: passthrough.Deliver, Hops: f.hops, Version: f.version, Origin: f.origin, Alternate: f.alternate}
+		d.frame.Put(buffer)
+		g.refuse(&d, errkind.Overloaded)
+		return
+	}
+	if f == nil {
+		g.returnedOffer(&d, now)
+		return
+	}
+	if f.phase != phaseOpen {
+		return
+	}
+	g.close(f)
+	if !f.confirmed {
+		// Another server answered a copy of the opening packet first.
+		delete(g.flows, d.flow)
+		d.frame = passthrough.Frame{Kind: passthrough.Deliver, Version: f.version, Origin: f.origin}
+		d.frame.Put(buffer)
+		g.passOn(&d, now)
+		return
+	}
+	f.phase = phaseLost
+	g.reset(d.flow, segment.Ack, errkind.BackendUnavailable)
+}
+
+// returnedOffer goes on looking for the holder of a flow that the server does not
+// hold.
+func (g *Gate) returnedOffer(d *delivery, now time.Duration) {
+	o, ok := g.offers.Get(d.flow)
+	if !ok {
+		return
+	}
+	o.refused = true
+	g.offers.Put(d.flow, o)
+	d.frame = o.frame
+	d.frame.Put(d.datagram)
+	g.passOn(d, now)
+}
--- /dev/null
+++ b/connection/passthrough/frame.go
@@ -0,0 +1,154 @@
+package passthrough
+
+import (
+	"encoding/binary"
+
+	"bergamotbank/errkind"
+)
+
+// Kind is the first byte of each datagram between processes.
+type Kind uint8
+
+// The kinds of datagrams.
+const (
+	// Deliver carries a packet to the agent that holds its flow or shall open it.
+	Deliver Kind = 0xB1 + iota
+	// Lookup carries a packet of a flow whose holder the sender does not know.
+	Lookup
+	// Registered carries a packet to the holder that a registration names.
+	Registered
+	// Search carries a packet of a flow that has no registration.
+	Search
+	// Learned tells a balancer which agent holds a flow.
+	Learned
+	// Register tells an agent which flows the sender holds.
+	Register
+	// Hello is a heartbeat between processes.
+	Hello
+	// Introduction lists processes for a process that has just started.
+	Introduction
+)
+
+// FrameSize is the number of bytes that a frame puts in front of a packet.
+const FrameSize = 29
+
+// Frame carries a caller's packet from process to process.
+type Frame struct {
+	// Kind is Deliver, Lookup, Registered or Search.
+	Kind Kind
+	// Hops counts the agents that passed the packet on.
+	Hops uint8
+	// Version is the configuration version that the balancer acted by.
+	Version uint64
+	// Origin is the peer address of the balancer that took the packet.
+	Origin Endpoint
+	// Alternate is the agent to try when the first refuses an opening packet, 0
+	// for none.
+	Alternate Endpoint
+	// Incarnation is the run of the backend server that holds the flow according
+	// to a registration, for Registered.
+	Incarnation uint32
+}
+
+// errShortFrame reports a datagram that is too short for its kind.
+var errShortFrame = errkind.New(errkind.Malformed, "datagram ends inside the frame")
+
+// Put writes the frame into the first FrameSize bytes of b.
+func (f *Frame) Put(b []byte) {
+	b[0] = byte(f.Kind)
+	b[1] = f.Hops
+	binary.LittleEndian.PutUint64(b[2:], f.Version)
+	putEndpoint(b[10:], f.Origin)
+	putEndpoint(b[16:], f.Alternate)
+	binary.LittleEndian.PutUint32(b[22:], f.Incarnation)
+	b[26], b[27], b[28] = 0, 0, 0
+}
+
+// ParseFrame reads the frame and returns the packet behind it. The error has
+// kind Malformed.
+func ParseFrame(b []byte, f *Frame) (packet []byte, err error) {
+	if len(b) < FrameSize {
+		return nil, errShortFrame
+	}
+	f.Kind = Kind(b[0])
+	f.Hops = b[1]
+	f.Version = binary.LittleEndian.Uint64(b[2:])
+	f.Origin = endpointAt(b[10:])
+	f.Alternate = endpointAt(b[16:])
+	f.Incarnation = binary.LittleEndian.Uint32(b[22:])
+	return b[FrameSize:], nil
+}
+
+const endpointSize = 6 // bytes
+
+func putEndpoint(b []byte, e Endpoint) {
+	binary.LittleEndian.PutUint32(b, e.IP())
+	binary.LittleEndian.PutUint16(b[4:], e.Port())
+}
+
+func endpointAt(b []byte) Endpoint {
+	return MakeEndpoint(binary.LittleEndian.Uint32(b), binary.LittleEndian.Uint16(b[4:]))
+}
+
+const (
+	flowSize           = 2 * endpointSize
+	learnedSize        = 1 + endpointSize + flowSize
+	registerHeaderSize = 1 + endpointSize + 4
+)
+
+// MaxRegistrations is the number of flows in one datagram of kind Register, so
+// that it fits into a packet of 1,200 bytes.
+const MaxRegistrations = (1200 - registerHeaderSize) / flowSize
+
+// AppendLearned appends a datagram that tells who holds a flow.
+func AppendLearned(b []byte, holder Endpoint, flow Flow) []byte {
+	b = appendEndpoint(append(b, byte(Learned)), holder)
+	return appendFlow(b, flow)
+}
+
+// ParseLearned reads a datagram of kind Learned. The error has kind Malformed.
+func ParseLearned(b []byte) (holder Endpoint, flow Flow, err error) {
+	if len(b) < learnedSize {
+		return 0, Flow{}, errShortFrame
+	}
+	return endpointAt(b[1:]), flowAt(b[1+endpointSize:]), nil
+}
+
+// AppendRegister appends a datagram that registers flows, at most
+// MaxRegistrations, that the holder's backend server holds.
+func AppendRegister(b []byte, holder Endpoint, incarnation uint32, flows []Flow) []byte {
+	b = appendEndpoint(append(b, byte(Register)), holder)
+	b = binary.LittleEndian.AppendUint32(b, incarnation)
+	for _, flow := range flows {
+		b = appendFlow(b, flow)
+	}
+	return b
+}
+
+// ParseRegister reads a datagram of kind Register and calls each for every flow.
+// The error has kind Malformed.
+func ParseRegister(b []byte, each func(holder Endpoint, incarnation uint32, flow Flow)) error {
+	if len(b) < registerHeaderSize || (len(b)-registerHeaderSize)%flowSize != 0 {
+		return errShortFrame
+	}
+	holder := endpointAt(b[1:])
+	incarnation := binary.LittleEndian.Uint32(b[1+endpointSize:])
+	for rest := b[registerHeaderSize:]; len(rest) > 0; rest = rest[flowSize:] {
+		each(holder, incarnation, flowAt(rest))
+	}
+	return nil
+}
+
+func appendEndpoint(b []byte, e Endpoint) []byte {
+	var raw [endpointSize]byte
+	putEndpoint(raw[:], e)
+	return append(b, raw[:]...)
+}
+
+func appendFlow(b []byte, flow Flow) []byte {
+	return appendEndpoint(appendEndpoint(b, flow.Caller), flow.Service)
+}
+
+func flowAt(b []byte) Flow {
+	return Flow{Caller: endpointAt(b), Service: endpointAt(b[endpointSize:])}
+}
--- /dev/null
+++ b/connection/passthrough/generations.go
@@ -0,0 +1,64 @@
+package passthrough
+
+import "time"
+
+// Generations is a bounded map with an entry per flow whose entries fade when
+// they are not used: every period the older of two maps is dropped, and a lookup
+// moves an entry into the younger one. It is not safe for concurrent use.
+type Generations[V any] struct {
+	period  time.Duration
+	limit   int
+	young   map[Flow]V
+	old     map[Flow]V
+	rotated time.Duration
+}
+
+// NewGenerations returns an empty map whose entries live between one and two
+// periods after their last use. It never holds more than twice limit entries.
+func NewGenerations[V any](period time.Duration, limit int) *Generations[V] {
+	return &Generations[V]{period: period, limit: limit, young: map[Flow]V{}, old: map[Flow]V{}}
+}
+
+// Get returns the entry of a flow and keeps it alive.
+func (g *Generations[V]) Get(flow Flow) (V, bool) {
+	if v, ok := g.young[flow]; ok {
+		return v, true
+	}
+	v, ok := g.old[flow]
+	if ok {
+		g.young[flow] = v
+		delete(g.old, flow)
+	}
+	return v, ok
+}
+
+// Put sets the entry of a flow.
+func (g *Generations[V]) Put(flow Flow, v V) {
+	g.young[flow] = v
+	if len(g.young) >= g.limit {
+		g.rotate()
+	}
+}
+
+// Delete removes the entry of a flow.
+func (g *Generations[V]) Delete(flow Flow) {
+	delete(g.young, flow)
+	delete(g.old, flow)
+}
+
+// Len returns the number of entries.
+func (g *Generations[V]) Len() int { return len(g.young) + len(g.old) }
+
+// Tick drops faded entries when a period has passed. Times are counted from the
+// start of the process.
+func (g *Generations[V]) Tick(now time.Duration) {
+	if now-g.rotated >= g.period {
+		g.rotated = now
+		g.rotate()
+	}
+}
+
+func (g *Generations[V]) rotate() {
+	g.old = g.young
+	g.young = make(map[Flow]V, len(g.old)/2)
+}
--- /dev/null
+++ b/connection/steer/steer.go
@@ -0,0 +1,300 @@
+// Package steer decides at a balancer where a caller's packet goes: the packets
+// of a flow to the agent that holds it, an opening packet to the agent of a
+// backend server of the right service. What a balancer remembers of flows is a
+// cache; the agents hold the truth.
+package steer
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"bergamotbank/connection/passthrough"
+	"bergamotbank/errkind"
+	"bergamotbank/version/routes"
+	"bergamotbank/version/steering"
+)
+
+const (
+	// holderPeriod is how long the holder of an unused flow stays in the cache, at
+	// least; longer than the usual idle time-out of 15 s.
+	holderPeriod = 30 * time.Second
+	// maxHolders bounds one generation of the cache, about 4 MB.
+	maxHolders = 64 << 10
+)
+
+// State is the readiness of a backend server for new flows.
+type State uint8
+
+// The states of a backend server.
+const (
+	// Unknown is a server that has not reported yet.
+	Unknown State = iota
+	// Ready takes new flows.
+	Ready
+	// Cold takes few new flows.
+	Cold
+	// Draining keeps its flows and takes no new ones.
+	Draining
+	// Down does not answer.
+	Down
+)
+
+// Server is a backend server with its agent, as the balancer last heard of it.
+type Server struct {
+	// Name is the name of the agent.
+	Name string
+	// Agent is the peer address of the agent.
+	Agent passthrough.Endpoint
+	// Service and Domain tell whom the server serves and where.
+	Service, Domain string
+	// State is the state of the server.
+	State State
+	// Slots is the number of requests that the server works on at once.
+	Slots int
+	// Work is the mean number of open requests.
+	Work float64
+	// Flows is the number of open flows.
+	Flows int
+	// Reachable tells whether the agent is heard and hears this balancer.
+	Reachable bool
+	// Silent tells that the agent has not been heard for so long that its
+	// backend server is taken for lost.
+	Silent bool
+}
+
+// Counters count packets by outcome.
+type Counters struct {
+	// Packets are all packets read; Malformed those that could not be parsed.
+	Packets, Malformed uint64
+	// Opens are opening packets that were placed, Known and Unknown the packets of
+	// flows whose holder was cached or not.
+	Opens, Known, Unknown uint64
+	// NoRoute, NoServer and HolderLost count resets by reason.
+	NoRoute, NoServer, HolderLost uint64
+	// Dropped are packets for which no decision was possible.
+	Dropped uint64
+}
+
+// Options configure a Steer.
+type Options struct {
+	// Format is the packet format of callers.
+	Format passthrough.Format
+	// Domain is the failure domain of the balancer.
+	Domain string
+	// Self is the peer address of the balancer.
+	Self passthrough.Endpoint
+	// CallerPort is the UDP port at which callers take packets.
+	CallerPort uint16
+	// Sender takes datagrams to agents and callers.
+	Sender passthrough.Sender
+	// OnRefusal is called for each refused packet; nil for none.
+	OnRefusal func(flow passthrough.Flow, kind errkind.Kind)
+	// OnPlacement is called for each first copy of an opening packet that was
+	// placed; nil for none.
+	OnPlacement func(flow passthrough.Flow, server *Server)
+}
+
+// Steer decides for the packets of one balancer. It is not safe for concurrent
+// use.
+type Steer struct {
+	options  Options
+	version  *routes.Version
+	servers  []*entry
+	byAgent  map[passthrough.Endpoint]*entry
+	services map[string][]*entry
+	owners   *steering.Table
+	holders  *passthrough.Generations[passthrough.Endpoint]
+	segment  passthrough.Segment
+	counters Counters
+}
+
+// entry is a server with what this balancer sent it since its last report.
+type entry struct {
+	Server
+	opened float64
+}
+
+// New returns a Steer that knows neither routes nor servers yet.
+func New(options Options) *Steer {
+	return &Steer{
+		options: options,
+		byAgent: map[passthrough.Endpoint]*entry{},
+		owners:  steering.Build(nil),
+		holders: passthrough.NewGenerations[passthrough.Endpoint](holderPeriod, maxHolders),
+	}
+}
+
+// SetVersion puts a configuration version in force.
+func (s *Steer) SetVersion(v *routes.Version) { s.version = v }
+
+// SetServers replaces the view of the backend servers.
+func (s *Steer) SetServers(servers []Server) {
+	former := s.byAgent
+	s.byAgent = make(map[passthrough.Endpoint]*entry, len(servers))
+	s.services = map[string][]*entry{}
+	s.servers = s.servers[:0]
+	owners := make([]steering.Server, 0, len(servers))
+	for i := range servers {
+		e := &entry{Server: servers[i]}
+		if before := former[e.Agent]; before != nil && before.Flows == e.Flows && before.Work == e.Work {
+			e.opened = before.opened
+		}
+		s.byAgent[e.Agent] = e
+		s.servers = append(s.servers, e)
+		s.services[e.Service] = append(s.services[e.Service], e)
+		if !e.Silent {
+			owners = append(owners, steering.Server{Name: e.Name, Addr: e.Agent.AddrPort(), Weight: steering.FullWeight})
+		}
+	}
+	s.owners = steering.Build(owners)
+}
+
+// Report takes over what an agent says of its server since SetServers.
+func (s *Steer) Report(report Server) {
+	if e := s.byAgent[report.Agent]; e != nil {
+		e.Server = report
+		e.opened = 0
+	}
+}
+
+// Learn remembers the holder of a flow.
+func (s *Steer) Learn(holder passthrough.Endpoint, flow passthrough.Flow) {
+	s.holders.Put(flow, holder)
+}
+
+// Ready tells whether the balancer can place flows.
+func (s *Steer) Ready() bool {
+	if s.version == nil {
+		return false
+	}
+	for _, e := range s.servers {
+		if e.Reachable {
+			return true
+		}
+	}
+	return false
+}
+
+// Counters returns the counts so far.
+func (s *Steer) Counters() Counters { return s.counters }
+
+// Flows returns the number of flows whose holder is cached.
+func (s *Steer) Flows() int { return s.holders.Len() }
+
+// Tick ages the cache.
+func (s *Steer) Tick(now time.Duration) { s.holders.Tick(now) }
+
+// Packet takes a packet of a caller, in a buffer with FrameSize free bytes in
+// front of it.
+func (s *Steer) Packet(buffer []byte) {
+	s.counters.Packets++
+	segment := &s.segment
+	if err := s.options.Format.Decode(buffer[passthrough.FrameSize:], segment); err != nil {
+		s.counters.Malformed++
+		return
+	}
+	if s.version == nil {
+		s.counters.Dropped++
+		return
+	}
+	if segment.IsOpening() {
+		s.open(buffer, segment)
+		return
+	}
+	if segment.Has(passthrough.Open) {
+		s.counters.Malformed++
+		return
+	}
+	s.follow(buffer, segment)
+}
+
+// open places an opening packet. A copy goes where the first one went as long as
+// that agent can be reached.
+func (s *Steer) open(buffer []byte, segment *passthrough.Segment) {
+	flow := segment.FromCaller()
+	route := s.version.Route(flow.Service.AddrPort())
+	if route == nil {
+		s.counters.NoRoute++
+		s.reset(flow, segment, errkind.NotFound)
+		return
+	}
+	if holder, ok := s.holders.Get(flow); ok {
+		if e := s.byAgent[holder]; e != nil && e.Reachable {
+			s.send(buffer, passthrough.Deliver, holder, s.second(e))
+			return
+		}
+	}
+	service := route.Pick(flow.Hash())
+	chosen := s.choose(service, nil)
+	if chosen == nil {
+		s.counters.NoServer++
+		s.reset(flow, segment, errkind.BackendUnavailable)
+		return
+	}
+	s.counters.Opens++
+	chosen.opened++
+	s.holders.Put(flow, chosen.Agent)
+	if s.options.OnPlacement != nil {
+		s.options.OnPlacement(flow, &chosen.Server)
+	}
+	s.send(buffer, passthrough.Deliver, chosen.Agent, s.second(chosen))
+}
+
+// second returns the agent that an agent which refuses a flow passes it to.
+func (s *Steer) second(first *entry) passthrough.Endpoint {
+	if e := s.choose(first.Service, first); e != nil {
+		return e.Agent
+	}
+	return 0
+}
+
+// follow sends a packet of an open flow to its holder, or to the owner of the
+// flow's registration when the holder is not cached.
+func (s *Steer) follow(buffer []byte, segment *passthrough.Segment) {
+	flow := segment.FromCaller()
+	if holder, ok := s.holders.Get(flow); ok {
+		e := s.byAgent[holder]
+		if e != nil && e.Silent {
+			s.counters.HolderLost++
+			s.reset(flow, segment, errkind.PeerUnavailable)
+			return
+		}
+		s.counters.Known++
+		s.send(buffer, passthrough.Deliver, holder, 0)
+		return
+	}
+	if segment.Has(passthrough.Reset) {
+		s.counters.Dropped++
+		return
+	}
+	s.counters.Unknown++
+	if index, ok := s.owners.Lookup(flow.Hash()); ok {
+		s.send(buffer, passthrough.Lookup, passthrough.EndpointOf(s.owners.Addr(index)), 0)
+	}
+}
+
+func (s *Steer) send(buffer []byte, kind passthrough.Kind, to, alternate passthrough.Endpoint) {
+	frame := passthrough.Frame{
+		Kind:      kind,
+		Version:   s.version.Revision,
+		Origin:    s.options.Self,
+		Alternate: alternate,
+	}
+	frame.Put(buffer)
+	s.options.Sender.Send(buffer, to)
+}
+
+// reset tells the caller that the flow cannot go on.
+func (s *Steer) reset(flow passthrough.Flow, segment *passthrough.Segment, kind errkind.Kind) {
+	if s.options.OnRefusal != nil {
+		s.options.OnRefusal(flow, kind)
+	}
+	if segment.Has(passthrough.Reset) {
+		return
+	}
+	b := s.options.Format.AppendReset(nil, flow, segment.Ack)
+	s.options.Sender.Send(b, flow.Caller.WithPort(s.options.CallerPort))
+}
+
+// random returns a number below n, which must be above 0.
+func random(n int) int { return rand.IntN(n) }
--- a/layers_test.go
+++ b/layers_test.go
@@ -26,6 +26,8 @@
 	"connection": {"connection", "version", "errkind", "event"},
 	"process":    {"process", "connection", "request", "version", "errkind", "event"},
 	"standin":    {"standin", "errkind"},
+	// The adapter to the users' platform is imported by commands only.
+	"platform": {"platform", "process", "connection", "version", "errkind"},
 }
 
 // sourceFile is a Go file with the module's packages that it imports.
--- /dev/null
+++ b/process/passthrough/agent.go
@@ -0,0 +1,179 @@
+package passthrough
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotbank/connection/datagram"
+	"bergamotbank/connection/gate"
+	"bergamotbank/connection/passthrough"
+	"bergamotbank/errkind"
+	"bergamotbank/process/duty"
+	"bergamotbank/process/metrics"
+	"bergamotbank/process/roster"
+	"bergamotbank/process/settings"
+	"bergamotbank/version/routes"
+)
+
+// Agent carries the packets of the backend server beside it.
+type Agent struct {
+	*node
+	outbound *datagram.Conn
+	gate     *gate.Gate
+	backend  *backend
+	swept    time.Duration
+}
+
+// NewAgent opens the addresses of an agent. Nothing runs before Run.
+func NewAgent(s settings.Settings, logger *zap.Logger, adapter Adapter) (*Agent, error) {
+	n, err := newNode(s, logger, adapter)
+	if err != nil {
+		return nil, err
+	}
+	a := &Agent{node: n}
+	if a.outbound, err = listenDatagrams(s.Passthrough.Outbound); err != nil {
+		return nil, errkind.Wrap(err, errkind.InvalidSettings, "field \"passthrough.outbound\"")
+	}
+	a.gate = gate.New(gate.Options{
+		Format:       adapter.Format,
+		Domain:       s.Domain,
+		Self:         n.self(),
+		Backend:      passthrough.EndpointOf(s.Passthrough.Backend),
+		CallerPort:   s.Packet.Port(),
+		Sender:       n.sender,
+		FlowLifetime: time.Duration(s.Passthrough.FlowLifetime),
+		OnRefusal:    a.logRefusal,
+		OnReset:      a.logReset,
+	})
+	a.backend = newBackend(a)
+	n.orders = newOrders(adapter, logger, a.setVersion)
+	n.roster = roster.New(roster.Options{
+		Self:      a.self,
+		Sender:    n.sender,
+		OnVersion: n.orders.offerHint,
+		OnChange:  a.setAgents,
+		OnMember:  n.logMember,
+	})
+	metrics.Publish("gate", func() any { return a.counters() })
+	return a, nil
+}
+
+// self describes the agent and its backend server; it runs with mu held.
+func (a *Agent) self() roster.Member {
+	m := a.member(roster.Agent)
+	server := a.gate.Server()
+	m.Service = server.Service
+	m.Report = roster.Report{
+		State:       a.backend.state(a.clock.now()),
+		Slots:       server.Slots,
+		Work:        a.gate.Work(),
+		Flows:       a.gate.Flows(),
+		Incarnation: server.Incarnation,
+	}
+	return m
+}
+
+// Run works until ctx ends, which is a planned stop.
+func (a *Agent) Run(ctx context.Context) error {
+	a.logger.Info("agent started", zap.Stringer("backend", a.settings.Passthrough.Backend), zap.Stringer("peer", a.settings.Passthrough.Peer))
+	a.greetSeeds()
+	return duty.Run(ctx, a.stop,
+		func(ctx context.Context) error { return receive(ctx, a.outbound, a.fromServer) },
+		func(ctx context.Context) error { return receive(ctx, a.peer, a.fromPeers) },
+		func(ctx context.Context) error { return a.tick(ctx, a.advance) },
+		a.backend.watch,
+		a.orders.watch,
+		a.orders.follow,
+		a.directory.announce,
+		a.directory.read,
+		a.serve(a.settings.Passthrough.Readiness, a.adapter.Readiness(func() bool { return true })),
+		a.serve(a.settings.Control, a.adapter.Reports(a.backend)),
+		a.serve(a.settings.Passthrough.Peer, a.peerHandler()),
+	)
+}
+
+// stop tells the others that the agent is leaving. Its server may live on, beside
+// the agent that comes next, so nothing is waited for.
+func (a *Agent) stop(ctx context.Context) {
+	a.logger.Info("agent stopping")
+	a.backend.leave(ctx)
+	a.directory.end(ctx)
+}
+
+func (a *Agent) setVersion(v *routes.Version) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.version = v
+	a.gate.SetVersion(v)
+}
+
+// setAgents hands the members over; it runs with mu held.
+func (a *Agent) setAgents() {
+	own := a.self()
+	agents := []gate.Agent{{Name: own.Name, Peer: own.Peer, Service: own.Service, Run: own.Run}}
+	for _, status := range a.roster.Members() {
+		if status.Role == roster.Agent && !status.Silent {
+			agents = append(agents, gate.Agent{Name: status.Name, Peer: status.Peer, Service: status.Service, Run: status.Run})
+		}
+	}
+	a.gate.SetAgents(agents)
+}
+
+// advance does what is due at a tick; it runs with mu held.
+func (a *Agent) advance(now time.Duration) {
+	a.gate.Tick(now)
+	if now-a.swept >= sweepInterval {
+		a.swept = now
+		a.gate.Sweep(now)
+	}
+}
+
+// fromServer handles packets of the backend server.
+func (a *Agent) fromServer(r *datagram.Reader, n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.now()
+	for i := range n {
+		a.gate.Packet(r.Prefixed(i, 0, passthrough.FrameSize), now)
+	}
+	a.sender.flush()
+}
+
+// fromPeers handles datagrams of other processes.
+func (a *Agent) fromPeers(r *datagram.Reader, n int) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.clock.now()
+	for i := range n {
+		datagram := r.Datagram(i)
+		if len(datagram) == 0 {
+			continue
+		}
+		switch passthrough.Kind(datagram[0]) {
+		case passthrough.Deliver, passthrough.Lookup, passthrough.Registered, passthrough.Search:
+			a.gate.Datagram(datagram, now)
+		case passthrough.Register:
+			a.gate.Registration(datagram)
+		default:
+			a.control(datagram, now)
+		}
+	}
+	a.sender.flush()
+}
+
+func (a *Agent) counters() gate.Counters {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.gate.Counters()
+}
+
+func (a *Agent) logRefusal(flow passthrough.Flow, kind errkind.Kind, passedTo passthrough.Endpoint) {
+	a.logger.Info("flow refused", zap.Stringer("caller", flow.Caller), zap.Stringer("service_address", flow.Service),
+		zap.Stringer("kind", kind), zap.Stringer("passed_to", passedTo))
+}
+
+func (a *Agent) logReset(flow passthrough.Flow, kind errkind.Kind) {
+	a.logger.Info("flow reset", zap.Stringer("caller", flow.Caller), zap.Stringer("service_address", flow.Service), zap.Stringer("kind", kind))
+}
--- /dev/null
+++ b/process/passthrough/backend.go
@@ -0,0 +1,206 @@
+package passthrough
+
+import (
+	"context"
+	"errors"
+	"net"
+	"syscall"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"bergamotbank/connection/gate"
+	"bergamotbank/connection/steer"
+)
+
+const (
+	// suspectAfter is the number of heartbeat intervals without a heartbeat after
+	// which the backend server is checked by a connection.
+	suspectAfter = 1.7
+	// checkInterval is the pause between such checks, which are priced.
+	checkInterval = 500 * time.Millisecond
+	// checkTimeout bounds a check; the server is on the same VM.
+	checkTimeout = 400 * time.Millisecond
+	// olderSlack is the uncertainty of comparing the start of the server with that
+	// of the agent by the time of day.
+	olderSlack = 2 * time.Second
+)
+
+// backend follows the backend server beside the agent by its heartbeats, and by a
+// connection when heartbeats are missing. Its fields are guarded by the agent's
+// lock.
+type backend struct {
+	agent *Agent
+	// started is the time of day of the agent's start.
+	started time.Time
+	last    BackendReport
+	heard   time.Duration
+	leaving bool
+	stopped bool
+	// counts of heartbeats.
+	reports, stale, malformed uint64
+}
+
+func newBackend(a *Agent) *backend {
+	return &backend{agent: a, started: time.Now()}
+}
+
+// state returns the state to announce; it runs with the agent's lock held.
+func (b *backend) state(now time.Duration) steer.State {
+	server := b.agent.gate.Server()
+	switch {
+	case b.stopped:
+		return steer.Draining
+	case server.State == steer.Ready && now < server.ColdUntil:
+		return steer.Cold
+	}
+	return server.State
+}
+
+// Report takes a heartbeat of the backend server.
+func (b *backend) Report(report BackendReport) {
+	a := b.agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b.reports++
+	if b.outdated(report) {
+		b.stale++
+		a.logger.Info("outdated heartbeat ignored", zap.String("server", report.ID), zap.Uint64("sequence", report.Sequence),
+			zap.Time("born", report.Born))
+		return
+	}
+	now := a.clock.now()
+	before := a.gate.Server()
+	b.last, b.heard = report, now
+	server := gate.Server{
+		Service:     report.Service,
+		Domain:      report.Domain,
+		Incarnation: incarnation(report),
+		State:       steer.Ready,
+		Slots:       report.Slots,
+		ColdUntil:   now + report.Cold,
+		Older:       before.Older,
+	}
+	if before.Incarnation == 0 {
+		server.Older = report.Born.Before(b.started.Add(olderSlack))
+	}
+	if server.Incarnation != before.Incarnation {
+		b.leaving = false
+	}
+	if report.State == BackendDraining || b.leaving {
+		server.State = steer.Draining
+	}
+	b.install(server, now)
+}
+
+// install hands a state of the server to the gate and tells the others when it
+// has changed; it runs with the agent's lock held.
+func (b *backend) install(server gate.Server, now time.Duration) {
+	a := b.agent
+	before := a.gate.Server()
+	a.gate.SetServer(server)
+	if server.State == before.State && server.Incarnation == before.Incarnation && server.Service == before.Service {
+		a.sender.flush()
+		return
+	}
+	a.logger.Info("backend server changed", zap.String("server", b.last.ID), zap.String("service", server.Service),
+		zap.Uint8("state", uint8(server.State)), zap.Uint32("incarnation", server.Incarnation), zap.Uint64("sequence", b.last.Sequence),
+		zap.Duration("cold", server.ColdUntil-now))
+	if server.Service != before.Service {
+		a.setAgents()
+	}
+	a.roster.Announce(now)
+	a.sender.flush()
+}
+
+// outdated tells whether a heartbeat is older than the last one.
+func (b *backend) outdated(report BackendReport) bool {
+	if report.Born.Before(b.last.Born) {
+		return true
+	}
+	return report.ID == b.last.ID && report.Born.Equal(b.last.Born) && report.Sequence <= b.last.Sequence
+}
+
+// incarnation identifies one start of a server; it is never 0.
+func incarnation(report BackendReport) uint32 {
+	return uint32(xxhash.Sum64String(report.ID+report.Born.String())) | 1
+}
+
+// Leave takes the notice that the server is about to end.
+func (b *backend) Leave(id string) {
+	a := b.agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if id != b.last.ID {
+		return
+	}
+	b.leaving = true
+	server := a.gate.Server()
+	if server.State != steer.Down {
+		server.State = steer.Draining
+		b.install(server, a.clock.now())
+	}
+}
+
+// Malformed counts a heartbeat that could not be read.
+func (b *backend) Malformed(err error) {
+	b.agent.mu.Lock()
+	b.malformed++
+	b.agent.mu.Unlock()
+	b.agent.logger.Warn("heartbeat refused", zap.Error(err))
+}
+
+// watch checks the server by a connection while heartbeats are missing.
+func (b *backend) watch(ctx context.Context) error {
+	for sleep(ctx, checkInterval) {
+		if b.suspect() {
+			b.check(ctx)
+		}
+	}
+	return nil
+}
+
+// suspect tells whether the server should have been heard.
+func (b *backend) suspect() bool {
+	b.agent.mu.Lock()
+	defer b.agent.mu.Unlock()
+	server := b.agent.gate.Server()
+	if server.State == steer.Unknown || server.State == steer.Down {
+		return false
+	}
+	limit := time.Duration(suspectAfter * float64(b.agent.settings.Passthrough.Heartbeat))
+	return b.leaving || b.agent.clock.now()-b.heard > limit
+}
+
+// check opens a connection to the server. Only a refusal shows that the server
+// has ended.
+func (b *backend) check(ctx context.Context) {
+	a := b.agent
+	dialer := net.Dialer{Timeout: checkTimeout}
+	conn, err := dialer.DialContext(ctx, "tcp", a.settings.Passthrough.Backend.String())
+	if err == nil {
+		_ = conn.Close()
+		return
+	}
+	if !errors.Is(err, syscall.ECONNREFUSED) {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	server := a.gate.Server()
+	server.State = steer.Down
+	b.install(server, a.clock.now())
+}
+
+// leave announces that the agent takes no new flows and resets the flows of a
+// server that has ended.
+func (b *backend) leave(ctx context.Context) {
+	b.check(ctx)
+	a := b.agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	b.stopped = true
+	a.roster.Announce(a.clock.now())
+	a.sender.flush()
+}
--- /dev/null
+++ b/process/passthrough/balancer.go
@@ -0,0 +1,169 @@
+package passthrough
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotbank/connection/datagram"
+	"bergamotbank/connection/passthrough"
+	"bergamotbank/connection/steer"
+	"bergamotbank/errkind"
+	"bergamotbank/process/duty"
+	"bergamotbank/process/metrics"
+	"bergamotbank/process/roster"
+	"bergamotbank/process/settings"
+	"bergamotbank/version/routes"
+)
+
+// Balancer takes callers' packets from the fabric on an entry VM.
+type Balancer struct {
+	*node
+	callers  *datagram.Conn
+	steer    *steer.Steer
+	stopping atomic.Bool
+}
+
+// NewBalancer opens the addresses of a balancer. Nothing runs before Run.
+func NewBalancer(s settings.Settings, logger *zap.Logger, adapter Adapter) (*Balancer, error) {
+	n, err := newNode(s, logger, adapter)
+	if err != nil {
+		return nil, err
+	}
+	b := &Balancer{node: n}
+	if b.callers, err = listenDatagrams(s.Packet); err != nil {
+		return nil, errkind.Wrap(err, errkind.InvalidSettings, "field \"packet\"")
+	}
+	b.steer = steer.New(steer.Options{
+		Format:     adapter.Format,
+		Domain:     s.Domain,
+		Self:       n.self(),
+		CallerPort: s.Packet.Port(),
+		Sender:     n.sender,
+		OnRefusal:  b.logRefusal,
+	})
+	n.orders = newOrders(adapter, logger, b.setVersion)
+	n.roster = roster.New(roster.Options{
+		Self:      func() roster.Member { return n.member(roster.Balancer) },
+		Sender:    n.sender,
+		OnVersion: n.orders.offerHint,
+		OnReport:  func(status roster.Status) { b.steer.Report(serverOf(status)) },
+		OnChange:  b.setServers,
+		OnMember:  n.logMember,
+	})
+	metrics.Publish("steer", func() any { return b.counters() })
+	return b, nil
+}
+
+// Run works until ctx ends, which is a planned stop.
+func (b *Balancer) Run(ctx context.Context) error {
+	b.logger.Info("balancer started", zap.Stringer("packet", b.settings.Packet), zap.Stringer("peer", b.settings.Passthrough.Peer))
+	b.greetSeeds()
+	return duty.Run(ctx, b.stop,
+		func(ctx context.Context) error { return receive(ctx, b.callers, b.fromCallers) },
+		func(ctx context.Context) error { return receive(ctx, b.peer, b.fromPeers) },
+		func(ctx context.Context) error { return b.tick(ctx, b.steer.Tick) },
+		b.orders.watch,
+		b.orders.follow,
+		b.directory.announce,
+		b.directory.read,
+		b.serve(b.settings.Passthrough.Readiness, b.adapter.Readiness(b.ready)),
+		b.serve(b.settings.Passthrough.Peer, b.peerHandler()),
+	)
+}
+
+// stop reports that the balancer is leaving and goes on until the fabric has
+// noticed.
+func (b *Balancer) stop(ctx context.Context) {
+	b.stopping.Store(true)
+	b.logger.Info("balancer stopping", zap.Duration("grace", time.Duration(b.settings.Balancer.StopGrace)))
+	sleep(ctx, time.Duration(b.settings.Balancer.StopGrace))
+	b.directory.end(ctx)
+}
+
+// ready tells whether the fabric may send callers' packets.
+func (b *Balancer) ready() bool {
+	if b.stopping.Load() {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.steer.Ready()
+}
+
+func (b *Balancer) setVersion(v *routes.Version) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.version = v
+	b.steer.SetVersion(v)
+}
+
+// setServers hands the members over; it runs with mu held.
+func (b *Balancer) setServers() {
+	var servers []steer.Server
+	for _, status := range b.roster.Members() {
+		if status.Role == roster.Agent {
+			servers = append(servers, serverOf(status))
+		}
+	}
+	b.steer.SetServers(servers)
+}
+
+func serverOf(status roster.Status) steer.Server {
+	return steer.Server{
+		Name:      status.Name,
+		Agent:     status.Peer,
+		Service:   status.Service,
+		Domain:    status.Domain,
+		State:     status.Report.State,
+		Slots:     status.Report.Slots,
+		Work:      status.Report.Work,
+		Flows:     status.Report.Flows,
+		Reachable: status.Reachable,
+		Silent:    status.Silent,
+	}
+}
+
+// fromCallers handles packets that the fabric handed over.
+func (b *Balancer) fromCallers(r *datagram.Reader, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for i := range n {
+		b.steer.Packet(r.Prefixed(i, 0, passthrough.FrameSize))
+	}
+	b.sender.flush()
+}
+
+// fromPeers handles datagrams of other processes.
+func (b *Balancer) fromPeers(r *datagram.Reader, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.clock.now()
+	for i := range n {
+		datagram := r.Datagram(i)
+		if len(datagram) == 0 {
+			continue
+		}
+		if passthrough.Kind(datagram[0]) != passthrough.Learned {
+			b.control(datagram, now)
+			continue
+		}
+		if holder, flow, err := passthrough.ParseLearned(datagram); err == nil {
+			b.steer.Learn(holder, flow)
+		}
+	}
+	b.sender.flush()
+}
+
+func (b *Balancer) counters() steer.Counters {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.steer.Counters()
+}
+
+func (b *Balancer) logRefusal(flow passthrough.Flow, kind errkind.Kind) {
+	b.logger.Info("flow reset", zap.Stringer("caller", flow.Caller), zap.Stringer("service_address", flow.Service),
+		zap.Stringer("kind", kind), zap.Uint64("revision", b.version.Revision))
+}
--- /dev/null
+++ b/process/passthrough/directory.go
@@ -0,0 +1,123 @@
+package passthrough
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotbank/connection/passthrough"
+	"bergamotbank/errkind"
+)
+
+const (
+	// directoryPrefix is where processes write their peer addresses.
+	directoryPrefix = "bergamotbank/members/"
+	// entryLifetime is the lease of a directory entry. Heartbeats judge members;
+	// the entry only has to lead newcomers to them.
+	entryLifetime = 30 * time.Second
+	// renewInterval is a third of the lease, so that two renewals may be lost.
+	renewInterval = entryLifetime / 3
+	// listInterval is the pause between reads of the directory, which bring
+	// together processes that never heard of each other.
+	listInterval = 15 * time.Second
+)
+
+// directory keeps the process' own entry in the store and reads those of others.
+type directory struct {
+	store  Store
+	logger *zap.Logger
+	name   string
+	peer   passthrough.Endpoint
+	add    func(passthrough.Endpoint)
+
+	lease uint64
+}
+
+// announce keeps the own entry until ctx ends.
+func (d *directory) announce(ctx context.Context) error {
+	pause := backoff{}
+	lost := false
+	for ctx.Err() == nil {
+		err := d.renew(ctx)
+		switch {
+		case err == nil:
+			if lost {
+				d.logger.Info("directory entry is back")
+			}
+			lost = false
+			pause.reset()
+			sleep(ctx, renewInterval)
+		case errkind.Is(err, errkind.NotFound):
+			d.logger.Info("lease of the directory entry has ended; writing the entry anew", zap.Uint64("lease", d.lease))
+			d.lease = 0
+		default:
+			if !lost && ctx.Err() == nil {
+				d.logger.Warn("store does not answer; the directory entry may lapse", zap.Error(err))
+				lost = true
+			}
+			pause.wait(ctx)
+		}
+	}
+	return nil
+}
+
+// renew prolongs the lease, or writes the entry under a new one.
+func (d *directory) renew(ctx context.Context) error {
+	if d.lease != 0 {
+		return d.store.Renew(ctx, d.lease)
+	}
+	lease, _, err := d.store.Grant(ctx, entryLifetime)
+	if err != nil {
+		return err
+	}
+	if err := d.store.Put(ctx, directoryPrefix+d.name, []byte(d.peer.String()), lease); err != nil {
+		return err
+	}
+	d.lease = lease
+	return nil
+}
+
+// read reads the entries of others until ctx ends.
+func (d *directory) read(ctx context.Context) error {
+	pause := backoff{}
+	for first := true; ctx.Err() == nil; {
+		items, _, err := d.store.List(ctx, directoryPrefix, !first)
+		if err != nil {
+			pause.wait(ctx)
+			continue
+		}
+		pause.reset()
+		for _, item := range items {
+			d.take(item)
+		}
+		if first {
+			// Processes that start together may have read before all have written.
+			first = false
+			sleep(ctx, time.Second)
+			continue
+		}
+		sleep(ctx, listInterval)
+	}
+	return nil
+}
+
+func (d *directory) take(item Item) {
+	addr, err := netip.ParseAddrPort(string(item.Value))
+	if err != nil {
+		d.logger.Warn("directory entry without an address", zap.String("key", item.Key), zap.Error(err))
+		return
+	}
+	d.add(passthrough.EndpointOf(addr))
+}
+
+// end removes the own entry.
+func (d *directory) end(ctx context.Context) {
+	if d.lease == 0 {
+		return
+	}
+	if err := d.store.End(ctx, d.lease); err != nil {
+		d.logger.Info("directory entry stays until its lease ends", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/process/passthrough/node.go
@@ -0,0 +1,156 @@
+package passthrough
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotbank/connection/datagram"
+	"bergamotbank/connection/passthrough"
+	"bergamotbank/errkind"
+	"bergamotbank/process/roster"
+	"bergamotbank/process/settings"
+	"bergamotbank/version/routes"
+)
+
+const (
+	// tickInterval is the pace of heartbeats, registrations and judgements.
+	tickInterval = 50 * time.Millisecond
+	// sweepInterval is the pace of forgetting flows.
+	sweepInterval = time.Second
+	// headerTimeout and idleTimeout bound the connections of the HTTP servers.
+	headerTimeout = 2 * time.Second
+	idleTimeout   = 30 * time.Second
+)
+
+// node holds what both roles share: the socket between processes, the members,
+// the orders and the directory.
+type node struct {
+	settings  settings.Settings
+	adapter   Adapter
+	logger    *zap.Logger
+	clock     clock
+	run       uint64
+	peer      *datagram.Conn
+	orders    *orders
+	directory *directory
+
+	// mu guards everything below and what the role adds.
+	mu      sync.Mutex
+	sender  *sender
+	roster  *roster.Roster
+	version *routes.Version
+}
+
+// newNode opens the peer socket. role describes the process for its heartbeats
+// and is called with mu held.
+func newNode(s settings.Settings, logger *zap.Logger, adapter Adapter) (*node, error) {
+	n := &node{settings: s, adapter: adapter, logger: logger, clock: newClock(), run: uint64(time.Now().UnixNano())}
+	var err error
+	if n.peer, err = listenDatagrams(s.Passthrough.Peer); err != nil {
+		return nil, errkind.Wrap(err, errkind.InvalidSettings, "field \"passthrough.peer\"")
+	}
+	n.sender = newSender(n.peer)
+	n.directory = &directory{
+		store:  adapter.Store,
+		logger: logger,
+		name:   s.Name,
+		peer:   passthrough.EndpointOf(s.Passthrough.Peer),
+		add:    n.greet,
+	}
+	return n, nil
+}
+
+// self returns the address of this process for its peers.
+func (n *node) self() passthrough.Endpoint { return passthrough.EndpointOf(n.settings.Passthrough.Peer) }
+
+// greet adds an address to the members to be greeted.
+func (n *node) greet(peer passthrough.Endpoint) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.roster.Add(peer)
+}
+
+// greetSeeds adds the seeds, which name addresses of another port on the VMs of
+// members; all VMs use the same ports.
+func (n *node) greetSeeds() {
+	for _, seed := range n.settings.Seeds {
+		n.greet(passthrough.EndpointOf(seed).WithPort(n.settings.Passthrough.Peer.Port()))
+	}
+}
+
+// member describes the process for its heartbeats.
+func (n *node) member(role roster.Role) roster.Member {
+	m := roster.Member{Name: n.settings.Name, Domain: n.settings.Domain, Role: role, Peer: n.self(), Run: n.run}
+	if n.version != nil {
+		m.Version = n.version.Revision
+	}
+	return m
+}
+
+// control handles a datagram between processes that carries no packet.
+func (n *node) control(b []byte, now time.Duration) {
+	switch passthrough.Kind(b[0]) {
+	case passthrough.Hello:
+		n.roster.Hello(b, now)
+	case passthrough.Introduction:
+		n.roster.Introduction(b)
+	default:
+	}
+}
+
+// logMember logs a change of what the process believes of a member.
+func (n *node) logMember(m roster.Member, change string, silence time.Duration) {
+	n.logger.Info("member "+change, zap.String("member", m.Name), zap.Stringer("peer", m.Peer), zap.String("domain", m.Domain),
+		zap.Uint64("run", m.Run), zap.Duration("silence", silence))
+}
+
+// tick calls work at the pace of tickInterval until ctx ends.
+func (n *node) tick(ctx context.Context, work func(now time.Duration)) error {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		n.mu.Lock()
+		now := n.clock.now()
+		n.roster.Tick(now)
+		work(now)
+		n.sender.flush()
+		n.mu.Unlock()
+	}
+}
+
+// peerHandler serves other processes and operators.
+func (n *node) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET "+OrdersPath, n.orders)
+	mux.Handle("GET /debug/vars", expvar.Handler())
+	return mux
+}
+
+// serve returns a duty that serves HTTP at an address.
+func (n *node) serve(addr netip.AddrPort, handler http.Handler) func(context.Context) error {
+	return func(ctx context.Context) error {
+		listener, err := net.Listen("tcp", addr.String())
+		if err != nil {
+			return errkind.Wrap(err, errkind.InvalidSettings, "listen at %s", addr)
+		}
+		server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+		stop := context.AfterFunc(ctx, func() { _ = server.Close() })
+		defer stop()
+		if err := server.Serve(listener); ctx.Err() == nil {
+			return errkind.Wrap(err, errkind.Internal, "serve at %s", addr)
+		}
+		return nil
+	}
+}
--- /dev/null
+++ b/process/passthrough/orders.go
@@ -0,0 +1,252 @@
+package passthrough
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"bergamotbank/connection/passthrough"
+	"bergamotbank/errkind"
+	"bergamotbank/version/routes"
+)
+
+const (
+	// watchWait is how long one watch waits in the store. Each is a priced call;
+	// heartbeats tell of a version that a silent watch missed.
+	watchWait = 20 * time.Second
+	// storeRetry and storeRetryLimit bound the pause after a failed call.
+	storeRetry      = 100 * time.Millisecond
+	storeRetryLimit = 800 * time.Millisecond
+	// hintDelay is how long the watch may take to bring a version that a heartbeat
+	// announced, before a peer is asked.
+	hintDelay = 150 * time.Millisecond
+	// fetchTimeout bounds the question to a peer.
+	fetchTimeout = time.Second
+	// maxOrdersBytes bounds the answer of a peer.
+	maxOrdersBytes = 16 << 20
+	// OrdersPath is where a process gives its orders to a peer.
+	OrdersPath = "/orders"
+)
+
+// orderState is everything that operators have written, at a revision.
+type orderState struct {
+	Revision uint64
+	Items    []Item
+}
+
+// orders keeps a process at the newest version of what operators have written: by
+// a watch on the store, and from a peer when a heartbeat tells of a newer version
+// than the watch has brought. A version is never replaced by an older one.
+type orders struct {
+	adapter Adapter
+	logger  *zap.Logger
+	apply   func(*routes.Version)
+	client  http.Client
+
+	mu    sync.Mutex
+	state orderState
+	hints chan hint
+}
+
+// hint is a newer version that a peer has in force.
+type hint struct {
+	revision uint64
+	peer     passthrough.Endpoint
+}
+
+func newOrders(adapter Adapter, logger *zap.Logger, apply func(*routes.Version)) *orders {
+	return &orders{
+		adapter: adapter,
+		logger:  logger,
+		apply:   apply,
+		client:  http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		hints:   make(chan hint, 1),
+	}
+}
+
+// offerHint notes that a peer has a newer version. It never blocks.
+func (o *orders) offerHint(revision uint64, peer passthrough.Endpoint) {
+	select {
+	case o.hints <- hint{revision, peer}:
+	default:
+	}
+}
+
+// revision returns the revision in force.
+func (o *orders) revision() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.state.Revision
+}
+
+// watch follows the store until ctx ends.
+func (o *orders) watch(ctx context.Context) error {
+	pause := backoff{}
+	lost := false
+	position := uint64(0)
+	for ctx.Err() == nil {
+		next, err := o.step(ctx, position)
+		if err == nil {
+			if lost {
+				o.logger.Info("store answers again", zap.Uint64("revision", next))
+			}
+			lost = false
+			position = next
+			pause.reset()
+			continue
+		}
+		if errkind.Is(err, errkind.Conflict) {
+			o.logger.Info("store no longer keeps the history; reading all orders", zap.Uint64("revision", position))
+			position = 0
+			continue
+		}
+		if !lost && ctx.Err() == nil {
+			o.logger.Warn("store does not answer the watch", zap.Error(err))
+			lost = true
+		}
+		pause.wait(ctx)
+	}
+	return nil
+}
+
+// step reads all orders when position is 0, else waits for changes after it.
+func (o *orders) step(ctx context.Context, position uint64) (uint64, error) {
+	if position == 0 {
+		items, at, err := o.adapter.Store.List(ctx, o.adapter.OrdersPrefix, false)
+		if err != nil {
+			return 0, err
+		}
+		o.replace(orderState{Revision: at, Items: items}, "store")
+		return at, nil
+	}
+	events, at, err := o.adapter.Store.Watch(ctx, o.adapter.OrdersPrefix, position, watchWait)
+	if err != nil {
+		return 0, err
+	}
+	o.merge(events)
+	return max(at, position), nil
+}
+
+// replace takes over a whole state that is not older than the own one.
+func (o *orders) replace(state orderState, source string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if state.Revision <= o.state.Revision {
+		return
+	}
+	if sameItems(state.Items, o.state.Items) {
+		// The revision of the store has moved on for other keys.
+		return
+	}
+	o.install(state, source)
+}
+
+// merge takes over changes in the order of their revisions.
+func (o *orders) merge(events []Item) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	state := orderState{Revision: o.state.Revision, Items: slices.Clone(o.state.Items)}
+	for _, event := range events {
+		if event.Revision <= o.state.Revision {
+			continue
+		}
+		state.Revision = max(state.Revision, event.Revision)
+		state.Items = slices.DeleteFunc(state.Items, func(item Item) bool { return item.Key == event.Key })
+		if !event.Deleted {
+			state.Items = append(state.Items, event)
+		}
+	}
+	if state.Revision > o.state.Revision {
+		o.install(state, "watch")
+	}
+}
+
+// install puts a state in force; one that cannot be read leaves the last good
+// version in force.
+func (o *orders) install(state orderState, source string) {
+	version, err := o.adapter.Decode(state.Items)
+	if err != nil {
+		o.logger.Warn("orders refused; the last version stays in force", zap.Error(err),
+			zap.Uint64("revision", state.Revision), zap.String("source", source))
+		return
+	}
+	version.Revision = state.Revision
+	slices.SortFunc(state.Items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
+	o.state = state
+	o.apply(version)
+	o.logger.Info("version in force", zap.Uint64("revision", state.Revision), zap.Uint64("version", version.Number),
+		zap.String("source", source), zap.Int("routes", len(version.Routes)), zap.Int("domains_out", len(version.OutDomains)))
+}
+
+func sameItems(a, b []Item) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	revisions := make(map[string]uint64, len(a))
+	for _, item := range a {
+		revisions[item.Key] = item.Revision
+	}
+	for _, item := range b {
+		if revision, ok := revisions[item.Key]; !ok || revision != item.Revision {
+			return false
+		}
+	}
+	return true
+}
+
+// follow asks peers for versions that the watch does not bring in time.
+func (o *orders) follow(ctx context.Context) error {
+	for {
+		var h hint
+		select {
+		case <-ctx.Done():
+			return nil
+		case h = <-o.hints:
+		}
+		if o.revision() != 0 && !sleep(ctx, hintDelay) {
+			return nil
+		}
+		if o.revision() >= h.revision {
+			continue
+		}
+		state, err := o.fetch(ctx, h.peer)
+		if err != nil {
+			o.logger.Warn("peer did not give its orders", zap.Stringer("peer", h.peer), zap.Error(err))
+			continue
+		}
+		o.replace(state, "peer "+h.peer.String())
+	}
+}
+
+// fetch asks a peer for its whole state.
+func (o *orders) fetch(ctx context.Context, peer passthrough.Endpoint) (orderState, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+OrdersPath, nil)
+	if err != nil {
+		return orderState{}, errkind.Wrap(err, errkind.Internal, "question for orders")
+	}
+	response, err := o.client.Do(request)
+	if err != nil {
+		return orderState{}, errkind.Wrap(err, errkind.PeerUnavailable, "question for orders")
+	}
+	defer func() { _ = response.Body.Close() }()
+	var state orderState
+	err = json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxOrdersBytes)).Decode(&state)
+	return state, errkind.Wrap(err, errkind.Malformed, "orders of a peer")
+}
+
+// ServeHTTP gives the own state to a peer.
+func (o *orders) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	o.mu.Lock()
+	state := o.state
+	o.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(state); err != nil {
+		o.logger.Debug("peer left before it had all orders", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/process/roster/hello.go
@@ -0,0 +1,153 @@
+package roster
+
+import (
+	"encoding/binary"
+	"math"
+	"time"
+
+	"bergamotbank/connection/passthrough"
+	"bergamotbank/connection/steer"
+	"bergamotbank/errkind"
+)
+
+// Role tells as what a member runs.
+type Role uint8
+
+// The roles of members.
+const (
+	Balancer Role = 1
+	Agent    Role = 2
+)
+
+// Report is what an agent says of its backend server.
+type Report struct {
+	// State is the readiness for new flows.
+	State steer.State
+	// Slots is the number of requests that the server works on at once.
+	Slots int
+	// Work is the mean number of open requests.
+	Work float64
+	// Flows is the number of open flows.
+	Flows int
+	// Incarnation is the run of the server.
+	Incarnation uint32
+}
+
+// Member is a process as it describes itself in its heartbeats.
+type Member struct {
+	// Name is the unique name, Domain the failure domain.
+	Name, Domain string
+	// Service is the service of an agent's backend server.
+	Service string
+	// Role tells what the process does.
+	Role Role
+	// Peer is the address for datagrams and calls.
+	Peer passthrough.Endpoint
+	// Run is the run of the process; a later run has a larger number.
+	Run uint64
+	// Version is the revision of the configuration in force.
+	Version uint64
+	// Report is about an agent's backend server.
+	Report Report
+}
+
+// hello is a heartbeat on the wire.
+type hello struct {
+	Member
+	// interval is the time to the sender's next heartbeat.
+	interval time.Duration
+	// heard tells that the sender has lately heard the receiver.
+	heard bool
+}
+
+// helloProtocol is the version of the heartbeat's layout.
+const helloProtocol = 1
+
+const heardFlag = 1
+
+// fixedHelloSize is the size of a heartbeat without its texts, in bytes.
+const fixedHelloSize = 45
+
+// milli is the unit of the mean number of open requests on the wire.
+const milli = 1000
+
+// append appends the heartbeat to b.
+func (h *hello) append(b []byte) []byte {
+	flags := byte(0)
+	if h.heard {
+		flags |= heardFlag
+	}
+	b = append(b, byte(passthrough.Hello), helloProtocol, byte(h.Role), byte(h.Report.State), flags)
+	b = binary.LittleEndian.AppendUint64(b, h.Run)
+	b = binary.LittleEndian.AppendUint64(b, h.Version)
+	b = binary.LittleEndian.AppendUint64(b, uint64(h.Peer))
+	b = binary.LittleEndian.AppendUint16(b, uint16(min(h.interval.Milliseconds(), math.MaxUint16)))
+	b = binary.LittleEndian.AppendUint16(b, uint16(min(h.Report.Slots, math.MaxUint16)))
+	b = binary.LittleEndian.AppendUint32(b, uint32(h.Report.Work*milli))
+	b = binary.LittleEndian.AppendUint32(b, uint32(h.Report.Flows))
+	b = binary.LittleEndian.AppendUint32(b, h.Report.Incarnation)
+	for _, text := range []string{h.Name, h.Domain, h.Service} {
+		text = text[:min(len(text), math.MaxUint8)]
+		b = append(append(b, byte(len(text))), text...)
+	}
+	return b
+}
+
+// parseHello reads a heartbeat. The error has kind Malformed.
+func parseHello(b []byte) (hello, error) {
+	if len(b) < fixedHelloSize || b[1] != helloProtocol {
+		return hello{}, errkind.New(errkind.Malformed, "heartbeat of %d bytes or of another protocol version", len(b))
+	}
+	h := hello{heard: b[4]&heardFlag != 0}
+	h.Role = Role(b[2])
+	h.Report.State = steer.State(b[3])
+	h.Run = binary.LittleEndian.Uint64(b[5:])
+	h.Version = binary.LittleEndian.Uint64(b[13:])
+	h.Peer = passthrough.Endpoint(binary.LittleEndian.Uint64(b[21:]))
+	h.interval = time.Duration(binary.LittleEndian.Uint16(b[29:])) * time.Millisecond
+	h.Report.Slots = int(binary.LittleEndian.Uint16(b[31:]))
+	h.Report.Work = float64(binary.LittleEndian.Uint32(b[33:])) / milli
+	h.Report.Flows = int(binary.LittleEndian.Uint32(b[37:]))
+	h.Report.Incarnation = binary.LittleEndian.Uint32(b[41:])
+	rest := b[fixedHelloSize:]
+	for _, text := range []*string{&h.Name, &h.Domain, &h.Service} {
+		if len(rest) == 0 || len(rest) <= int(rest[0]) {
+			return hello{}, errkind.New(errkind.Malformed, "heartbeat ends inside a text")
+		}
+		*text = string(rest[1 : 1+rest[0]])
+		rest = rest[1+rest[0]:]
+	}
+	if h.Peer == 0 || (h.Role != Balancer && h.Role != Agent) || h.interval <= 0 {
+		return hello{}, errkind.New(errkind.Malformed, "heartbeat without address, role or interval")
+	}
+	return h, nil
+}
+
+// introductionSize is the size of one entry of an introduction, in bytes.
+const introductionSize = 8
+
+// maxIntroduced is the number of members in one introduction, so that it fits
+// into a packet of 1,200 bytes.
+const maxIntroduced = 1200 / introductionSize
+
+// appendIntroduction appends a list of peer addresses.
+func appendIntroduction(b []byte, peers []passthrough.Endpoint) []byte {
+	b = append(b, byte(passthrough.Introduction))
+	for _, peer := range peers[:min(len(peers), maxIntroduced)] {
+		b = binary.LittleEndian.AppendUint64(b, uint64(peer))
+	}
+	return b
+}
+
+// parseIntroduction reads a list of peer addresses. The error has kind Malformed.
+func parseIntroduction(b []byte) ([]passthrough.Endpoint, error) {
+	body := b[1:]
+	if len(body)%introductionSize != 0 {
+		return nil, errkind.New(errkind.Malformed, "introduction of %d bytes", len(b))
+	}
+	peers := make([]passthrough.Endpoint, 0, len(body)/introductionSize)
+	for ; len(body) > 0; body = body[introductionSize:] {
+		peers = append(peers, passthrough.Endpoint(binary.LittleEndian.Uint64(body)))
+	}
+	return peers, nil
+}
--- /dev/null
+++ b/process/roster/roster.go
@@ -0,0 +1,319 @@
+// Package roster keeps the members of a deployment whose flows pass through:
+// each process sends heartbeats to the others and judges them by what it hears.
+// The store's directory, seeds and introductions only tell whom to greet.
+package roster
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"bergamotbank/connection/passthrough"
+)
+
+const (
+	// reportInterval is the shortest interval of agents' heartbeats to balancers:
+	// a server that stops answering is passed over after three of them.
+	reportInterval = 250 * time.Millisecond
+	// greetInterval is the shortest interval of all other heartbeats.
+	greetInterval = time.Second
+	// reportSpacing and greetSpacing lengthen the intervals with the number of
+	// agents, so that a balancer takes at most 100 reports a second.
+	reportSpacing = 10 * time.Millisecond
+	greetSpacing  = 20 * time.Millisecond
+	// freshIntervals is the number of missed intervals after which a member counts
+	// as unreachable, freshSlack what a heartbeat may be late.
+	freshIntervals = 3
+	freshSlack     = 150 * time.Millisecond
+	// silentAfter and silentIntervals tell when a member counts as lost; both must
+	// have passed.
+	silentAfter     = 1800 * time.Millisecond
+	silentIntervals = 6
+	// contactInterval is the interval of heartbeats to an address that never
+	// answered, contactTries the number of them.
+	contactInterval = 500 * time.Millisecond
+	contactTries    = 20
+	// forgetAfter removes members that nobody has heard of.
+	forgetAfter = 30 * time.Second
+	// stallThreshold is the gap between two ticks that shows that this process
+	// itself stood still.
+	stallThreshold = 500 * time.Millisecond
+)
+
+// Options configure a Roster.
+type Options struct {
+	// Self describes this process for its next heartbeat.
+	Self func() Member
+	// Sender takes datagrams to members.
+	Sender passthrough.Sender
+	// OnVersion is called when a member has a newer version than this process.
+	OnVersion func(revision uint64, peer passthrough.Endpoint)
+	// OnReport is called for each heartbeat of an agent that is reachable before
+	// and after it.
+	OnReport func(Status)
+	// OnChange is called when members came, went, restarted or became reachable or
+	// unreachable.
+	OnChange func()
+	// OnMember is called for each such change with the word for it; nil for none.
+	OnMember func(member Member, change string, silence time.Duration)
+}
+
+// Status is a member with this process' judgement.
+type Status struct {
+	Member
+	// Reachable tells that both processes hear each other.
+	Reachable bool
+	// Silent tells that the member has not been heard for so long that it counts
+	// as lost.
+	Silent bool
+}
+
+// Roster keeps the members. It is not safe for concurrent use.
+type Roster struct {
+	options    Options
+	contacts   map[passthrough.Endpoint]*contact
+	reportDue  time.Duration
+	greetDue   time.Duration
+	contactDue time.Duration
+	ticked     time.Duration
+	malformed  uint64
+}
+
+// contact is an address with what was heard from it.
+type contact struct {
+	member   Member
+	known    bool
+	heardAt  time.Duration
+	hearsUs  bool
+	interval time.Duration
+	tries    int
+	// last judgement, to notice changes.
+	reachable, silent bool
+}
+
+// New returns a roster without members.
+func New(options Options) *Roster {
+	return &Roster{options: options, contacts: map[passthrough.Endpoint]*contact{}}
+}
+
+// Add names an address to greet. One that is known already is left alone.
+func (r *Roster) Add(peer passthrough.Endpoint) {
+	if peer == 0 || peer == r.options.Self().Peer {
+		return
+	}
+	c := r.contacts[peer]
+	if c == nil {
+		c = &contact{}
+		r.contacts[peer] = c
+	}
+	if !c.known {
+		c.tries = contactTries
+	}
+}
+
+// Malformed returns the number of datagrams that could not be parsed.
+func (r *Roster) Malformed() uint64 { return r.malformed }
+
+// Hello takes a datagram of kind Hello.
+func (r *Roster) Hello(datagram []byte, now time.Duration) {
+	h, err := parseHello(datagram)
+	self := r.options.Self()
+	if err != nil {
+		r.malformed++
+		return
+	}
+	if h.Peer == self.Peer {
+		return
+	}
+	c := r.contacts[h.Peer]
+	if c == nil {
+		c = &contact{}
+		r.contacts[h.Peer] = c
+	}
+	if c.known && h.Run < c.member.Run {
+		return
+	}
+	restarted := !c.known || h.Run != c.member.Run
+	changed := restarted || h.Service != c.member.Service || h.Name != c.member.Name || h.Domain != c.member.Domain ||
+		h.Report.State != c.member.Report.State
+	c.member, c.known, c.heardAt, c.hearsUs, c.interval = h.Member, true, now, h.heard, h.interval
+	if h.Version > self.Version {
+		r.options.OnVersion(h.Version, h.Peer)
+	}
+	if restarted {
+		r.tell(c, "joined", now)
+		r.greet(h.Peer, c, self, now)
+		r.introduce(h.Peer)
+	}
+	if r.judge(c, now) || changed {
+		r.options.OnChange()
+	} else if h.Role == Agent && r.options.OnReport != nil {
+		r.options.OnReport(c.status())
+	}
+}
+
+// Introduction takes a datagram of kind Introduction.
+func (r *Roster) Introduction(datagram []byte) {
+	peers, err := parseIntroduction(datagram)
+	if err != nil {
+		r.malformed++
+		return
+	}
+	for _, peer := range peers {
+		r.Add(peer)
+	}
+}
+
+// introduce tells a member that has just started of all others.
+func (r *Roster) introduce(peer passthrough.Endpoint) {
+	var peers []passthrough.Endpoint
+	for other, c := range r.contacts {
+		if other != peer && c.known && !c.silent {
+			peers = append(peers, other)
+		}
+	}
+	if len(peers) > 0 {
+		r.options.Sender.Send(appendIntroduction(nil, peers), peer)
+	}
+}
+
+// Announce sends a heartbeat to all members at once, after a change.
+func (r *Roster) Announce(now time.Duration) {
+	r.reportDue, r.greetDue = 0, 0
+	r.greetAll(now)
+}
+
+// Tick sends the heartbeats that are due and judges the members anew.
+func (r *Roster) Tick(now time.Duration) {
+	r.excuseStall(now)
+	r.greetAll(now)
+	changed := false
+	for peer, c := range r.contacts {
+		if r.judge(c, now) {
+			changed = true
+		}
+		if r.forgettable(c, now) {
+			delete(r.contacts, peer)
+			changed = changed || c.known
+		}
+	}
+	if changed {
+		r.options.OnChange()
+	}
+}
+
+// excuseStall forgives the silence of members while this process stood still.
+func (r *Roster) excuseStall(now time.Duration) {
+	if gap := now - r.ticked; r.ticked > 0 && gap > stallThreshold {
+		for _, c := range r.contacts {
+			c.heardAt += gap
+		}
+	}
+	r.ticked = now
+}
+
+func (r *Roster) forgettable(c *contact, now time.Duration) bool {
+	if c.known {
+		return now-c.heardAt > forgetAfter
+	}
+	return c.tries <= 0
+}
+
+// greetAll sends the heartbeats that are due.
+func (r *Roster) greetAll(now time.Duration) {
+	report, greet, contacts := now >= r.reportDue, now >= r.greetDue, now >= r.contactDue
+	if !report && !greet && !contacts {
+		return
+	}
+	self := r.options.Self()
+	reportEvery, greetEvery := r.intervals()
+	if report {
+		r.reportDue = now + reportEvery
+	}
+	if greet {
+		r.greetDue = now + greetEvery
+	}
+	if contacts {
+		r.contactDue = now + contactInterval
+	}
+	for peer, c := range r.contacts {
+		switch {
+		case !c.known && contacts:
+			c.tries--
+			r.greet(peer, c, self, now)
+		case c.known && reports(self, c) && report, c.known && !reports(self, c) && greet:
+			r.greet(peer, c, self, now)
+		}
+	}
+}
+
+// reports tells whether heartbeats to a member carry the load of a server.
+func reports(self Member, c *contact) bool {
+	return self.Role == Agent && c.member.Role == Balancer
+}
+
+// intervals returns the intervals of reports and of other heartbeats.
+func (r *Roster) intervals() (report, greet time.Duration) {
+	agents := 0
+	for _, c := range r.contacts {
+		if c.known && c.member.Role == Agent {
+			agents++
+		}
+	}
+	return max(reportInterval, time.Duration(agents)*reportSpacing), max(greetInterval, time.Duration(agents)*greetSpacing)
+}
+
+func (r *Roster) greet(peer passthrough.Endpoint, c *contact, self Member, now time.Duration) {
+	report, greet := r.intervals()
+	h := hello{Member: self, interval: greet, heard: c.known && now-c.heardAt < c.freshFor()}
+	if reports(self, c) {
+		h.interval = report
+	}
+	r.options.Sender.Send(h.append(nil), peer)
+}
+
+func (c *contact) freshFor() time.Duration { return freshIntervals*c.interval + freshSlack }
+
+// judge decides whether a member is reachable and tells whether that changed.
+func (r *Roster) judge(c *contact, now time.Duration) bool {
+	silence := now - c.heardAt
+	reachable := c.known && c.hearsUs && silence < c.freshFor()
+	silent := c.known && silence > max(silentAfter, silentIntervals*c.interval)
+	if reachable == c.reachable && silent == c.silent {
+		return false
+	}
+	switch {
+	case reachable && !c.reachable:
+		r.tell(c, "reachable", now)
+	case silent && !c.silent:
+		r.tell(c, "silent", now)
+	case !reachable && c.reachable:
+		r.tell(c, "unreachable", now)
+	}
+	c.reachable, c.silent = reachable, silent
+	return true
+}
+
+func (r *Roster) tell(c *contact, change string, now time.Duration) {
+	if r.options.OnMember != nil {
+		r.options.OnMember(c.member, change, now-c.heardAt)
+	}
+}
+
+func (c *contact) status() Status {
+	return Status{Member: c.member, Reachable: c.reachable, Silent: c.silent}
+}
+
+// Members returns all members that have been heard, in the order of their names.
+func (r *Roster) Members() []Status {
+	members := make([]Status, 0, len(r.contacts))
+	for _, c := range r.contacts {
+		if c.known {
+			members = append(members, c.status())
+		}
+	}
+	slices.SortFunc(members, func(a, b Status) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Peer, b.Peer))
+	})
+	return members
+}
--- a/process/settings/check.go
+++ b/process/settings/check.go
@@ -24,7 +24,7 @@
 	Doc string
 	// Default is the value used when the key is absent.
 	Default string
-	// Required names the role that must set the key, "all" for both.
+	// Required names the roles that must set the key, "all" for every one.
 	Required string
 }
 
@@ -112,13 +112,23 @@
 			continue
 		}
 		required := field.Tag.Get("required")
-		if (required == "all" || required == string(role)) && v.Field(i).IsZero() {
+		if requires(required, role) && v.Field(i).IsZero() {
 			faults = append(faults, `field "`+key+`": missing`)
 		}
 	}
 	return faults
 }
 
+// requires tells whether a list of roles names the role, "all" or "passthrough".
+func requires(roles string, role Role) bool {
+	for _, name := range strings.Fields(roles) {
+		if name == "all" || name == string(role) || (name == "passthrough" && role.passthrough()) {
+			return true
+		}
+	}
+	return false
+}
+
 // outOfRange lists the fields whose value is outside its bounds.
 func outOfRange(s Settings) []string {
 	var faults []string
@@ -137,6 +147,15 @@
 	if s.Agent.StopTimeout < 0 {
 		faults = append(faults, `field "agent.stop_timeout": negative`)
 	}
+	if s.Passthrough.Heartbeat <= 0 {
+		faults = append(faults, `field "passthrough.heartbeat": not above zero`)
+	}
+	if s.Passthrough.FlowLifetime <= 0 {
+		faults = append(faults, `field "passthrough.flow_lifetime": not above zero`)
+	}
+	if s.Passthrough.LeaseMinimum <= 0 {
+		faults = append(faults, `field "passthrough.lease_minimum": not above zero`)
+	}
 	return faults
 }
 
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -15,8 +15,16 @@
 const (
 	RoleBalancer Role = "balancer"
 	RoleAgent    Role = "agent"
+	// The roles of a deployment whose flows pass through unchanged.
+	RolePassthroughBalancer Role = "passthrough-balancer"
+	RolePassthroughAgent    Role = "passthrough-agent"
 )
 
+// passthrough tells whether the role carries flows without ending them.
+func (r Role) passthrough() bool {
+	return r == RolePassthroughBalancer || r == RolePassthroughAgent
+}
+
 // Settings are the static settings of one process. The doc tag of a field is
 // its entry in docs/SETTINGS.md.
 type Settings struct {
@@ -29,7 +37,7 @@
 	// Control is the address for control messages, on TCP and UDP.
 	Control netip.AddrPort `toml:"control" doc:"address for control messages, TCP and UDP" required:"all"`
 	// Store is the address of the platform's key-value service.
-	Store netip.AddrPort `toml:"store" doc:"address of the platform's key-value service" required:"balancer"`
+	Store netip.AddrPort `toml:"store" doc:"address of the platform's key-value service" required:"balancer passthrough"`
 	// Seeds are control addresses of balancers to ask first.
 	Seeds []netip.AddrPort `toml:"seeds" doc:"control addresses of balancers to ask first; may be empty when the store is set"`
 	// LogLevel is the lowest level that is logged.
@@ -40,6 +48,27 @@
 	Balancer Balancer `toml:"balancer"`
 	// Agent holds the settings of an agent.
 	Agent Agent `toml:"agent"`
+	// Passthrough holds the settings of the roles that carry flows unchanged.
+	Passthrough Passthrough `toml:"passthrough"`
+}
+
+// Passthrough are the settings that only the roles have which carry flows without
+// ending them.
+type Passthrough struct {
+	// Peer is the address for datagrams and calls between processes.
+	Peer netip.AddrPort `toml:"peer" doc:"address for datagrams and calls between processes, UDP and TCP" required:"passthrough"`
+	// Readiness is the address where readiness is asked.
+	Readiness netip.AddrPort `toml:"readiness" doc:"TCP address where the fabric asks for readiness" required:"passthrough"`
+	// Outbound is where the backend server sends its packets.
+	Outbound netip.AddrPort `toml:"outbound" doc:"UDP address that takes the packets of the backend server" required:"passthrough-agent"`
+	// Backend is where the backend server takes packets and connections.
+	Backend netip.AddrPort `toml:"backend" doc:"address of the backend server, UDP for packets and TCP for liveness" required:"passthrough-agent"`
+	// Heartbeat is the interval of the backend server's heartbeats.
+	Heartbeat Duration `toml:"heartbeat" doc:"interval of the backend server's heartbeats" default:"1200ms"`
+	// FlowLifetime is the age at which a flow may be forgotten.
+	FlowLifetime Duration `toml:"flow_lifetime" doc:"age at which a flow may be forgotten" default:"60s"`
+	// LeaseMinimum is the shortest lease that the store grants.
+	LeaseMinimum Duration `toml:"lease_minimum" doc:"shortest lease that the store grants" default:"1s"`
 }
 
 // Balancer are the settings that only a balancer has.
