Read the store when nobody in the deployment has for a second

Ruled out: a wrong position of the watch (the logs show it cut with 410 and the list read at once). Change: heartbeats carry the age of the last read that found nothing newer; who finds it older than a second reads.

--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -48,13 +48,14 @@
 		OnReset:      a.logReset,
 	})
 	a.backend = newBackend(a)
-	n.orders = newOrders(adapter, logger, a.setVersion)
+	n.orders = newOrders(n, a.setVersion)
 	n.roster = roster.New(roster.Options{
-		Self:      a.self,
-		Sender:    n.sender,
-		OnVersion: n.orders.offerHint,
-		OnChange:  a.setAgents,
-		OnMember:  n.logMember,
+		Self:        a.self,
+		Sender:      n.sender,
+		OnVersion:   n.orders.offerHint,
+		OnConfirmed: n.orders.confirm,
+		OnChange:    a.setAgents,
+		OnMember:    n.logMember,
 	})
 	metrics.Publish("gate", func() any { return a.counters() })
 	return a, nil
@@ -86,6 +87,7 @@
 		a.backend.watch,
 		a.orders.watch,
 		a.orders.follow,
+		a.orders.poll,
 		a.directory.announce,
 		a.directory.read,
 		a.serve(a.settings.Passthrough.Readiness, a.adapter.Readiness(func() bool { return true })),
--- a/process/passthrough/balancer.go
+++ b/process/passthrough/balancer.go
@@ -44,14 +44,15 @@
 		Sender:     n.sender,
 		OnRefusal:  b.logRefusal,
 	})
-	n.orders = newOrders(adapter, logger, b.setVersion)
+	n.orders = newOrders(n, b.setVersion)
 	n.roster = roster.New(roster.Options{
-		Self:      func() roster.Member { return n.member(roster.Balancer) },
-		Sender:    n.sender,
-		OnVersion: n.orders.offerHint,
-		OnReport:  func(status roster.Status) { b.steer.Report(serverOf(status)) },
-		OnChange:  b.setServers,
-		OnMember:  n.logMember,
+		Self:        func() roster.Member { return n.member(roster.Balancer) },
+		Sender:      n.sender,
+		OnVersion:   n.orders.offerHint,
+		OnConfirmed: n.orders.confirm,
+		OnReport:    func(status roster.Status) { b.steer.Report(serverOf(status)) },
+		OnChange:    b.setServers,
+		OnMember:    n.logMember,
 	})
 	metrics.Publish("steer", func() any { return b.counters() })
 	return b, nil
@@ -67,6 +68,7 @@
 		func(ctx context.Context) error { return b.tick(ctx, b.steer.Tick) },
 		b.orders.watch,
 		b.orders.follow,
+		b.orders.poll,
 		b.directory.announce,
 		b.directory.read,
 		b.serve(b.settings.Passthrough.Readiness, b.adapter.Readiness(b.ready)),
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -68,7 +68,9 @@
 }
 
 // self returns the address of this process for its peers.
-func (n *node) self() passthrough.Endpoint { return passthrough.EndpointOf(n.settings.Passthrough.Peer) }
+func (n *node) self() passthrough.Endpoint {
+	return passthrough.EndpointOf(n.settings.Passthrough.Peer)
+}
 
 // greet adds an address to the members to be greeted.
 func (n *node) greet(peer passthrough.Endpoint) {
@@ -90,10 +92,19 @@
 	m := roster.Member{Name: n.settings.Name, Domain: n.settings.Domain, Role: role, Peer: n.self(), Run: n.run}
 	if n.version != nil {
 		m.Version = n.version.Revision
+		m.Confirmed = n.orders.confirmedAge()
 	}
 	return m
 }
 
+// announce sends a heartbeat to all members at once.
+func (n *node) announce() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.roster.Announce(n.clock.now())
+	n.sender.flush()
+}
+
 // control handles a datagram between processes that carries no packet.
 func (n *node) control(b []byte, now time.Duration) {
 	switch passthrough.Kind(b[0]) {
--- a/process/passthrough/orders.go
+++ b/process/passthrough/orders.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -26,6 +28,13 @@
 	// hintDelay is how long the watch may take to bring a version that a heartbeat
 	// announced, before a peer is asked.
 	hintDelay = 150 * time.Millisecond
+	// pollAge is the age of the last confirmation of the version in the whole
+	// deployment after which the store is read: a watch may be deaf, and a version
+	// must be in force in 3 s, of which spreading takes one.
+	pollAge = time.Second
+	// pollJitter spreads the processes that would read at the same moment; a
+	// heartbeat tells the later ones that it is done.
+	pollJitter = 700 * time.Millisecond
 	// fetchTimeout bounds the question to a peer.
 	fetchTimeout = time.Second
 	// maxOrdersBytes bounds the answer of a peer.
@@ -47,11 +56,17 @@
 	adapter Adapter
 	logger  *zap.Logger
 	apply   func(*routes.Version)
+	clock   clock
 	client  http.Client
+	// announce tells all members of a version that the watch did not bring.
+	announce func()
 
-	mu    sync.Mutex
-	state orderState
-	hints chan hint
+	// confirmed is the time, counted from the start of the process, at which the
+	// version was last known to be the newest.
+	confirmed atomic.Int64
+	mu        sync.Mutex
+	state     orderState
+	hints     chan hint
 }
 
 // hint is a newer version that a peer has in force.
@@ -60,13 +75,15 @@
 	peer     passthrough.Endpoint
 }
 
-func newOrders(adapter Adapter, logger *zap.Logger, apply func(*routes.Version)) *orders {
+func newOrders(n *node, apply func(*routes.Version)) *orders {
 	return &orders{
-		adapter: adapter,
-		logger:  logger,
-		apply:   apply,
-		client:  http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
-		hints:   make(chan hint, 1),
+		adapter:  n.adapter,
+		logger:   n.logger,
+		clock:    n.clock,
+		announce: n.announce,
+		apply:    apply,
+		client:   http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		hints:    make(chan hint, 1),
 	}
 }
 
@@ -78,6 +95,58 @@
 	}
 }
 
+// confirmedAge returns the time since the version was known to be the newest.
+func (o *orders) confirmedAge() time.Duration {
+	return o.clock.now() - time.Duration(o.confirmed.Load())
+}
+
+// confirm notes that the version was the newest some time ago.
+func (o *orders) confirm(age time.Duration) {
+	at := int64(o.clock.now() - age)
+	for before := o.confirmed.Load(); at > before; before = o.confirmed.Load() {
+		if o.confirmed.CompareAndSwap(before, at) {
+			return
+		}
+	}
+}
+
+// poll reads the store when nobody in the deployment has done so for pollAge.
+func (o *orders) poll(ctx context.Context) error {
+	pause := backoff{}
+	for {
+		target := pollAge + rand.N(pollJitter)
+		for age := o.confirmedAge(); age < target; age = o.confirmedAge() {
+			if !sleep(ctx, target-age) {
+				return nil
+			}
+		}
+		before := o.revision()
+		if err := o.read(ctx); err != nil {
+			pause.wait(ctx)
+			if ctx.Err() != nil {
+				return nil
+			}
+			continue
+		}
+		pause.reset()
+		if o.revision() > before && before > 0 {
+			o.announce()
+		}
+	}
+}
+
+// read reads all orders from the store.
+func (o *orders) read(ctx context.Context) error {
+	started := o.clock.now()
+	items, at, err := o.adapter.Store.List(ctx, o.adapter.OrdersPrefix, false)
+	if err != nil {
+		return err
+	}
+	o.replace(orderState{Revision: at, Items: items}, "store")
+	o.confirm(o.clock.now() - started)
+	return nil
+}
+
 // revision returns the revision in force.
 func (o *orders) revision() uint64 {
 	o.mu.Lock()
--- a/process/roster/hello.go
+++ b/process/roster/hello.go
@@ -47,6 +47,9 @@
 	Run uint64
 	// Version is the revision of the configuration in force.
 	Version uint64
+	// Confirmed is how long ago the store was last read and had no newer version,
+	// by this process or by one that it heard.
+	Confirmed time.Duration
 	// Report is about an agent's backend server.
 	Report Report
 }
@@ -66,7 +69,7 @@
 const heardFlag = 1
 
 // fixedHelloSize is the size of a heartbeat without its texts, in bytes.
-const fixedHelloSize = 45
+const fixedHelloSize = 47
 
 // milli is the unit of the mean number of open requests on the wire.
 const milli = 1000
@@ -81,11 +84,12 @@
 	b = binary.LittleEndian.AppendUint64(b, h.Run)
 	b = binary.LittleEndian.AppendUint64(b, h.Version)
 	b = binary.LittleEndian.AppendUint64(b, uint64(h.Peer))
-	b = binary.LittleEndian.AppendUint16(b, uint16(min(h.interval.Milliseconds(), math.MaxUint16)))
+	b = binary.LittleEndian.AppendUint16(b, milliseconds(h.interval))
 	b = binary.LittleEndian.AppendUint16(b, uint16(min(h.Report.Slots, math.MaxUint16)))
 	b = binary.LittleEndian.AppendUint32(b, uint32(h.Report.Work*milli))
 	b = binary.LittleEndian.AppendUint32(b, uint32(h.Report.Flows))
 	b = binary.LittleEndian.AppendUint32(b, h.Report.Incarnation)
+	b = binary.LittleEndian.AppendUint16(b, milliseconds(h.Confirmed))
 	for _, text := range []string{h.Name, h.Domain, h.Service} {
 		text = text[:min(len(text), math.MaxUint8)]
 		b = append(append(b, byte(len(text))), text...)
@@ -93,6 +97,11 @@
 	return b
 }
 
+// milliseconds returns a duration for the wire; longer ones than it holds are cut.
+func milliseconds(d time.Duration) uint16 {
+	return uint16(min(max(d.Milliseconds(), 0), math.MaxUint16))
+}
+
 // parseHello reads a heartbeat. The error has kind Malformed.
 func parseHello(b []byte) (hello, error) {
 	if len(b) < fixedHelloSize || b[1] != helloProtocol {
@@ -109,6 +118,7 @@
 	h.Report.Work = float64(binary.LittleEndian.Uint32(b[33:])) / milli
 	h.Report.Flows = int(binary.LittleEndian.Uint32(b[37:]))
 	h.Report.Incarnation = binary.LittleEndian.Uint32(b[41:])
+	h.Confirmed = time.Duration(binary.LittleEndian.Uint16(b[45:])) * time.Millisecond
 	rest := b[fixedHelloSize:]
 	for _, text := range []*string{&h.Name, &h.Domain, &h.Service} {
 		if len(rest) == 0 || len(rest) <= int(rest[0]) {
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -48,6 +48,9 @@
 	Sender passthrough.Sender
 	// OnVersion is called when a member has a newer version than this process.
 	OnVersion func(revision uint64, peer passthrough.Endpoint)
+	// OnConfirmed is called with the time since a member knew its version to be the
+	// newest, when this process has that version or a newer one.
+	OnConfirmed func(age time.Duration)
 	// OnReport is called for each heartbeat of an agent that is reachable before
 	// and after it.
 	OnReport func(Status)
@@ -139,6 +142,8 @@
 	c.member, c.known, c.heardAt, c.hearsUs, c.interval = h.Member, true, now, h.heard, h.interval
 	if h.Version > self.Version {
 		r.options.OnVersion(h.Version, h.Peer)
+	} else {
+		r.options.OnConfirmed(h.Confirmed)
 	}
 	if restarted {
 		r.tell(c, "joined", now)
