--- a/connection/gate/admit.go
+++ b/connection/gate/admit.go
@@ -31,9 +31,6 @@
 	// queuePerSlot is the number of waiting requests a slot from which a server
 	// counts as full: beyond it an answer would miss its target.
 	queuePerSlot = 3
-	// minColdRate is the number of new flows a second of a cold server whose
-	// configuration names no rate.
-	minColdRate = 2.0
 	// coldBurst is the number of flows that a cold server gets at once.
 	coldBurst = 2.0
 	// unknownSlots stands for the slots of a server that names none.
@@ -54,12 +51,13 @@
 
 func (b *bucket) take() { b.tokens = max(0, b.tokens-1) }
 
-// coldRate returns the number of new flows a second of a cold server.
+// coldRate returns the number of new flows a second that a cold server bears, 0
+// when the configuration sets no limit.
 func coldRate(v *routes.Version, service string) float64 {
 	if v == nil {
-		return minColdRate
+		return 0
 	}
-	return max(minColdRate, v.Services[service].ColdRate)
+	return v.Services[service].ColdRate
 }
 
 // admit decides whether the server may take a new flow. The error kind tells why
@@ -88,7 +86,7 @@
 		return errkind.Overloaded, false
 	}
 	g.bucket.fill(now)
-	if now < g.server.ColdUntil && g.bucket.tokens < 1 {
+	if g.bucket.rate > 0 && now < g.server.ColdUntil && g.bucket.tokens < 1 {
 		return errkind.Overloaded, false
 	}
 	return 0, true
