End flows that no server holds, and know living servers at once after a restart

Changes: an agent denies a flow that it knows its server not to hold, and the asking agent ends the flow when all have; the liveness check is asked once at start; new addresses are greeted at once.

--- a/connection/gate/admit.go
+++ b/connection/gate/admit.go
@@ -30,7 +30,7 @@
 const (
 	// queuePerSlot is the number of waiting requests a slot from which a server
 	// counts as full: beyond it an answer would miss its target.
-	queuePerSlot = 3
+	queuePerSlot = 4
 	// coldBurst is the number of flows that a cold server gets at once.
 	coldBurst = 2.0
 	// unknownSlots stands for the slots of a server that names none.
--- a/connection/gate/gate.go
+++ b/connection/gate/gate.go
@@ -47,6 +47,11 @@
 	Service string
 	// Run is the run of the agent's process.
 	Run uint64
+	// Silent tells that the agent has not been heard for so long that its backend
+	// server is taken for lost.
+	Silent bool
+	// Ended tells that its backend server is known to have ended.
+	Ended bool
 }
 
 // Counters count packets and flows by outcome.
@@ -79,10 +84,11 @@
 	open     int
 	work     workMeter
 	agents   []Agent
+	settled  bool
 	owners   *steering.Table
 	registry *passthrough.Generations[registration]
 	offers   *passthrough.Generations[offer]
-	searches *passthrough.Generations[time.Duration]
+	searches *passthrough.Generations[*search]
 	pending  map[passthrough.Endpoint][]passthrough.Flow
 	young    []passthrough.Flow
 	segment  passthrough.Segment
@@ -95,7 +101,7 @@
 	registryPeriod = 75 * time.Second
 	// offerPeriod is how long the outcome of an offer to the server is kept.
 	offerPeriod = 10 * time.Second
-	// searchPeriod is how long the time of a search is kept.
+	// searchPeriod is how long a search is kept at least.
 	searchPeriod = 2 * time.Second
 	// searchGap is the shortest time between two searches for one flow; callers
 	// send again after 200 ms.
@@ -119,7 +125,7 @@
 		owners:   steering.Build(nil),
 		registry: passthrough.NewGenerations[registration](registryPeriod, maxRegistrations),
 		offers:   passthrough.NewGenerations[offer](offerPeriod, maxRegistrations),
-		searches: passthrough.NewGenerations[time.Duration](searchPeriod, maxRegistrations),
+		searches: passthrough.NewGenerations[*search](searchPeriod, maxRegistrations),
 		pending:  map[passthrough.Endpoint][]passthrough.Flow{},
 	}
 }
@@ -235,7 +241,7 @@
 // tell tells a balancer that this agent holds a flow.
 func (g *Gate) tell(balancer passthrough.Endpoint, flow passthrough.Flow) {
 	if balancer != 0 {
-		g.options.Sender.Send(passthrough.AppendLearned(nil, g.options.Self, flow), balancer)
+		g.options.Sender.Send(passthrough.AppendHolder(nil, passthrough.Learned, g.options.Self, flow), balancer)
 	}
 }
 
--- a/connection/gate/registry.go
+++ b/connection/gate/registry.go
@@ -8,17 +8,22 @@
 )
 
 // SetAgents replaces the view of the agents that register flows with each other.
-// Flows whose owners changed or lost their memory are registered anew.
-func (g *Gate) SetAgents(agents []Agent) {
+// Flows whose owners changed or lost their memory are registered anew. settled
+// tells that no agent is missing from the view.
+func (g *Gate) SetAgents(agents []Agent, settled bool) {
 	runs := make(map[passthrough.Endpoint]uint64, len(g.agents))
 	for _, agent := range g.agents {
 		runs[agent.Peer] = agent.Run
 	}
 	former := g.owners
 	g.agents = agents
+	g.settled = settled
 	servers := make([]steering.Server, 0, len(agents))
 	renewed := map[passthrough.Endpoint]bool{}
 	for _, agent := range agents {
+		if agent.Silent {
+			continue
+		}
 		servers = append(servers, steering.Server{Name: agent.Name, Addr: agent.Peer.AddrPort(), Weight: steering.FullWeight})
 		renewed[agent.Peer] = runs[agent.Peer] != agent.Run
 	}
@@ -54,6 +59,9 @@
 	return first, second
 }
 
+// SetSettled tells whether no agent is missing from the view.
+func (g *Gate) SetSettled(settled bool) { g.settled = settled }
+
 func (g *Gate) enqueue(owner passthrough.Endpoint, key passthrough.Flow) {
 	if owner != 0 && owner != g.options.Self {
 		g.pending[owner] = append(g.pending[owner], key)
--- /dev/null
+++ b/connection/gate/search.go
@@ -0,0 +1,87 @@
+package gate
+
+import (
+	"time"
+
+	"bergamotbank/connection/passthrough"
+	"bergamotbank/errkind"
+)
+
+// search is a question to all agents of a service who holds a flow.
+type search struct {
+	at      time.Duration
+	ack     uint32
+	waiting map[passthrough.Endpoint]struct{}
+}
+
+// search asks all agents of the services behind the flow's address. When each of
+// them has denied the flow, its caller is told that it has ended.
+func (g *Gate) search(d *delivery, now time.Duration) {
+	if g.version == nil {
+		return
+	}
+	if last, ok := g.searches.Get(d.flow); ok && now-last.at < searchGap {
+		return
+	}
+	route := g.version.Route(d.flow.Service.AddrPort())
+	if route == nil {
+		return
+	}
+	question := &search{at: now, ack: d.segment.Ack, waiting: map[passthrough.Endpoint]struct{}{}}
+	g.searches.Put(d.flow, question)
+	g.counters.Searched++
+	frame := d.frame
+	frame.Kind = passthrough.Search
+	frame.Alternate = g.options.Self
+	frame.Put(d.datagram)
+	for _, agent := range g.agents {
+		if agent.Peer == g.options.Self || agent.Ended || !route.Leads(agent.Service) {
+			continue
+		}
+		question.waiting[agent.Peer] = struct{}{}
+		g.options.Sender.Send(d.datagram, agent.Peer)
+	}
+	g.conclude(d.flow, question, now)
+}
+
+// deny answers a search: the server does not hold the flow.
+func (g *Gate) deny(d *delivery) {
+	if d.frame.Alternate != 0 {
+		g.options.Sender.Send(passthrough.AppendHolder(nil, passthrough.NotHeld, g.options.Self, d.flow), d.frame.Alternate)
+	}
+}
+
+// Denied takes a datagram of kind NotHeld.
+func (g *Gate) Denied(datagram []byte, now time.Duration) {
+	agent, flow, err := passthrough.ParseHolder(datagram)
+	if err != nil {
+		g.counters.Malformed++
+		return
+	}
+	question, ok := g.searches.Get(flow)
+	if !ok {
+		return
+	}
+	delete(question.waiting, agent)
+	g.conclude(flow, question, now)
+}
+
+// conclude ends a flow that every agent has denied. As long as an agent may be
+// missing from the view the flow may live there.
+func (g *Gate) conclude(key passthrough.Flow, question *search, now time.Duration) {
+	if len(question.waiting) > 0 || !g.settled || g.flows[key] != nil {
+		return
+	}
+	g.flows[key] = &flow{phase: phaseLost, opened: now, used: now}
+	g.reset(key, question.ack, errkind.BackendUnavailable)
+}
+
+// lost tells whether an agent is known and taken for lost.
+func (g *Gate) lost(peer passthrough.Endpoint) bool {
+	for i := range g.agents {
+		if g.agents[i].Peer == peer {
+			return g.agents[i].Silent
+		}
+	}
+	return false
+}
--- a/connection/gate/unknown.go
+++ b/connection/gate/unknown.go
@@ -55,10 +55,19 @@
 // passOn sends a packet to its holder by registration, to the other owner of the
 // flow, or to all agents of the service.
 func (g *Gate) passOn(d *delivery, now time.Duration) {
-	if d.frame.Kind == passthrough.Search || d.frame.Kind == passthrough.Registered {
+	switch d.frame.Kind {
+	case passthrough.Search:
+		g.deny(d)
 		return
+	case passthrough.Registered:
+		return
+	default:
 	}
 	if r, ok := g.registry.Get(d.flow); ok && r.holder != g.options.Self {
+		if g.lost(r.holder) {
+			g.reset(d.flow, d.segment.Ack, errkind.PeerUnavailable)
+			return
+		}
 		g.forward(d, passthrough.Registered, r.holder, r.incarnation)
 		return
 	}
@@ -87,30 +96,6 @@
 	g.options.Sender.Send(d.datagram, to)
 }
 
-// search asks all agents of the services behind the flow's address.
-func (g *Gate) search(d *delivery, now time.Duration) {
-	if g.version == nil {
-		return
-	}
-	if last, ok := g.searches.Get(d.flow); ok && now-last < searchGap {
-		return
-	}
-	route := g.version.Route(d.flow.Service.AddrPort())
-	if route == nil {
-		return
-	}
-	g.searches.Put(d.flow, now)
-	g.counters.Searched++
-	frame := d.frame
-	frame.Kind = passthrough.Search
-	frame.Put(d.datagram)
-	for _, agent := range g.agents {
-		if agent.Peer != g.options.Self && route.Leads(agent.Service) {
-			g.options.Sender.Send(d.datagram, agent.Peer)
-		}
-	}
-}
-
 // Packet takes a packet that the backend server sent, in a buffer with FrameSize
 // free bytes in front of it.
 func (g *Gate) Packet(buffer []byte, now time.Duration) {
--- a/connection/passthrough/frame.go
+++ b/connection/passthrough/frame.go
@@ -27,6 +27,8 @@
 	Hello
 	// Introduction lists processes for a process that has just started.
 	Introduction
+	// NotHeld answers a Search: the sender's backend server does not hold the flow.
+	NotHeld
 )
 
 // FrameSize is the number of bytes that a frame puts in front of a packet.
@@ -43,7 +45,7 @@
 	// Origin is the peer address of the balancer that took the packet.
 	Origin Endpoint
 	// Alternate is the agent to try when the first refuses an opening packet, 0
-	// for none.
+	// for none. In a Search it is the agent that awaits the answers.
 	Alternate Endpoint
 	// Incarnation is the run of the backend server that holds the flow according
 	// to a registration, for Registered.
@@ -92,7 +94,7 @@
 
 const (
 	flowSize           = 2 * endpointSize
-	learnedSize        = 1 + endpointSize + flowSize
+	holderSize         = 1 + endpointSize + flowSize
 	registerHeaderSize = 1 + endpointSize + 4
 )
 
@@ -100,15 +102,17 @@
 // that it fits into a packet of 1,200 bytes.
 const MaxRegistrations = (1200 - registerHeaderSize) / flowSize
 
-// AppendLearned appends a datagram that tells who holds a flow.
-func AppendLearned(b []byte, holder Endpoint, flow Flow) []byte {
-	b = appendEndpoint(append(b, byte(Learned)), holder)
+// AppendHolder appends a datagram of kind Learned or NotHeld, which tells that an
+// agent holds a flow or does not.
+func AppendHolder(b []byte, kind Kind, agent Endpoint, flow Flow) []byte {
+	b = appendEndpoint(append(b, byte(kind)), agent)
 	return appendFlow(b, flow)
 }
 
-// ParseLearned reads a datagram of kind Learned. The error has kind Malformed.
-func ParseLearned(b []byte) (holder Endpoint, flow Flow, err error) {
-	if len(b) < learnedSize {
+// ParseHolder reads a datagram of kind Learned or NotHeld. The error has kind
+// Malformed.
+func ParseHolder(b []byte) (agent Endpoint, flow Flow, err error) {
+	if len(b) < holderSize {
 		return 0, Flow{}, errShortFrame
 	}
 	return endpointAt(b[1:]), flowAt(b[1+endpointSize:]), nil
--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -9,6 +9,7 @@
 	"bergamotbank/connection/datagram"
 	"bergamotbank/connection/gate"
 	"bergamotbank/connection/passthrough"
+	"bergamotbank/connection/steer"
 	"bergamotbank/errkind"
 	"bergamotbank/process/duty"
 	"bergamotbank/process/metrics"
@@ -85,6 +86,7 @@
 		func(ctx context.Context) error { return receive(ctx, a.peer, a.fromPeers) },
 		func(ctx context.Context) error { return a.tick(ctx, a.advance) },
 		a.backend.watch,
+		a.backend.greet,
 		a.orders.watch,
 		a.orders.follow,
 		a.orders.poll,
@@ -116,15 +118,26 @@
 	own := a.self()
 	agents := []gate.Agent{{Name: own.Name, Peer: own.Peer, Service: own.Service, Run: own.Run}}
 	for _, status := range a.roster.Members() {
-		if status.Role == roster.Agent && !status.Silent {
-			agents = append(agents, gate.Agent{Name: status.Name, Peer: status.Peer, Service: status.Service, Run: status.Run})
+		if status.Role == roster.Agent {
+			agents = append(agents, gate.Agent{
+				Name:    status.Name,
+				Peer:    status.Peer,
+				Service: status.Service,
+				Run:     status.Run,
+				Silent:  status.Silent,
+				Ended:   status.Report.State == steer.Down,
+			})
 		}
 	}
-	a.gate.SetAgents(agents)
+	a.gate.SetAgents(agents, a.settled())
 }
 
+// settled tells whether no agent is missing from the view; it runs with mu held.
+func (a *Agent) settled() bool { return a.directory.complete.Load() && a.roster.Settled() }
+
 // advance does what is due at a tick; it runs with mu held.
 func (a *Agent) advance(now time.Duration) {
+	a.gate.SetSettled(a.settled())
 	a.gate.Tick(now)
 	if now-a.swept >= sweepInterval {
 		a.swept = now
@@ -156,6 +169,8 @@
 		switch passthrough.Kind(datagram[0]) {
 		case passthrough.Deliver, passthrough.Lookup, passthrough.Registered, passthrough.Search:
 			a.gate.Datagram(datagram, now)
+		case passthrough.NotHeld:
+			a.gate.Denied(datagram, now)
 		case passthrough.Register:
 			a.gate.Registration(datagram)
 		default:
--- a/process/passthrough/backend.go
+++ b/process/passthrough/backend.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -50,6 +51,8 @@
 func (b *backend) state(now time.Duration) steer.State {
 	server := b.agent.gate.Server()
 	switch {
+	case server.State == steer.Down:
+		return steer.Down
 	case b.stopped:
 		return steer.Draining
 	case server.State == steer.Ready && now < server.ColdUntil:
@@ -151,6 +154,63 @@
 	b.agent.logger.Warn("heartbeat refused", zap.Error(err))
 }
 
+// greet asks the liveness check of a server that was there before the agent, so
+// that it need not wait for the next heartbeat.
+func (b *backend) greet(ctx context.Context) error {
+	path, waiting := b.unheard()
+	for ; waiting && path == ""; path, waiting = b.unheard() {
+		if !sleep(ctx, tickInterval) {
+			return nil
+		}
+	}
+	if !waiting {
+		return nil
+	}
+	a := b.agent
+	client := http.Client{Timeout: checkTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.settings.Passthrough.Backend.String()+path, nil)
+	if err != nil {
+		a.logger.Warn("liveness check of the server", zap.Error(err))
+		return nil
+	}
+	response, err := client.Do(request)
+	if err != nil {
+		a.logger.Info("server does not answer its liveness check yet", zap.Error(err))
+		return nil
+	}
+	_ = response.Body.Close()
+	if response.StatusCode == http.StatusOK {
+		b.assume()
+	}
+	return nil
+}
+
+// unheard returns the path of the liveness check, once it is known, and whether
+// the server has not been heard yet.
+func (b *backend) unheard() (path string, waiting bool) {
+	a := b.agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.version != nil {
+		path = a.version.Services[a.settings.Agent.Service].HealthPath
+	}
+	return path, a.gate.Server().State == steer.Unknown
+}
+
+// assume takes a server that passed its liveness check for ready until its first
+// heartbeat tells more.
+func (b *backend) assume() {
+	a := b.agent
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.gate.Server().State != steer.Unknown {
+		return
+	}
+	now := a.clock.now()
+	b.heard = now
+	b.install(gate.Server{Service: a.settings.Agent.Service, Domain: a.settings.Domain, State: steer.Ready, Older: true}, now)
+}
+
 // watch checks the server by a connection while heartbeats are missing.
 func (b *backend) watch(ctx context.Context) error {
 	for sleep(ctx, checkInterval) {
--- a/process/passthrough/balancer.go
+++ b/process/passthrough/balancer.go
@@ -152,7 +152,7 @@
 			b.control(datagram, now)
 			continue
 		}
-		if holder, flow, err := passthrough.ParseLearned(datagram); err == nil {
+		if holder, flow, err := passthrough.ParseHolder(datagram); err == nil {
 			b.steer.Learn(holder, flow)
 		}
 	}
--- a/process/passthrough/directory.go
+++ b/process/passthrough/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -33,6 +34,9 @@
 	add    func(passthrough.Endpoint)
 
 	lease uint64
+	// complete tells that the directory has been read twice, so that processes
+	// that started together are known.
+	complete atomic.Bool
 }
 
 // announce keeps the own entry until ctx ends.
@@ -98,6 +102,7 @@
 			sleep(ctx, time.Second)
 			continue
 		}
+		d.complete.Store(true)
 		sleep(ctx, listInterval)
 	}
 	return nil
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -111,9 +111,21 @@
 	}
 	if !c.known {
 		c.tries = contactTries
+		r.contactDue = 0
 	}
 }
 
+// Settled tells whether every address that was named has answered or was given
+// up.
+func (r *Roster) Settled() bool {
+	for _, c := range r.contacts {
+		if !c.known {
+			return false
+		}
+	}
+	return true
+}
+
 // Malformed returns the number of datagrams that could not be parsed.
 func (r *Roster) Malformed() uint64 { return r.malformed }
 
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -82,7 +82,7 @@
 // Agent are the settings that only an agent has.
 type Agent struct {
 	// Service is the name of the service of the backend server.
-	Service string `toml:"service" doc:"service of the backend server" required:"agent"`
+	Service string `toml:"service" doc:"service of the backend server" required:"agent passthrough-agent"`
 	// Server is the unique name of the backend server.
 	Server string `toml:"server" doc:"unique name of the backend server" required:"agent"`
 	// Backend is the address of the backend server.
