Leave the next copy of an opening packet as the retry of an overloaded server

Changes: silence instead of a reset for the first copies, resets to all flows of a lost agent, a heartbeat after each read, second directory read after 0.5 s.

--- a/connection/gate/gate.go
+++ b/connection/gate/gate.go
@@ -199,7 +199,11 @@
 		g.options.OnRefusal(d.flow, kind, alternate)
 	}
 	if alternate == 0 || alternate == g.options.Self {
-		g.reset(d.flow, d.segment.Ack, kind)
+		if kind != errkind.Overloaded || d.segment.LastCopy() {
+			g.reset(d.flow, d.segment.Ack, kind)
+		}
+		// Else the next copy, 200 or 400 ms later, is the retry: a reset would cost
+		// the caller one of its few tries while the queues drain.
 		return
 	}
 	g.registry.Put(d.flow, registration{holder: alternate})
--- a/connection/passthrough/generations.go
+++ b/connection/passthrough/generations.go
@@ -1,6 +1,9 @@
 package passthrough
 
-import "time"
+import (
+	"iter"
+	"time"
+)
 
 // Generations is a bounded map with an entry per flow whose entries fade when
 // they are not used: every period the older of two maps is dropped, and a lookup
@@ -46,6 +49,19 @@
 	delete(g.old, flow)
 }
 
+// All returns all entries. Entries may be deleted meanwhile.
+func (g *Generations[V]) All() iter.Seq2[Flow, V] {
+	return func(yield func(Flow, V) bool) {
+		for _, generation := range []map[Flow]V{g.young, g.old} {
+			for flow, v := range generation {
+				if !yield(flow, v) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // Len returns the number of entries.
 func (g *Generations[V]) Len() int { return len(g.young) + len(g.old) }
 
--- a/connection/passthrough/packet.go
+++ b/connection/passthrough/packet.go
@@ -95,6 +95,13 @@
 	Payload []byte
 }
 
+// LastCopy tells whether the caller sends no further copy of an opening packet.
+// Callers number the copies in the acknowledgement field.
+func (s *Segment) LastCopy() bool { return s.Ack >= openingCopies }
+
+// openingCopies is the number of copies that follow an opening packet.
+const openingCopies = 2
+
 // Has tells whether all the given control bits are set.
 func (s *Segment) Has(flags Flags) bool { return s.Flags&flags == flags }
 
--- a/connection/steer/steer.go
+++ b/connection/steer/steer.go
@@ -103,11 +103,24 @@
 	byAgent  map[passthrough.Endpoint]*entry
 	services map[string][]*entry
 	owners   *steering.Table
-	holders  *passthrough.Generations[passthrough.Endpoint]
+	holders  *passthrough.Generations[holding]
 	segment  passthrough.Segment
 	counters Counters
 }
 
+// holding is what the balancer remembers of a flow.
+type holding struct {
+	agent passthrough.Endpoint
+	// ack is a recent acknowledgement number of the caller, which a reset needs.
+	ack uint32
+	// opened tells that the flow went on after its opening packet.
+	opened bool
+}
+
+// ackDrift is how far the remembered acknowledgement number may lag behind, in
+// bytes: callers accept a reset within twice as much.
+const ackDrift = 32 << 10
+
 // entry is a server with what this balancer sent it since its last report.
 type entry struct {
 	Server
@@ -120,7 +133,7 @@
 		options: options,
 		byAgent: map[passthrough.Endpoint]*entry{},
 		owners:  steering.Build(nil),
-		holders: passthrough.NewGenerations[passthrough.Endpoint](holderPeriod, maxHolders),
+		holders: passthrough.NewGenerations[holding](holderPeriod, maxHolders),
 	}
 }
 
@@ -139,6 +152,9 @@
 		if before := former[e.Agent]; before != nil && before.Flows == e.Flows && before.Work == e.Work {
 			e.opened = before.opened
 		}
+		if before := former[e.Agent]; e.Silent && before != nil && !before.Silent {
+			s.abandon(e.Agent)
+		}
 		s.byAgent[e.Agent] = e
 		s.servers = append(s.servers, e)
 		s.services[e.Service] = append(s.services[e.Service], e)
@@ -158,8 +174,10 @@
 }
 
 // Learn remembers the holder of a flow.
-func (s *Steer) Learn(holder passthrough.Endpoint, flow passthrough.Flow) {
-	s.holders.Put(flow, holder)
+func (s *Steer) Learn(agent passthrough.Endpoint, flow passthrough.Flow) {
+	h, _ := s.holders.Get(flow)
+	h.agent = agent
+	s.holders.Put(flow, h)
 }
 
 // Ready tells whether the balancer can place flows.
@@ -205,6 +223,10 @@
 		s.counters.Malformed++
 		return
 	}
+	if segment.Has(passthrough.Reset) {
+		s.end(buffer, segment)
+		return
+	}
 	s.follow(buffer, segment)
 }
 
@@ -215,12 +237,12 @@
 	route := s.version.Route(flow.Service.AddrPort())
 	if route == nil {
 		s.counters.NoRoute++
-		s.reset(flow, segment, errkind.NotFound)
+		s.reset(flow, segment.Ack, errkind.NotFound)
 		return
 	}
-	if holder, ok := s.holders.Get(flow); ok {
-		if e := s.byAgent[holder]; e != nil && e.Reachable {
-			s.send(buffer, passthrough.Deliver, holder, s.second(e))
+	if h, ok := s.holders.Get(flow); ok {
+		if e := s.byAgent[h.agent]; e != nil && e.Reachable {
+			s.send(buffer, passthrough.Deliver, h.agent, s.second(e))
 			return
 		}
 	}
@@ -228,12 +250,15 @@
 	chosen := s.choose(service, nil)
 	if chosen == nil {
 		s.counters.NoServer++
-		s.reset(flow, segment, errkind.BackendUnavailable)
+		if segment.LastCopy() {
+			s.reset(flow, segment.Ack, errkind.BackendUnavailable)
+		}
+		// Else the next copy may find a server that has come back.
 		return
 	}
 	s.counters.Opens++
 	chosen.opened++
-	s.holders.Put(flow, chosen.Agent)
+	s.holders.Put(flow, holding{agent: chosen.Agent})
 	if s.options.OnPlacement != nil {
 		s.options.OnPlacement(flow, &chosen.Server)
 	}
@@ -252,19 +277,19 @@
 // flow's registration when the holder is not cached.
 func (s *Steer) follow(buffer []byte, segment *passthrough.Segment) {
 	flow := segment.FromCaller()
-	if holder, ok := s.holders.Get(flow); ok {
-		e := s.byAgent[holder]
+	if h, ok := s.holders.Get(flow); ok {
+		e := s.byAgent[h.agent]
 		if e != nil && e.Silent {
 			s.counters.HolderLost++
-			s.reset(flow, segment, errkind.PeerUnavailable)
+			s.reset(flow, segment.Ack, errkind.PeerUnavailable)
+			s.holders.Delete(flow)
 			return
 		}
+		if !h.opened || segment.Ack-h.ack > ackDrift {
+			s.holders.Put(flow, holding{agent: h.agent, ack: segment.Ack, opened: true})
+		}
 		s.counters.Known++
-		s.send(buffer, passthrough.Deliver, holder, 0)
-		return
-	}
-	if segment.Has(passthrough.Reset) {
-		s.counters.Dropped++
+		s.send(buffer, passthrough.Deliver, h.agent, 0)
 		return
 	}
 	s.counters.Unknown++
@@ -273,6 +298,31 @@
 	}
 }
 
+// end passes on the reset of a flow by its caller.
+func (s *Steer) end(buffer []byte, segment *passthrough.Segment) {
+	flow := segment.FromCaller()
+	h, ok := s.holders.Get(flow)
+	if !ok {
+		s.counters.Dropped++
+		return
+	}
+	s.holders.Delete(flow)
+	s.send(buffer, passthrough.Deliver, h.agent, 0)
+}
+
+// abandon resets the flows of an agent that is taken for lost, so that callers
+// can open others before they need them.
+func (s *Steer) abandon(agent passthrough.Endpoint) {
+	for flow, h := range s.holders.All() {
+		if h.agent != agent || !h.opened {
+			continue
+		}
+		s.counters.HolderLost++
+		s.reset(flow, h.ack, errkind.PeerUnavailable)
+		s.holders.Delete(flow)
+	}
+}
+
 func (s *Steer) send(buffer []byte, kind passthrough.Kind, to, alternate passthrough.Endpoint) {
 	frame := passthrough.Frame{
 		Kind:      kind,
@@ -285,14 +335,11 @@
 }
 
 // reset tells the caller that the flow cannot go on.
-func (s *Steer) reset(flow passthrough.Flow, segment *passthrough.Segment, kind errkind.Kind) {
+func (s *Steer) reset(flow passthrough.Flow, ack uint32, kind errkind.Kind) {
 	if s.options.OnRefusal != nil {
 		s.options.OnRefusal(flow, kind)
 	}
-	if segment.Has(passthrough.Reset) {
-		return
-	}
-	b := s.options.Format.AppendReset(nil, flow, segment.Ack)
+	b := s.options.Format.AppendReset(nil, flow, ack)
 	s.options.Sender.Send(b, flow.Caller.WithPort(s.options.CallerPort))
 }
 
--- a/process/passthrough/directory.go
+++ b/process/passthrough/directory.go
@@ -23,6 +23,9 @@
 	// listInterval is the pause between reads of the directory, which bring
 	// together processes that never heard of each other.
 	listInterval = 15 * time.Second
+	// startSpread is the time within which processes that start together have
+	// written their entries: VMs start within 0.3 s of each other.
+	startSpread = 500 * time.Millisecond
 )
 
 // directory keeps the process' own entry in the store and reads those of others.
@@ -87,7 +90,7 @@
 func (d *directory) read(ctx context.Context) error {
 	pause := backoff{}
 	for first := true; ctx.Err() == nil; {
-		items, _, err := d.store.List(ctx, directoryPrefix, !first)
+		items, _, err := d.store.List(ctx, directoryPrefix, d.complete.Load())
 		if err != nil {
 			pause.wait(ctx)
 			continue
@@ -99,7 +102,7 @@
 		if first {
 			// Processes that start together may have read before all have written.
 			first = false
-			sleep(ctx, time.Second)
+			sleep(ctx, startSpread)
 			continue
 		}
 		d.complete.Store(true)
--- a/process/passthrough/orders.go
+++ b/process/passthrough/orders.go
@@ -58,7 +58,7 @@
 	apply   func(*routes.Version)
 	clock   clock
 	client  http.Client
-	// announce tells all members of a version that the watch did not bring.
+	// announce tells all members of the version and that it is confirmed.
 	announce func()
 
 	// confirmed is the time, counted from the start of the process, at which the
@@ -129,7 +129,8 @@
 			continue
 		}
 		pause.reset()
-		if o.revision() > before && before > 0 {
+		if before > 0 {
+			// The others need not read then.
 			o.announce()
 		}
 	}
