Search a flow at agents of all services; pass a flow of the wrong service on

Opening packets that a balancer placed by the version before were reset (wrong_service). Ruled out: lost datagrams (an agent that does not answer blocks the end of a search), a missing agent.

--- a/connection/gate/gate.go
+++ b/connection/gate/gate.go
@@ -195,15 +195,18 @@
 func (g *Gate) refuse(d *delivery, kind errkind.Kind) {
 	g.counters.Refused++
 	alternate := d.frame.Alternate
+	if kind == errkind.WrongService && d.frame.Hops == 0 {
+		alternate = g.rightAgent(d.flow)
+	}
 	if g.options.OnRefusal != nil {
 		g.options.OnRefusal(d.flow, kind, alternate)
 	}
 	if alternate == 0 || alternate == g.options.Self {
-		if kind != errkind.Overloaded || d.segment.LastCopy() {
+		if !passing(kind) || d.segment.LastCopy() {
 			g.reset(d.flow, d.segment.Ack, kind)
 		}
 		// Else the next copy, 200 or 400 ms later, is the retry: a reset would cost
-		// the caller one of its few tries while the queues drain.
+		// the caller one of its few tries while the reason passes.
 		return
 	}
 	g.registry.Put(d.flow, registration{holder: alternate})
@@ -215,6 +218,28 @@
 	g.options.Sender.Send(d.datagram, alternate)
 }
 
+// passing tells whether the reason of a refusal is likely to pass within a second.
+func passing(kind errkind.Kind) bool {
+	return kind == errkind.Overloaded || kind == errkind.WrongService
+}
+
+// rightAgent returns an agent of the service that takes a flow by this agent's
+// version, for a balancer whose version is behind; 0 when none is known.
+func (g *Gate) rightAgent(flow passthrough.Flow) passthrough.Endpoint {
+	hash := flow.Hash()
+	service := g.version.Route(flow.Service.AddrPort()).Pick(hash)
+	var fitting []passthrough.Endpoint
+	for i := range g.agents {
+		if agent := &g.agents[i]; agent.Service == service && !agent.Silent && !agent.Ended {
+			fitting = append(fitting, agent.Peer)
+		}
+	}
+	if len(fitting) == 0 {
+		return 0
+	}
+	return fitting[hash%uint64(len(fitting))]
+}
+
 // follow takes a packet of a flow that the server holds, or sends it where its
 // holder may be.
 func (g *Gate) follow(d *delivery, now time.Duration) {
--- a/connection/gate/search.go
+++ b/connection/gate/search.go
@@ -14,19 +14,13 @@
 	waiting map[passthrough.Endpoint]struct{}
 }
 
-// search asks all agents of the services behind the flow's address. When each of
-// them has denied the flow, its caller is told that it has ended.
+// search asks all agents, also those of other services: an older version may have
+// led the flow's address to them. When each has denied the flow, its caller is
+// told that it has ended.
 func (g *Gate) search(d *delivery, now time.Duration) {
-	if g.version == nil {
-		return
-	}
 	if last, ok := g.searches.Get(d.flow); ok && now-last.at < searchGap {
 		return
 	}
-	route := g.version.Route(d.flow.Service.AddrPort())
-	if route == nil {
-		return
-	}
 	question := &search{at: now, ack: d.segment.Ack, waiting: map[passthrough.Endpoint]struct{}{}}
 	g.searches.Put(d.flow, question)
 	g.counters.Searched++
@@ -35,7 +29,7 @@
 	frame.Alternate = g.options.Self
 	frame.Put(d.datagram)
 	for _, agent := range g.agents {
-		if agent.Peer == g.options.Self || agent.Ended || !route.Leads(agent.Service) {
+		if agent.Peer == g.options.Self || agent.Ended {
 			continue
 		}
 		question.waiting[agent.Peer] = struct{}{}
--- a/connection/steer/choose.go
+++ b/connection/steer/choose.go
@@ -2,9 +2,9 @@
 
 const (
 	// crossDomainPenalty is added to the score of a server in another failure
-	// domain: bytes between domains cost money and time. 0.35 of a server's slots
-	// is the difference in load from which crossing pays.
-	crossDomainPenalty = 0.35
+	// domain: bytes between domains cost money and time. Crossing pays when the
+	// difference in load is as much as all slots of a server.
+	crossDomainPenalty = 1.0
 	// flowWork is the mean work of an open flow in slots, for flows that were
 	// opened since the last report: long flows send about a request a second of
 	// some 20 ms.
