--- a/process/passthrough/orders.go
+++ b/process/passthrough/orders.go
@@ -151,7 +151,7 @@
 		if err != nil {
 			return err
 		}
-		o.replace(orderState{Revision: at, Items: items}, "store")
+		o.replaceListed(items, at)
 	}
 	o.confirm(o.clock.now() - started)
 	return nil
@@ -228,7 +228,7 @@
 		if err != nil {
 			return 0, err
 		}
-		o.replace(orderState{Revision: at, Items: items}, "store")
+		o.replaceListed(items, at)
 		return at, nil
 	}
 	events, at, err := o.adapter.Store.Watch(ctx, o.adapter.OrdersPrefix, position, watchWait)
@@ -239,18 +239,34 @@
 	return max(at, position), nil
 }
 
-// replace takes over a whole state that is not older than the own one.
+// replaceListed takes over the entries of the store. Their own revisions count, as
+// for a watch, so that all processes name a state alike; the revision of the list
+// grows with other entries too. Only a deletion leaves no revision of its own.
+func (o *orders) replaceListed(items []Item, at uint64) {
+	state := orderState{Items: items}
+	for _, item := range items {
+		state.Revision = max(state.Revision, item.Revision)
+	}
+	if state.Revision <= o.revision() && !o.has(items) {
+		state.Revision = at
+	}
+	o.replace(state, "store")
+}
+
+// has tells whether the entries are those in force.
+func (o *orders) has(items []Item) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return sameItems(items, o.state.Items)
+}
+
+// replace takes over a whole state that is newer than the own one.
 func (o *orders) replace(state orderState, source string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if state.Revision <= o.state.Revision {
-		return
-	}
-	if sameItems(state.Items, o.state.Items) {
-		// The revision of the store has moved on for other keys.
-		return
+	if state.Revision > o.state.Revision {
+		o.install(state, source)
 	}
-	o.install(state, source)
 }
 
 // merge takes over changes in the order of their revisions.
