--- a/connection/steer/choose.go
+++ b/connection/steer/choose.go
@@ -3,8 +3,9 @@
 const (
 	// crossDomainPenalty is added to the score of a server in another failure
 	// domain: bytes between domains cost money and time. Crossing pays when the
-	// difference in load is as much as all slots of a server.
-	crossDomainPenalty = 1.0
+	// difference in load is a tenth of a server's slots; a larger one keeps a domain
+	// with few servers busier than the others.
+	crossDomainPenalty = 0.1
 	// flowWork is the mean work of an open flow in slots, for flows that were
 	// opened since the last report: long flows send about a request a second of
 	// some 20 ms.
