Do not offer packets of unknown flows to a server that has not been heard

Ruled out: the search (no agent logged a reset). Change: only a server that passed its liveness check or sent a heartbeat is asked, and a reset of a flow unknown to the agent is dropped.

--- a/connection/gate/admit.go
+++ b/connection/gate/admit.go
@@ -29,8 +29,9 @@
 
 const (
 	// queuePerSlot is the number of waiting requests a slot from which a server
-	// counts as full: beyond it an answer would miss its target.
-	queuePerSlot = 4
+	// counts as full: a longer queue makes answers late after a restart of
+	// everything, a shorter one refuses flows of an ordinary burst.
+	queuePerSlot = 1
 	// coldBurst is the number of flows that a cold server gets at once.
 	coldBurst = 2.0
 	// unknownSlots stands for the slots of a server that names none.
--- a/connection/gate/unknown.go
+++ b/connection/gate/unknown.go
@@ -34,12 +34,11 @@
 	g.passOn(d, now)
 }
 
-// mayHold tells whether the server may hold a flow unknown to the agent.
+// mayHold tells whether the server may hold a flow unknown to the agent. A server
+// that has not been heard yet is left alone: one that is just starting resets
+// flows that it does not know.
 func (g *Gate) mayHold(flow passthrough.Flow) bool {
-	if !g.server.Older && g.server.Incarnation != 0 {
-		return false
-	}
-	if g.server.State == steer.Down {
+	if !g.server.Older || g.server.State == steer.Down || g.server.State == steer.Unknown {
 		return false
 	}
 	o, asked := g.offers.Get(flow)
@@ -57,7 +56,9 @@
 func (g *Gate) passOn(d *delivery, now time.Duration) {
 	switch d.frame.Kind {
 	case passthrough.Search:
-		g.deny(d)
+		if g.server.State != steer.Unknown {
+			g.deny(d)
+		}
 		return
 	case passthrough.Registered:
 		return
@@ -113,6 +114,11 @@
 	}
 	key := segment.FromServer()
 	f := g.flows[key]
+	if f == nil && segment.Has(passthrough.Reset) {
+		// The flow may live at another server.
+		g.refuseOffer(key)
+		return
+	}
 	if f == nil {
 		f = g.adopt(key, segment, now)
 	}
@@ -167,13 +173,21 @@
 // returnedOffer goes on looking for the holder of a flow that the server does not
 // hold.
 func (g *Gate) returnedOffer(d *delivery, now time.Duration) {
-	o, ok := g.offers.Get(d.flow)
+	o, ok := g.refuseOffer(d.flow)
 	if !ok {
 		return
 	}
-	o.refused = true
-	g.offers.Put(d.flow, o)
 	d.frame = o.frame
 	d.frame.Put(d.datagram)
 	g.passOn(d, now)
 }
+
+// refuseOffer notes that the server does not hold a flow.
+func (g *Gate) refuseOffer(key passthrough.Flow) (offer, bool) {
+	o, ok := g.offers.Get(key)
+	if ok {
+		o.refused = true
+		g.offers.Put(key, o)
+	}
+	return o, ok
+}
--- a/process/passthrough/backend.go
+++ b/process/passthrough/backend.go
@@ -174,13 +174,17 @@
 		return nil
 	}
 	response, err := client.Do(request)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		b.assume(steer.Down)
+		return nil
+	}
 	if err != nil {
 		a.logger.Info("server does not answer its liveness check yet", zap.Error(err))
 		return nil
 	}
 	_ = response.Body.Close()
 	if response.StatusCode == http.StatusOK {
-		b.assume()
+		b.assume(steer.Ready)
 	}
 	return nil
 }
@@ -197,9 +201,9 @@
 	return path, a.gate.Server().State == steer.Unknown
 }
 
-// assume takes a server that passed its liveness check for ready until its first
+// assume takes a server for what its liveness check showed until its first
 // heartbeat tells more.
-func (b *backend) assume() {
+func (b *backend) assume(state steer.State) {
 	a := b.agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -208,7 +212,7 @@
 	}
 	now := a.clock.now()
 	b.heard = now
-	b.install(gate.Server{Service: a.settings.Agent.Service, Domain: a.settings.Domain, State: steer.Ready, Older: true}, now)
+	b.install(gate.Server{Service: a.settings.Agent.Service, Domain: a.settings.Domain, State: state, Older: state == steer.Ready}, now)
 }
 
 // watch checks the server by a connection while heartbeats are missing.
