Log decisions and requests within a budget on standard output; publish metrics of the platform's roles

Lines are queued and dropped rather than waited for; each message has a budget of lines a second and what is left out is counted. Histograms of openings, answers and store calls.

--- a/cmd/bergamotd/main.go
+++ b/cmd/bergamotd/main.go
@@ -67,15 +67,18 @@
 	if err != nil {
 		return err
 	}
-	logger, err := logging.New(s.Name, s.LogLevel)
+	logger, output, err := logging.New(s.Name, s.LogLevel)
 	if err != nil {
 		return err
 	}
+	defer output.Close()
 	process, err := build(role, s, logger)
 	if err != nil {
 		return err
 	}
-	return process.Run(ctx)
+	err = process.Run(ctx)
+	logger.Info("process stopped", zap.Error(err))
+	return err
 }
 
 // role returns the role that the command line names and its settings file.
--- a/connection/gate/admit.go
+++ b/connection/gate/admit.go
@@ -111,13 +111,13 @@
 
 // SetServer takes over what the backend server says of itself. Flows of a former
 // incarnation ended with it; their callers are told at once.
-func (g *Gate) SetServer(server Server) {
+func (g *Gate) SetServer(server Server, now time.Duration) {
 	if g.server.Incarnation != 0 && server.Incarnation != g.server.Incarnation {
-		g.lose(errkind.BackendUnavailable)
+		g.lose(errkind.BackendUnavailable, now)
 		server.Older = false
 	}
 	if server.State == steer.Down && g.server.State != steer.Down {
-		g.lose(errkind.BackendUnavailable)
+		g.lose(errkind.BackendUnavailable, now)
 	}
 	g.server = server
 	g.bucket.rate = coldRate(g.version, server.Service)
@@ -127,13 +127,16 @@
 func (g *Gate) Server() Server { return g.server }
 
 // lose resets all flows of a server that is known to have ended.
-func (g *Gate) lose(kind errkind.Kind) {
+func (g *Gate) lose(kind errkind.Kind, now time.Duration) {
 	for key, f := range g.flows {
-		if f.phase != phaseLost && f.phase != phaseClosed {
-			g.reset(key, f.callerAck, kind)
+		if f.phase == phaseLost {
+			continue
 		}
+		ended := f.phase == phaseClosed
+		g.close(key, f, now)
 		f.phase = phaseLost
+		if !ended {
+			g.reset(key, f.callerAck, kind)
+		}
 	}
-	g.work = workMeter{mean: g.work.mean}
-	g.open = 0
 }
--- a/connection/gate/alloc_test.go
+++ b/connection/gate/alloc_test.go
@@ -22,7 +22,7 @@
 		caller := w.caller(0)
 		agent := gate.New(gate.Options{Format: passthroughtest.Format{}, Self: peerOf(0), Backend: backendOf(0), Sender: discard{}})
 		agent.SetVersion(w.version)
-		agent.SetServer(w.sites[0].info)
+		agent.SetServer(w.sites[0].info, w.now)
 		balancer := steer.New(steer.Options{Format: passthroughtest.Format{}, Sender: discard{}})
 		balancer.SetVersion(w.version)
 		balancer.SetServers(w.servers())
--- a/connection/gate/flow.go
+++ b/connection/gate/flow.go
@@ -56,6 +56,8 @@
 	version    uint64
 	origin     passthrough.Endpoint
 	alternate  passthrough.Endpoint
+	request    requestID
+	requested  time.Duration
 	opened     time.Duration
 	used       time.Duration
 }
@@ -83,43 +85,46 @@
 		g.young = append(g.young, key)
 	}
 	if segment.Has(passthrough.Reset) {
-		g.close(f)
+		g.close(key, f, now)
 		return
 	}
 	if segment.Has(passthrough.Finish) {
-		g.finish(f, callerFinished)
+		g.finish(key, f, callerFinished, now)
 	}
 	if len(segment.Payload) > 0 && !f.busy && f.phase == phaseOpen {
 		f.busy = true
 		g.work.open++
 		g.counters.Requests++
-		if g.options.OnRequest != nil {
-			g.options.OnRequest(key, segment.Payload)
-		}
+		f.requested = now
+		f.request.set(g.options.Format.RequestID(segment.Payload))
 	}
 }
 
 // serverPacket follows a server's packet of a held flow.
-func (g *Gate) serverPacket(f *flow, segment *passthrough.Segment, now time.Duration) {
+func (g *Gate) serverPacket(key passthrough.Flow, f *flow, segment *passthrough.Segment, now time.Duration) {
 	f.used = now
 	if segment.Has(passthrough.Open | passthrough.Acknowledge) {
+		if !f.answered {
+			g.options.Observer.Confirmed(key, now-f.opened)
+		}
 		f.serverSeq, f.answered = segment.Seq, true
 	}
-	if len(segment.Payload) > 0 {
+	if len(segment.Payload) > 0 && f.busy {
+		g.options.Observer.Answered(key, g.exchange(f, now))
 		g.idle(f)
 	}
 	if segment.Has(passthrough.Reset) {
-		g.close(f)
+		g.close(key, f, now)
 	} else if segment.Has(passthrough.Finish) {
-		g.finish(f, serverFinished)
+		g.finish(key, f, serverFinished, now)
 	}
 }
 
 // finish notes that one end has no more data.
-func (g *Gate) finish(f *flow, end uint8) {
+func (g *Gate) finish(key passthrough.Flow, f *flow, end uint8, now time.Duration) {
 	f.finished |= end
 	if f.finished == bothFinished {
-		g.close(f)
+		g.close(key, f, now)
 	}
 }
 
@@ -130,7 +135,11 @@
 	}
 }
 
-func (g *Gate) close(f *flow) {
+// close ends a flow; a request that is still open stays without an answer.
+func (g *Gate) close(key passthrough.Flow, f *flow, now time.Duration) {
+	if f.busy {
+		g.options.Observer.Unanswered(key, g.exchange(f, now))
+	}
 	g.idle(f)
 	if f.phase == phaseOpen {
 		g.open--
@@ -146,7 +155,7 @@
 		if now-f.used < f.keep() {
 			continue
 		}
-		g.close(f)
+		g.close(key, f, now)
 		delete(g.flows, key)
 	}
 }
@@ -185,5 +194,8 @@
 // Work returns the mean number of open requests.
 func (g *Gate) Work() float64 { return g.work.mean }
 
+// Open returns the number of open requests.
+func (g *Gate) Open() int { return g.work.open }
+
 // Flows returns the number of open flows.
 func (g *Gate) Flows() int { return g.open }
--- a/connection/gate/flows_test.go
+++ b/connection/gate/flows_test.go
@@ -44,7 +44,7 @@
 		callers := w.opened(flowCount)
 		for i := range w.sites[:1] {
 			w.sites[i].info.State = steer.Draining
-			w.sites[i].gate.SetServer(w.sites[i].info)
+			w.sites[i].gate.SetServer(w.sites[i].info, w.now)
 		}
 		before := w.sites[0].server.Opened
 		for _, c := range callers {
@@ -124,7 +124,7 @@
 		callers := w.opened(3)
 		w.sites[0].info.Incarnation++
 		w.startServer(0)
-		w.sites[0].gate.SetServer(w.sites[0].info)
+		w.sites[0].gate.SetServer(w.sites[0].info, w.now)
 		w.network.Run()
 		for _, c := range callers {
 			convey.So(c.Reset, convey.ShouldBeTrue)
@@ -226,7 +226,7 @@
 	convey.Convey("An agent with a newer version passes a flow to an agent of the right service", t, func() {
 		w := newWorld(2)
 		w.sites[1].info.Service = "catalogue"
-		w.sites[1].gate.SetServer(w.sites[1].info)
+		w.sites[1].gate.SetServer(w.sites[1].info, w.now)
 		w.startBalancers(1)
 		w.version = versionOf(2, "catalogue")
 		for _, s := range w.sites {
@@ -273,7 +273,7 @@
 			w := newWorld(1)
 			c.prepare(w)
 			if c.kind != errkind.DomainOut {
-				w.sites[0].gate.SetServer(w.sites[0].info)
+				w.sites[0].gate.SetServer(w.sites[0].info, w.now)
 			} else {
 				// The balancer does not know yet.
 				w.balancers[0].SetVersion(versionOf(1, "orders"))
@@ -293,7 +293,7 @@
 				w.sites[1].info.Domain = "pasco"
 			}
 			c.prepare(w)
-			w.sites[0].gate.SetServer(w.sites[0].info)
+			w.sites[0].gate.SetServer(w.sites[0].info, w.now)
 			for i := range flowCount {
 				caller := w.caller(i)
 				w.through(0, caller.OpeningPacket(c.copies))
@@ -316,7 +316,7 @@
 		g := w.sites[0].gate
 		g.SetVersion(version)
 		w.sites[0].info.ColdUntil = w.now + 2*time.Second
-		g.SetServer(w.sites[0].info)
+		g.SetServer(w.sites[0].info, w.now)
 		for i := range 200 {
 			w.now += 10 * time.Millisecond
 			w.through(0, w.caller(i).OpeningPacket(0))
@@ -393,3 +393,21 @@
 		convey.So(c.Reset, convey.ShouldBeFalse)
 	})
 }
+
+func TestRequestsAreReported(t *testing.T) {
+	convey.Convey("A request is reported once with its outcome", t, func() {
+		w := newWorld(1)
+		c := w.opened(1)[0]
+		s := w.sites[0]
+		convey.So(s.answered, convey.ShouldResemble, []string{"request"})
+		s.server.Mute = true
+		w.through(0, c.Request())
+		convey.So(s.unanswered, convey.ShouldBeEmpty)
+		s.info.State = steer.Down
+		s.gate.SetServer(s.info, w.now)
+		w.network.Run()
+		convey.So(s.answered, convey.ShouldHaveLength, 1)
+		convey.So(s.unanswered, convey.ShouldResemble, []string{"request"})
+		convey.So(c.Reset, convey.ShouldBeTrue)
+	})
+}
--- a/connection/gate/gate.go
+++ b/connection/gate/gate.go
@@ -27,14 +27,8 @@
 	CallerPort uint16
 	// Sender takes datagrams to the server, to callers and to other processes.
 	Sender passthrough.Sender
-	// FlowLifetime is the age at which a flow may be forgotten.
-	FlowLifetime time.Duration
-	// OnRefusal is called for each refused opening packet; nil for none.
-	OnRefusal func(flow passthrough.Flow, kind errkind.Kind, passedTo passthrough.Endpoint)
-	// OnReset is called for each flow that is reset at its caller; nil for none.
-	OnReset func(flow passthrough.Flow, kind errkind.Kind)
-	// OnRequest is called with the first bytes of each request; nil for none.
-	OnRequest func(flow passthrough.Flow, payload []byte)
+	// Observer is told of decisions; nil for none.
+	Observer Observer
 }
 
 // Agent is an agent as this one knows it.
@@ -119,6 +113,9 @@
 // New returns a Gate that refuses every flow until it knows its server and a
 // configuration.
 func New(options Options) *Gate {
+	if options.Observer == nil {
+		options.Observer = Ignore{}
+	}
 	return &Gate{
 		options:  options,
 		flows:    map[passthrough.Flow]*flow{},
@@ -184,6 +181,7 @@
 	g.counters.Opened++
 	g.bucket.take()
 	g.flows[d.flow] = &flow{phase: phaseOpening, opened: now, used: now, origin: d.frame.Origin, alternate: d.frame.Alternate, version: d.frame.Version, hops: d.frame.Hops}
+	g.options.Observer.Opened(d.flow, d.frame)
 	g.toServer(d.packet)
 	if d.frame.Hops > 0 {
 		g.tell(d.frame.Origin, d.flow)
@@ -198,9 +196,7 @@
 	if kind == errkind.WrongService && d.frame.Hops == 0 {
 		alternate = g.rightAgent(d.flow)
 	}
-	if g.options.OnRefusal != nil {
-		g.options.OnRefusal(d.flow, kind, alternate)
-	}
+	g.options.Observer.Refused(d.flow, kind, d.frame, alternate)
 	if alternate == 0 || alternate == g.options.Self {
 		if !passing(kind) || d.segment.LastCopy() {
 			g.reset(d.flow, d.segment.Ack, kind)
@@ -285,8 +281,6 @@
 // reset ends a flow at its caller.
 func (g *Gate) reset(flow passthrough.Flow, ack uint32, kind errkind.Kind) {
 	g.counters.Resets++
-	if g.options.OnReset != nil {
-		g.options.OnReset(flow, kind)
-	}
+	g.options.Observer.Reset(flow, kind)
 	g.toCaller(g.options.Format.AppendReset(nil, flow, ack), flow.Caller)
 }
--- a/connection/gate/registry.go
+++ b/connection/gate/registry.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math/bits"
 	"time"
 
 	"bergamotbank/connection/passthrough"
@@ -48,15 +49,21 @@
 	return owners(g.owners, key)
 }
 
+// ownerTries is the number of further buckets looked at for a second owner.
+const ownerTries = 6
+
+// owners returns two different agents for a flow where there are two.
 func owners(table *steering.Table, key passthrough.Flow) (first, second passthrough.Endpoint) {
 	hash := key.Hash()
-	if index, ok := table.Lookup(hash); ok {
-		first = passthrough.EndpointOf(table.Addr(index))
+	index, ok := table.Lookup(hash)
+	if !ok {
+		return 0, 0
 	}
-	if index, ok := table.Lookup(hash >> 32); ok {
-		second = passthrough.EndpointOf(table.Addr(index))
+	other := index
+	for try := 1; try <= ownerTries && other == index; try++ {
+		other, _ = table.Lookup(bits.RotateLeft64(hash, -8*try))
 	}
-	return first, second
+	return passthrough.EndpointOf(table.Addr(index)), passthrough.EndpointOf(table.Addr(other))
 }
 
 // SetSettled tells whether no agent is missing from the view.
--- a/connection/gate/search.go
+++ b/connection/gate/search.go
@@ -35,6 +35,7 @@
 		question.waiting[agent.Peer] = struct{}{}
 		g.options.Sender.Send(d.datagram, agent.Peer)
 	}
+	g.options.Observer.Searched(d.flow, len(question.waiting))
 	g.conclude(d.flow, question, now)
 }
 
--- a/connection/gate/unknown.go
+++ b/connection/gate/unknown.go
@@ -122,7 +122,7 @@
 	if f == nil {
 		f = g.adopt(key, segment, now)
 	}
-	g.serverPacket(f, segment, now)
+	g.serverPacket(key, f, segment, now)
 	g.toCaller(packet, key.Caller)
 }
 
@@ -130,6 +130,7 @@
 // opening packet of.
 func (g *Gate) adopt(key passthrough.Flow, segment *passthrough.Segment, now time.Duration) *flow {
 	g.counters.Adopted++
+	g.options.Observer.Adopted(key)
 	f := &flow{phase: phaseOpen, opened: now, used: now}
 	g.flows[key] = f
 	if segment.Has(passthrough.Open) {
@@ -165,7 +166,7 @@
 	if f.phase != phaseOpen {
 		return
 	}
-	g.close(f)
+	g.close(d.flow, f, now)
 	f.phase = phaseLost
 	g.reset(d.flow, segment.Ack, errkind.BackendUnavailable)
 }
--- a/connection/gate/world_test.go
+++ b/connection/gate/world_test.go
@@ -32,6 +32,26 @@
 	server *passthroughtest.Server
 	info   gate.Server
 	resets []errkind.Kind
+	// answered and unanswered are the requests by outcome.
+	answered, unanswered []string
+}
+
+// resetRecorder notes the reasons of resets and the requests of a site.
+type resetRecorder struct {
+	gate.Ignore
+	site *site
+}
+
+func (r *resetRecorder) Reset(_ passthrough.Flow, kind errkind.Kind) {
+	r.site.resets = append(r.site.resets, kind)
+}
+
+func (r *resetRecorder) Answered(_ passthrough.Flow, e gate.Exchange) {
+	r.site.answered = append(r.site.answered, string(e.Request))
+}
+
+func (r *resetRecorder) Unanswered(_ passthrough.Flow, e gate.Exchange) {
+	r.site.unanswered = append(r.site.unanswered, string(e.Request))
 }
 
 // world is a deployment of agents, servers and balancers without time of its own.
@@ -85,10 +105,10 @@
 		Backend:    backendOf(i),
 		CallerPort: callerPort,
 		Sender:     w.network,
-		OnReset:    func(_ passthrough.Flow, kind errkind.Kind) { s.resets = append(s.resets, kind) },
+		Observer:   &resetRecorder{site: s},
 	})
 	s.gate.SetVersion(w.version)
-	s.gate.SetServer(s.info)
+	s.gate.SetServer(s.info, w.now)
 	w.network.Attach(peerOf(i), func(b []byte) { w.datagram(s.gate, b) })
 }
 
--- a/connection/passthrough/packet.go
+++ b/connection/passthrough/packet.go
@@ -125,6 +125,9 @@
 	// ClearReturned takes the mark of a returned packet off, so that the packet
 	// is again as its sender wrote it.
 	ClearReturned(packet []byte)
+	// RequestID returns the identifier of the request that starts with payload, a
+	// part of it; nil when there is none.
+	RequestID(payload []byte) []byte
 }
 
 // Sender takes datagrams. The bytes must stay unchanged until the batch in work
--- a/connection/passthrough/passthroughtest/format.go
+++ b/connection/passthrough/passthroughtest/format.go
@@ -37,6 +37,9 @@
 // ClearReturned takes off the mark of a returned packet.
 func (Format) ClearReturned(packet []byte) { packet[0] &^= byte(passthrough.Returned) }
 
+// RequestID takes the whole payload for the identifier.
+func (Format) RequestID(payload []byte) []byte { return payload }
+
 // Append appends a packet.
 func Append(b []byte, s passthrough.Segment) []byte {
 	b = append(b, byte(s.Flags))
--- a/connection/steer/steer.go
+++ b/connection/steer/steer.go
@@ -39,6 +39,22 @@
 	Down
 )
 
+// String returns the name of the state in logs.
+func (s State) String() string {
+	switch s {
+	case Ready:
+		return "ready"
+	case Cold:
+		return "cold"
+	case Draining:
+		return "draining"
+	case Down:
+		return "down"
+	case Unknown:
+	}
+	return "unknown"
+}
+
 // Server is a backend server with its agent, as the balancer last heard of it.
 type Server struct {
 	// Name is the name of the agent.
@@ -55,6 +71,8 @@
 	Work float64
 	// Flows is the number of open flows.
 	Flows int
+	// HeardAt is when the agent reported.
+	HeardAt time.Duration
 	// Reachable tells whether the agent is heard and hears this balancer.
 	Reachable bool
 	// Silent tells that the agent has not been heard for so long that its
--- a/process/logging/logging.go
+++ b/process/logging/logging.go
@@ -1,7 +1,12 @@
-// Package logging builds the logger of a process: JSON lines on standard error.
+// Package logging builds the logger of a process: JSON lines on standard output,
+// within a budget and without ever blocking the process.
 package logging
 
 import (
+	"io"
+	"os"
+	"time"
+
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
@@ -9,20 +14,23 @@
 )
 
 // New returns a logger for the named process that writes entries of at least
-// level. An unknown level is an error of kind InvalidSettings.
-func New(process, level string) (*zap.Logger, error) {
+// level. An unknown level is an error of kind InvalidSettings. Close writes what is
+// still queued.
+func New(process, level string) (logger *zap.Logger, output *Output, err error) {
 	lowest, err := zapcore.ParseLevel(level)
 	if err != nil {
-		return nil, errkind.Wrap(err, errkind.InvalidSettings, "log level %q", level)
+		return nil, nil, errkind.Wrap(err, errkind.InvalidSettings, "log level %q", level)
 	}
-	config := zap.NewProductionConfig()
-	config.Level = zap.NewAtomicLevelAt(lowest)
-	config.EncoderConfig.TimeKey = "time"
-	config.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	config.Sampling = nil
-	config.DisableCaller = true
-	config.DisableStacktrace = true
-	config.InitialFields = map[string]any{"process": process}
-	logger, err := config.Build()
-	return logger, errkind.Wrap(err, errkind.Internal, "build logger")
+	logger, output = build(process, lowest, os.Stdout, time.Now)
+	return logger, output, nil
+}
+
+// build returns a logger that writes to w.
+func build(process string, lowest zapcore.Level, w io.Writer, now func() time.Time) (*zap.Logger, *Output) {
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.TimeKey = "time"
+	encoder.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	output := newOutput(w)
+	core := newBudget(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), output, lowest), now, output)
+	return zap.New(core).With(zap.String("process", process)), output
 }
--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -37,16 +37,15 @@
 	if a.outbound, err = listenDatagrams(s.Passthrough.Outbound); err != nil {
 		return nil, errkind.Wrap(err, errkind.InvalidSettings, "field \"passthrough.outbound\"")
 	}
+	observer := newAgentObserver(a)
 	a.gate = gate.New(gate.Options{
-		Format:       adapter.Format,
-		Domain:       s.Domain,
-		Self:         n.self(),
-		Backend:      passthrough.EndpointOf(s.Passthrough.Backend),
-		CallerPort:   s.Packet.Port(),
-		Sender:       n.sender,
-		FlowLifetime: time.Duration(s.Passthrough.FlowLifetime),
-		OnRefusal:    a.logRefusal,
-		OnReset:      a.logReset,
+		Format:     adapter.Format,
+		Domain:     s.Domain,
+		Self:       n.self(),
+		Backend:    passthrough.EndpointOf(s.Passthrough.Backend),
+		CallerPort: s.Packet.Port(),
+		Sender:     n.sender,
+		Observer:   observer,
 	})
 	a.backend = newBackend(a)
 	n.orders = newOrders(n, a.setVersion)
@@ -58,7 +57,10 @@
 		OnChange:    a.setAgents,
 		OnMember:    n.logMember,
 	})
-	metrics.Publish("gate", func() any { return a.counters() })
+	n.publish()
+	metrics.Publish("passthrough_gate", func() any { return a.counters() })
+	metrics.Publish("opening_latency", func() any { return observer.opening.Summary() })
+	metrics.Publish("answer_latency", func() any { return observer.answer.Summary() })
 	return a, nil
 }
 
@@ -95,6 +97,7 @@
 		a.serve(a.settings.Passthrough.Readiness, a.adapter.Readiness(func() bool { return true })),
 		a.serve(a.settings.Control, a.adapter.Reports(a.backend)),
 		a.serve(a.settings.Passthrough.Peer, a.peerHandler()),
+		a.serve(a.settings.Passthrough.Metrics, metricsHandler()),
 	)
 }
 
@@ -180,17 +183,29 @@
 	a.sender.flush()
 }
 
-func (a *Agent) counters() gate.Counters {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.gate.Counters()
-}
-
-func (a *Agent) logRefusal(flow passthrough.Flow, kind errkind.Kind, passedTo passthrough.Endpoint) {
-	a.logger.Info("flow refused", zap.Stringer("caller", flow.Caller), zap.Stringer("service_address", flow.Service),
-		zap.Stringer("kind", kind), zap.Stringer("passed_to", passedTo))
+// gateMetrics is the state of the gate as it is published.
+type gateMetrics struct {
+	gate.Counters
+	Flows        int     `json:"flows"`
+	OpenRequests int     `json:"open_requests"`
+	Work         float64 `json:"work"`
+	State        string  `json:"state"`
+	Reports      uint64  `json:"heartbeats"`
+	Stale        uint64  `json:"heartbeats_outdated"`
+	Malformed    uint64  `json:"heartbeats_malformed"`
 }
 
-func (a *Agent) logReset(flow passthrough.Flow, kind errkind.Kind) {
-	a.logger.Info("flow reset", zap.Stringer("caller", flow.Caller), zap.Stringer("service_address", flow.Service), zap.Stringer("kind", kind))
+func (a *Agent) counters() gateMetrics {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return gateMetrics{
+		Counters:     a.gate.Counters(),
+		Flows:        a.gate.Flows(),
+		OpenRequests: a.gate.Open(),
+		Work:         a.gate.Work(),
+		State:        a.backend.state(a.clock.now()).String(),
+		Reports:      a.backend.reports,
+		Stale:        a.backend.stale,
+		Malformed:    a.backend.malformed,
+	}
 }
--- a/process/passthrough/backend.go
+++ b/process/passthrough/backend.go
@@ -102,13 +102,13 @@
 func (b *backend) install(server gate.Server, now time.Duration) {
 	a := b.agent
 	before := a.gate.Server()
-	a.gate.SetServer(server)
+	a.gate.SetServer(server, now)
 	if server.State == before.State && server.Incarnation == before.Incarnation && server.Service == before.Service {
 		a.sender.flush()
 		return
 	}
 	a.logger.Info("backend server changed", zap.String("server", b.last.ID), zap.String("service", server.Service),
-		zap.Uint8("state", uint8(server.State)), zap.Uint32("incarnation", server.Incarnation), zap.Uint64("sequence", b.last.Sequence),
+		zap.Stringer("state", server.State), zap.Uint32("incarnation", server.Incarnation), zap.Uint64("sequence", b.last.Sequence),
 		zap.Duration("cold", server.ColdUntil-now))
 	if server.Service != before.Service {
 		a.setAgents()
--- a/process/passthrough/balancer.go
+++ b/process/passthrough/balancer.go
@@ -37,12 +37,13 @@
 		return nil, errkind.Wrap(err, errkind.InvalidSettings, "field \"packet\"")
 	}
 	b.steer = steer.New(steer.Options{
-		Format:     adapter.Format,
-		Domain:     s.Domain,
-		Self:       n.self(),
-		CallerPort: s.Packet.Port(),
-		Sender:     n.sender,
-		OnRefusal:  b.logRefusal,
+		Format:      adapter.Format,
+		Domain:      s.Domain,
+		Self:        n.self(),
+		CallerPort:  s.Packet.Port(),
+		Sender:      n.sender,
+		OnRefusal:   b.logRefusal,
+		OnPlacement: b.logPlacement,
 	})
 	n.orders = newOrders(n, b.setVersion)
 	n.roster = roster.New(roster.Options{
@@ -54,6 +55,7 @@
 		OnChange:    b.setServers,
 		OnMember:    n.logMember,
 	})
+	n.publish()
 	metrics.Publish("steer", func() any { return b.counters() })
 	return b, nil
 }
@@ -73,6 +75,7 @@
 		b.directory.read,
 		b.serve(b.settings.Passthrough.Readiness, b.adapter.Readiness(b.ready)),
 		b.serve(b.settings.Passthrough.Peer, b.peerHandler()),
+		b.serve(b.settings.Passthrough.Metrics, metricsHandler()),
 	)
 }
 
@@ -123,6 +126,7 @@
 		Slots:     status.Report.Slots,
 		Work:      status.Report.Work,
 		Flows:     status.Report.Flows,
+		HeardAt:   status.HeardAt,
 		Reachable: status.Reachable,
 		Silent:    status.Silent,
 	}
@@ -164,8 +168,3 @@
 	defer b.mu.Unlock()
 	return b.steer.Counters()
 }
-
-func (b *Balancer) logRefusal(flow passthrough.Flow, kind errkind.Kind) {
-	b.logger.Info("flow reset", zap.Stringer("caller", flow.Caller), zap.Stringer("service_address", flow.Service),
-		zap.Stringer("kind", kind), zap.Uint64("revision", b.version.Revision))
-}
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -14,6 +14,7 @@
 	"bergamotbank/connection/datagram"
 	"bergamotbank/connection/passthrough"
 	"bergamotbank/errkind"
+	"bergamotbank/process/metrics"
 	"bergamotbank/process/roster"
 	"bergamotbank/process/settings"
 	"bergamotbank/version/routes"
@@ -34,6 +35,7 @@
 type node struct {
 	settings  settings.Settings
 	adapter   Adapter
+	store     *measuredStore
 	logger    *zap.Logger
 	clock     clock
 	run       uint64
@@ -51,7 +53,9 @@
 // newNode opens the peer socket. role describes the process for its heartbeats
 // and is called with mu held.
 func newNode(s settings.Settings, logger *zap.Logger, adapter Adapter) (*node, error) {
-	n := &node{settings: s, adapter: adapter, logger: logger, clock: newClock(), run: uint64(time.Now().UnixNano())}
+	store := newMeasuredStore(adapter.Store)
+	adapter.Store = store
+	n := &node{settings: s, adapter: adapter, store: store, logger: logger, clock: newClock(), run: uint64(time.Now().UnixNano())}
 	var err error
 	if n.peer, err = listenDatagrams(s.Passthrough.Peer); err != nil {
 		return nil, errkind.Wrap(err, errkind.InvalidSettings, "field \"passthrough.peer\"")
@@ -67,6 +71,50 @@
 	return n, nil
 }
 
+// nodeMetrics is what both roles publish of themselves.
+type nodeMetrics struct {
+	Revision       uint64  `json:"revision"`
+	ConfirmedAgeMs float64 `json:"confirmed_age_ms"`
+	Members        int     `json:"members"`
+	Reachable      int     `json:"members_reachable"`
+	Malformed      uint64  `json:"datagrams_malformed"`
+	SendFailures   uint64  `json:"send_failures"`
+	Stalls         uint64  `json:"own_stalls"`
+}
+
+// publish makes the metrics of both roles visible.
+func (n *node) publish() {
+	metrics.Publish("node", func() any { return n.metrics() })
+	metrics.Publish("store", func() any { return n.store.metrics() })
+}
+
+func (n *node) metrics() nodeMetrics {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	m := nodeMetrics{
+		Revision:       n.revision(),
+		ConfirmedAgeMs: float64(n.orders.confirmedAge()) / float64(time.Millisecond),
+		Malformed:      n.roster.Malformed(),
+		SendFailures:   n.sender.failed,
+		Stalls:         n.roster.Stalls(),
+	}
+	for _, status := range n.roster.Members() {
+		m.Members++
+		if status.Reachable {
+			m.Reachable++
+		}
+	}
+	return m
+}
+
+// revision returns the revision in force, 0 for none; it runs with mu held.
+func (n *node) revision() uint64 {
+	if n.version == nil {
+		return 0
+	}
+	return n.version.Revision
+}
+
 // self returns the address of this process for its peers.
 func (n *node) self() passthrough.Endpoint {
 	return passthrough.EndpointOf(n.settings.Passthrough.Peer)
@@ -145,6 +193,12 @@
 func (n *node) peerHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+OrdersPath, n.orders)
+	return mux
+}
+
+// metricsHandler serves the metrics.
+func metricsHandler() http.Handler {
+	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	return mux
 }
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -64,6 +64,8 @@
 // Status is a member with this process' judgement.
 type Status struct {
 	Member
+	// HeardAt is when the last heartbeat came.
+	HeardAt time.Duration
 	// Reachable tells that both processes hear each other.
 	Reachable bool
 	// Silent tells that the member has not been heard for so long that it counts
@@ -80,6 +82,7 @@
 	contactDue time.Duration
 	ticked     time.Duration
 	malformed  uint64
+	stalls     uint64
 }
 
 // contact is an address with what was heard from it.
@@ -126,6 +129,9 @@
 	return true
 }
 
+// Stalls returns how often this process stood still.
+func (r *Roster) Stalls() uint64 { return r.stalls }
+
 // Malformed returns the number of datagrams that could not be parsed.
 func (r *Roster) Malformed() uint64 { return r.malformed }
 
@@ -222,6 +228,7 @@
 // excuseStall forgives the silence of members while this process stood still.
 func (r *Roster) excuseStall(now time.Duration) {
 	if gap := now - r.ticked; r.ticked > 0 && gap > stallThreshold {
+		r.stalls++
 		for _, c := range r.contacts {
 			c.heardAt += gap
 		}
@@ -318,7 +325,7 @@
 }
 
 func (c *contact) status() Status {
-	return Status{Member: c.member, Reachable: c.reachable, Silent: c.silent}
+	return Status{Member: c.member, HeardAt: c.heardAt, Reachable: c.reachable, Silent: c.silent}
 }
 
 // Members returns all members that have been heard, in the order of their names.
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -61,6 +61,8 @@
 	Readiness netip.AddrPort `toml:"readiness" doc:"TCP address where the fabric asks for readiness" required:"passthrough"`
 	// Domains are all failure domains of the deployment.
 	Domains []string `toml:"domains" doc:"names of all failure domains of the deployment" required:"passthrough"`
+	// Metrics is where metrics are read.
+	Metrics netip.AddrPort `toml:"metrics" doc:"TCP address that serves metrics at /debug/vars" required:"passthrough"`
 	// Outbound is where the backend server sends its packets.
 	Outbound netip.AddrPort `toml:"outbound" doc:"UDP address that takes the packets of the backend server" required:"passthrough-agent"`
 	// Backend is where the backend server takes packets and connections.
