--- a/connection/gate/flows_test.go
+++ b/connection/gate/flows_test.go
@@ -1,6 +1,7 @@
 package gate_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -411,3 +412,32 @@
 		convey.So(c.Reset, convey.ShouldBeTrue)
 	})
 }
+
+// TestLookupAtDeadOwner covers a finding of the bench: packets of flows whose owner
+// had just died were lost again and again, until the owner counted as lost.
+func TestLookupAtDeadOwner(t *testing.T) {
+	for _, known := range []bool{false, true} {
+		convey.Convey(fmt.Sprintf("A flow whose owner is dead is found, the balancer knowing of it: %t", known), t, func() {
+			w := newWorld(5)
+			callers := w.opened(flowCount)
+			w.register()
+			w.network.Attach(peerOf(0), nil)
+			if known {
+				servers := w.servers()
+				servers[0].Reachable = false
+				w.balancers[1].SetServers(servers)
+			}
+			for _, c := range callers {
+				if w.holder(c.Flow) == 0 {
+					continue
+				}
+				w.through(1, c.Request())
+				if !known {
+					// The caller sends its packet again.
+					w.through(1, c.Request())
+				}
+				convey.So(len(c.Answers), convey.ShouldBeGreaterThan, 1)
+			}
+		})
+	}
+}
--- a/connection/gate/registry.go
+++ b/connection/gate/registry.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"math/bits"
 	"time"
 
 	"bergamotbank/connection/passthrough"
@@ -49,21 +48,13 @@
 	return owners(g.owners, key)
 }
 
-// ownerTries is the number of further buckets looked at for a second owner.
-const ownerTries = 6
-
 // owners returns two different agents for a flow where there are two.
 func owners(table *steering.Table, key passthrough.Flow) (first, second passthrough.Endpoint) {
-	hash := key.Hash()
-	index, ok := table.Lookup(hash)
+	a, b, ok := table.Pair(key.Hash())
 	if !ok {
 		return 0, 0
 	}
-	other := index
-	for try := 1; try <= ownerTries && other == index; try++ {
-		other, _ = table.Lookup(bits.RotateLeft64(hash, -8*try))
-	}
-	return passthrough.EndpointOf(table.Addr(index)), passthrough.EndpointOf(table.Addr(other))
+	return passthrough.EndpointOf(table.Addr(a)), passthrough.EndpointOf(table.Addr(b))
 }
 
 // SetSettled tells whether no agent is missing from the view.
--- a/connection/steer/steer.go
+++ b/connection/steer/steer.go
@@ -18,6 +18,9 @@
 	// holderPeriod is how long the holder of an unused flow stays in the cache, at
 	// least; longer than the usual idle time-out of 15 s.
 	holderPeriod = 30 * time.Second
+	// lookupPeriod is how long the number of questions for a flow is kept; callers
+	// send again for a second or two.
+	lookupPeriod = 3 * time.Second
 	// maxHolders bounds one generation of the cache, about 4 MB.
 	maxHolders = 64 << 10
 )
@@ -122,6 +125,7 @@
 	services map[string][]*entry
 	owners   *steering.Table
 	holders  *passthrough.Generations[holding]
+	lookups  *passthrough.Generations[uint8]
 	segment  passthrough.Segment
 	counters Counters
 }
@@ -152,6 +156,7 @@
 		byAgent: map[passthrough.Endpoint]*entry{},
 		owners:  steering.Build(nil),
 		holders: passthrough.NewGenerations[holding](holderPeriod, maxHolders),
+		lookups: passthrough.NewGenerations[uint8](lookupPeriod, maxHolders),
 	}
 }
 
@@ -218,7 +223,10 @@
 func (s *Steer) Flows() int { return s.holders.Len() }
 
 // Tick ages the cache.
-func (s *Steer) Tick(now time.Duration) { s.holders.Tick(now) }
+func (s *Steer) Tick(now time.Duration) {
+	s.holders.Tick(now)
+	s.lookups.Tick(now)
+}
 
 // Packet takes a packet of a caller, in a buffer with FrameSize free bytes in
 // front of it.
@@ -311,9 +319,29 @@
 		return
 	}
 	s.counters.Unknown++
-	if index, ok := s.owners.Lookup(flow.Hash()); ok {
-		s.send(buffer, passthrough.Lookup, passthrough.EndpointOf(s.owners.Addr(index)), 0)
+	if owner := s.owner(flow); owner != 0 {
+		s.send(buffer, passthrough.Lookup, owner, 0)
+	}
+}
+
+// owner returns the agent to ask for the holder of a flow: the two owners of its
+// registration in turn, since one may have just died, and only those that can be
+// reached when there are such.
+func (s *Steer) owner(flow passthrough.Flow) passthrough.Endpoint {
+	a, b, ok := s.owners.Pair(flow.Hash())
+	if !ok {
+		return 0
+	}
+	first, second := passthrough.EndpointOf(s.owners.Addr(a)), passthrough.EndpointOf(s.owners.Addr(b))
+	asked, _ := s.lookups.Get(flow)
+	s.lookups.Put(flow, asked+1)
+	if asked%2 == 1 {
+		first, second = second, first
+	}
+	if !s.byAgent[first].Reachable && s.byAgent[second].Reachable {
+		return second
 	}
+	return first
 }
 
 // end passes on the reset of a flow by its caller.
--- a/version/steering/table.go
+++ b/version/steering/table.go
@@ -80,6 +80,21 @@
 	return int(t.buckets[hash&t.mask]), true
 }
 
+// pairTries is the number of further buckets that Pair looks at.
+const pairTries = 6
+
+// Pair returns the index of the server that owns the hash and of another one that
+// stands in for it. Both are equal when the table has only one server. It returns
+// false when the table has none.
+func (t *Table) Pair(hash uint64) (first, second int, ok bool) {
+	first, ok = t.Lookup(hash)
+	second = first
+	for try := 1; ok && try <= pairTries && second == first; try++ {
+		second, _ = t.Lookup(bits.RotateLeft64(hash, -8*try))
+	}
+	return first, second, ok
+}
+
 // Server returns the server at an index returned by Lookup.
 func (t *Table) Server(index int) Server {
 	return t.servers[index]
