--- /dev/null
+++ b/soak/main.go
@@ -0,0 +1,121 @@
+// Command soak runs balancers and agents as separate processes among stand-ins of
+// the users' platform, injects faults from outside, drawn by a seed, and checks
+// the promises of the platform's pages from what callers and backend servers see.
+// Its verb demo runs only planned changes and prints a summary.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"bergamotbank/errkind"
+	"bergamotbank/platform/standin"
+)
+
+// arguments is the command line.
+type arguments struct {
+	Seeds     int           `arg:"--seeds" default:"1" help:"number of schedules to run"`
+	First     uint64        `arg:"--first" default:"1" help:"seed of the first schedule"`
+	Length    time.Duration `arg:"--length" default:"20s" help:"length of one schedule"`
+	Demo      bool          `arg:"--demo" help:"only planned changes; no flow may break"`
+	Program   string        `arg:"--program" default:"bin/bergamotd" help:"the daemon"`
+	Output    string        `arg:"--output" default:"out/soak" help:"directory for settings and logs"`
+	Callers   int           `arg:"--callers" default:"24" help:"number of callers"`
+	Balancers int           `arg:"--balancers" default:"4" help:"number of balancers"`
+	Orders    int           `arg:"--orders" default:"4" help:"backend servers of the service orders"`
+	Downloads int           `arg:"--downloads" default:"2" help:"backend servers of the service downloads"`
+	Zones     int           `arg:"--zones" default:"2" help:"number of failure domains"`
+}
+
+func main() {
+	var a arguments
+	arg.MustParse(&a)
+	failed := 0
+	for i := range a.Seeds {
+		seed := a.First + uint64(i)
+		broken, err := run(a, seed)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, "soak:", err)
+			os.Exit(errkind.ExitCode(err))
+		}
+		if broken > 0 {
+			failed++
+		}
+	}
+	fmt.Printf("soak: %d passed, %d failed\n", a.Seeds-failed, failed)
+	if failed > 0 {
+		os.Exit(1)
+	}
+}
+
+// run runs one schedule and returns the number of broken promises.
+func run(a arguments, seed uint64) (int, error) {
+	dir := filepath.Join(a.Output, fmt.Sprintf("seed-%d", seed))
+	if err := os.RemoveAll(dir); err != nil {
+		return 0, err
+	}
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return 0, err
+	}
+	d, err := newDeployment(dir, a.Program, size{a.Zones, a.Balancers, a.Orders, a.Downloads})
+	if d != nil {
+		defer d.close()
+	}
+	if err != nil {
+		return 0, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	l, err := startLoad(ctx, d, a.Callers, seed)
+	if err != nil {
+		return 0, err
+	}
+	schedule, end := context.WithTimeout(ctx, a.Length)
+	defer end()
+	started := time.Now()
+	runSchedule(schedule, d, seed, a.Demo, func(step string) {
+		fmt.Printf("seed %d %6.2f s %s\n", seed, time.Since(started).Seconds(), step)
+	})
+	checkRecovery(d, l)
+	stop()
+	l.close()
+	return report(seed, d.judge.Report()), nil
+}
+
+// report prints what a schedule showed.
+func report(seed uint64, r standin.Report) int {
+	served, failed := 0, 0
+	for _, second := range r.Timeline {
+		served += second.Served
+		failed += second.Failed
+	}
+	names := make([]string, 0, len(r.Counts))
+	for name := range r.Counts {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		fmt.Printf("seed %d count %s: %d\n", seed, name, r.Counts[name])
+	}
+	for _, text := range r.Broken {
+		fmt.Printf("seed %d BROKEN %s\n", seed, text)
+	}
+	fmt.Printf("seed %d: %d requests served, %d not, %d promises broken\n", seed, served, failed, len(r.Broken))
+	return len(r.Broken)
+}
+
+// probe returns a caller of its own for a check.
+func (d *deployment) probe() (*standin.Caller, error) {
+	d.mu.Lock()
+	d.probes++
+	at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 74, byte(d.probes / 250), byte(d.probes%250 + 1)}), packetPort)
+	d.mu.Unlock()
+	return standin.NewCaller(zoneName(0), at, d.fabric, d.judge, d.alive)
+}
