--- a/cmd/bergamotd/main.go
+++ b/cmd/bergamotd/main.go
@@ -63,7 +63,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	role, path := line.role()
-	s, err := settings.Load(path, role, os.LookupEnv)
+	source := settings.Source{Path: path, Role: role, Environment: os.LookupEnv}
+	s, err := source.Load()
 	if err != nil {
 		return err
 	}
@@ -72,7 +73,7 @@
 		return err
 	}
 	defer output.Close()
-	process, err := build(role, s, logger)
+	process, err := build(s, logger, passthrough.Reload{Source: source, SetLogLevel: output.SetLevel})
 	if err != nil {
 		return err
 	}
@@ -94,14 +95,14 @@
 	return settings.RoleAgent, line.Agent.Settings
 }
 
-func build(role settings.Role, s settings.Settings, logger *zap.Logger) (runner, error) {
-	switch role {
+func build(s settings.Settings, logger *zap.Logger, reload passthrough.Reload) (runner, error) {
+	switch reload.Source.Role {
 	case settings.RoleBalancer:
 		return balancer.New(s, logger)
 	case settings.RolePassthroughBalancer:
-		return passthrough.NewBalancer(s, logger, platform.New(s.Store))
+		return passthrough.NewBalancer(s, logger, platform.New(s.Store), reload)
 	case settings.RolePassthroughAgent:
-		return passthrough.NewAgent(s, logger, platform.New(s.Store))
+		return passthrough.NewAgent(s, logger, platform.New(s.Store), reload)
 	case settings.RoleAgent:
 	}
 	return agent.New(s, logger)
--- a/process/logging/logging.go
+++ b/process/logging/logging.go
@@ -31,6 +31,7 @@
 	encoder.TimeKey = "time"
 	encoder.EncodeTime = zapcore.RFC3339NanoTimeEncoder
 	output := newOutput(w)
-	core := newBudget(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), output, lowest), now, output)
+	output.level.SetLevel(lowest)
+	core := newBudget(zapcore.NewCore(zapcore.NewJSONEncoder(encoder), output, output.level), now, output)
 	return zap.New(core).With(zap.String("process", process)), output
 }
--- a/process/logging/output.go
+++ b/process/logging/output.go
@@ -4,6 +4,11 @@
 	"io"
 	"sync"
 	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"bergamotbank/errkind"
 )
 
 const (
@@ -19,9 +24,10 @@
 // Output writes lines from a goroutine of its own. What does not fit into its
 // queue is dropped and counted, so that a reader that stands still stops nothing.
 type Output struct {
-	w    io.Writer
-	done chan struct{}
-	wake chan struct{}
+	w     io.Writer
+	level zap.AtomicLevel
+	done  chan struct{}
+	wake  chan struct{}
 
 	mu      sync.Mutex
 	queue   []byte
@@ -32,7 +38,7 @@
 }
 
 func newOutput(w io.Writer) *Output {
-	o := &Output{w: w, done: make(chan struct{}), wake: make(chan struct{}, 1)}
+	o := &Output{w: w, level: zap.NewAtomicLevel(), done: make(chan struct{}), wake: make(chan struct{}, 1)}
 	go o.run()
 	return o
 }
@@ -53,6 +59,17 @@
 	return len(line), nil
 }
 
+// SetLevel changes the lowest level that is logged. An unknown level is an error of
+// kind InvalidSettings.
+func (o *Output) SetLevel(level string) error {
+	lowest, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return errkind.Wrap(err, errkind.InvalidSettings, "log level %q", level)
+	}
+	o.level.SetLevel(lowest)
+	return nil
+}
+
 // Sync does nothing: lines are written within writeInterval.
 func (o *Output) Sync() error { return nil }
 
--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -28,8 +28,8 @@
 }
 
 // NewAgent opens the addresses of an agent. Nothing runs before Run.
-func NewAgent(s settings.Settings, logger *zap.Logger, adapter Adapter) (*Agent, error) {
-	n, err := newNode(s, logger, adapter)
+func NewAgent(s settings.Settings, logger *zap.Logger, adapter Adapter, reload Reload) (*Agent, error) {
+	n, err := newNode(s, logger, adapter, reload)
 	if err != nil {
 		return nil, err
 	}
@@ -82,7 +82,7 @@
 // Run works until ctx ends, which is a planned stop.
 func (a *Agent) Run(ctx context.Context) error {
 	a.logger.Info("agent started", zap.Stringer("backend", a.settings.Passthrough.Backend), zap.Stringer("peer", a.settings.Passthrough.Peer))
-	a.greetSeeds()
+	a.greetSeeds(a.settings.Seeds)
 	return duty.Run(ctx, a.stop,
 		func(ctx context.Context) error { return receive(ctx, a.outbound, a.fromServer) },
 		func(ctx context.Context) error { return receive(ctx, a.peer, a.fromPeers) },
@@ -94,6 +94,7 @@
 		a.orders.poll,
 		a.directory.announce,
 		a.directory.read,
+		a.followSettings,
 		a.serve(a.settings.Passthrough.Readiness, a.adapter.Readiness(func() bool { return true })),
 		a.serve(a.settings.Control, a.adapter.Reports(a.backend)),
 		a.serve(a.settings.Passthrough.Peer, a.peerHandler()),
--- a/process/passthrough/backend.go
+++ b/process/passthrough/backend.go
@@ -233,7 +233,7 @@
 	if server.State == steer.Unknown || server.State == steer.Down {
 		return false
 	}
-	limit := time.Duration(suspectAfter * float64(b.agent.settings.Passthrough.Heartbeat))
+	limit := time.Duration(suspectAfter * float64(b.agent.heartbeat))
 	return b.leaving || b.agent.clock.now()-b.heard > limit
 }
 
--- a/process/passthrough/balancer.go
+++ b/process/passthrough/balancer.go
@@ -27,8 +27,8 @@
 }
 
 // NewBalancer opens the addresses of a balancer. Nothing runs before Run.
-func NewBalancer(s settings.Settings, logger *zap.Logger, adapter Adapter) (*Balancer, error) {
-	n, err := newNode(s, logger, adapter)
+func NewBalancer(s settings.Settings, logger *zap.Logger, adapter Adapter, reload Reload) (*Balancer, error) {
+	n, err := newNode(s, logger, adapter, reload)
 	if err != nil {
 		return nil, err
 	}
@@ -64,7 +64,7 @@
 // Run works until ctx ends, which is a planned stop.
 func (b *Balancer) Run(ctx context.Context) error {
 	b.logger.Info("balancer started", zap.Stringer("packet", b.settings.Packet), zap.Stringer("peer", b.settings.Passthrough.Peer))
-	b.greetSeeds()
+	b.greetSeeds(b.settings.Seeds)
 	return duty.Run(ctx, b.stop,
 		func(ctx context.Context) error { return receive(ctx, b.callers, b.fromCallers) },
 		func(ctx context.Context) error { return receive(ctx, b.peer, b.fromPeers) },
@@ -74,6 +74,7 @@
 		b.orders.poll,
 		b.directory.announce,
 		b.directory.read,
+		b.followSettings,
 		b.serve(b.settings.Passthrough.Readiness, b.adapter.Readiness(b.ready)),
 		b.serve(b.settings.Passthrough.Peer, b.peerHandler()),
 		b.serve(b.settings.Passthrough.Metrics, metricsHandler()),
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -34,6 +34,7 @@
 // the orders and the directory.
 type node struct {
 	settings  settings.Settings
+	reload    Reload
 	adapter   Adapter
 	store     *measuredStore
 	logger    *zap.Logger
@@ -48,19 +49,22 @@
 	sender  *sender
 	roster  *roster.Roster
 	version *routes.Version
+	// heartbeat is the interval of the backend server's heartbeats.
+	heartbeat time.Duration
 }
 
 // newNode opens the peer socket. role describes the process for its heartbeats
 // and is called with mu held.
-func newNode(s settings.Settings, logger *zap.Logger, adapter Adapter) (*node, error) {
+func newNode(s settings.Settings, logger *zap.Logger, adapter Adapter, reload Reload) (*node, error) {
 	store := newMeasuredStore(adapter.Store)
 	adapter.Store = store
-	n := &node{settings: s, adapter: adapter, store: store, logger: logger, clock: newClock(), run: uint64(time.Now().UnixNano())}
+	n := &node{settings: s, reload: reload, adapter: adapter, store: store, logger: logger, clock: newClock(), run: uint64(time.Now().UnixNano())}
 	var err error
 	if n.peer, err = listenDatagrams(s.Passthrough.Peer); err != nil {
 		return nil, errkind.Wrap(err, errkind.InvalidSettings, "field \"passthrough.peer\"")
 	}
 	n.sender = newSender(n.peer)
+	n.heartbeat = time.Duration(s.Passthrough.Heartbeat)
 	n.directory = &directory{
 		store:  adapter.Store,
 		logger: logger,
@@ -129,8 +133,8 @@
 
 // greetSeeds adds the seeds, which name addresses of another port on the VMs of
 // members; all VMs use the same ports.
-func (n *node) greetSeeds() {
-	for _, seed := range n.settings.Seeds {
+func (n *node) greetSeeds(seeds []netip.AddrPort) {
+	for _, seed := range seeds {
 		n.greet(passthrough.EndpointOf(seed).WithPort(n.settings.Passthrough.Peer.Port()))
 	}
 }
--- /dev/null
+++ b/process/roster/roster_test.go
@@ -0,0 +1,231 @@
+package roster
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"bergamotbank/connection/passthrough"
+	"bergamotbank/connection/passthrough/passthroughtest"
+	"bergamotbank/connection/steer"
+)
+
+// peer is a process of a test deployment.
+type peer struct {
+	self    Member
+	roster  *Roster
+	changes int
+	hints   []uint64
+}
+
+// town is a deployment of rosters in virtual time.
+type town struct {
+	network *passthroughtest.Network
+	peers   []*peer
+	now     time.Duration
+}
+
+func addressOf(i int) passthrough.Endpoint {
+	return passthrough.MakeEndpoint(0x0a000001+uint32(i), 7000)
+}
+
+// newTown returns the given numbers of balancers and agents that know nobody.
+func newTown(balancers, agents int) *town {
+	w := &town{network: passthroughtest.NewNetwork(), now: time.Second}
+	for i := range balancers + agents {
+		p := &peer{self: Member{Name: fmt.Sprintf("p-%d", i), Domain: "junin", Role: Balancer, Peer: addressOf(i), Run: 1, Version: 1}}
+		if i >= balancers {
+			p.self.Role, p.self.Service, p.self.Report = Agent, "orders", Report{State: steer.Ready, Slots: 2}
+		}
+		w.peers = append(w.peers, p)
+		w.start(i)
+	}
+	return w
+}
+
+// start gives a process an empty roster.
+func (w *town) start(i int) {
+	p := w.peers[i]
+	p.roster = New(Options{
+		Self:        func() Member { return p.self },
+		Sender:      w.network,
+		OnVersion:   func(revision uint64, _ passthrough.Endpoint) { p.hints = append(p.hints, revision) },
+		OnConfirmed: func(time.Duration) {},
+		OnChange:    func() { p.changes++ },
+	})
+	w.network.Attach(addressOf(i), func(b []byte) {
+		if passthrough.Kind(b[0]) == passthrough.Introduction {
+			p.roster.Introduction(b)
+			return
+		}
+		p.roster.Hello(b, w.now)
+	})
+}
+
+// pass lets time pass at the pace of ticks.
+func (w *town) pass(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.now += 50 * time.Millisecond
+		for _, p := range w.peers {
+			p.roster.Tick(w.now)
+		}
+		w.network.Run()
+	}
+}
+
+// status returns what one process believes of another, nil when it knows nothing.
+func (w *town) status(of, about int) *Status {
+	for _, status := range w.peers[of].roster.Members() {
+		if status.Peer == addressOf(about) {
+			return &status
+		}
+	}
+	return nil
+}
+
+func TestOneSeedLeadsToAll(t *testing.T) {
+	convey.Convey("Processes that know only one balancer find each other", t, func() {
+		w := newTown(3, 5)
+		for _, p := range w.peers[1:] {
+			p.roster.Add(addressOf(0))
+		}
+		w.pass(time.Second)
+		for i := range w.peers {
+			convey.So(w.peers[i].roster.Settled(), convey.ShouldBeTrue)
+			for j := range w.peers {
+				if i != j {
+					convey.So(w.status(i, j), convey.ShouldNotBeNil)
+					convey.So(w.status(i, j).Reachable, convey.ShouldBeTrue)
+				}
+			}
+		}
+	})
+}
+
+func TestDeadSeed(t *testing.T) {
+	convey.Convey("An address that never answers is given up, and then the view is settled", t, func() {
+		w := newTown(1, 1)
+		w.peers[1].roster.Add(addressOf(0))
+		w.peers[1].roster.Add(addressOf(77))
+		w.pass(time.Second)
+		convey.So(w.peers[1].roster.Settled(), convey.ShouldBeFalse)
+		w.pass(contactTries * contactInterval)
+		convey.So(w.peers[1].roster.Settled(), convey.ShouldBeTrue)
+		convey.So(w.status(1, 0).Reachable, convey.ShouldBeTrue)
+	})
+}
+
+func TestSilence(t *testing.T) {
+	convey.Convey("A silent agent is passed over after a second, counts as lost after two, and comes back", t, func() {
+		w := newTown(1, 1)
+		w.peers[0].roster.Add(addressOf(1))
+		w.pass(time.Second)
+		w.network.Drop = func([]byte, passthrough.Endpoint) bool { return true }
+		w.pass(time.Second)
+		convey.So(w.status(0, 1).Reachable, convey.ShouldBeFalse)
+		convey.So(w.status(0, 1).Silent, convey.ShouldBeFalse)
+		w.pass(time.Second)
+		convey.So(w.status(0, 1).Silent, convey.ShouldBeTrue)
+		w.network.Drop = nil
+		w.pass(1200 * time.Millisecond)
+		convey.So(w.status(0, 1).Reachable, convey.ShouldBeTrue)
+		convey.So(w.status(0, 1).Silent, convey.ShouldBeFalse)
+	})
+	convey.Convey("A member that nobody hears of is forgotten", t, func() {
+		w := newTown(1, 1)
+		w.peers[0].roster.Add(addressOf(1))
+		w.pass(time.Second)
+		w.network.Attach(addressOf(0), nil)
+		w.pass(forgetAfter + time.Second)
+		convey.So(w.status(0, 1), convey.ShouldBeNil)
+	})
+}
+
+func TestOneWay(t *testing.T) {
+	convey.Convey("An agent that does not hear a balancer is not reachable for it", t, func() {
+		w := newTown(1, 1)
+		w.peers[0].roster.Add(addressOf(1))
+		w.pass(time.Second)
+		w.network.Drop = func(_ []byte, to passthrough.Endpoint) bool { return to == addressOf(1) }
+		w.pass(freshIntervals*greetInterval + time.Second)
+		convey.So(w.status(0, 1).Reachable, convey.ShouldBeFalse)
+		convey.So(w.status(0, 1).Silent, convey.ShouldBeFalse)
+	})
+}
+
+func TestOwnStall(t *testing.T) {
+	convey.Convey("A process that stood still does not take the others for lost", t, func() {
+		w := newTown(1, 1)
+		w.peers[0].roster.Add(addressOf(1))
+		w.pass(time.Second)
+		w.now += 10 * time.Second
+		w.peers[0].roster.Tick(w.now)
+		convey.So(w.status(0, 1).Silent, convey.ShouldBeFalse)
+		convey.So(w.status(0, 1).Reachable, convey.ShouldBeTrue)
+		convey.So(w.peers[0].roster.Stalls(), convey.ShouldEqual, 1)
+	})
+}
+
+func TestRestart(t *testing.T) {
+	convey.Convey("A restarted process is known again at once, and heartbeats of its former run are ignored", t, func() {
+		w := newTown(1, 2)
+		w.peers[0].roster.Add(addressOf(1))
+		w.peers[0].roster.Add(addressOf(2))
+		w.pass(time.Second)
+		old := hello{Member: w.peers[1].self, interval: time.Second}
+		w.peers[1].self.Run = 2
+		w.start(1)
+		w.peers[1].roster.Add(addressOf(0))
+		w.pass(200 * time.Millisecond)
+		convey.So(w.status(0, 1).Run, convey.ShouldEqual, 2)
+		convey.So(w.status(1, 2).Reachable, convey.ShouldBeTrue)
+		w.peers[0].roster.Hello(old.append(nil), w.now)
+		convey.So(w.status(0, 1).Run, convey.ShouldEqual, 2)
+	})
+}
+
+func TestNewerVersion(t *testing.T) {
+	convey.Convey("A heartbeat tells of a newer version", t, func() {
+		w := newTown(1, 1)
+		w.peers[0].roster.Add(addressOf(1))
+		w.pass(time.Second)
+		convey.So(w.peers[0].hints, convey.ShouldBeEmpty)
+		w.peers[1].self.Version = 9
+		w.peers[1].roster.Announce(w.now)
+		w.network.Run()
+		convey.So(w.peers[0].hints, convey.ShouldResemble, []uint64{9})
+	})
+}
+
+func TestHelloIsKeptOverTheWire(t *testing.T) {
+	convey.Convey("A heartbeat is read as it was written", t, func() {
+		h := hello{
+			Member: Member{
+				Name: "agent-1", Domain: "junin", Service: "orders", Role: Agent, Peer: addressOf(3), Run: 5, Version: 7,
+				Confirmed: 1500 * time.Millisecond,
+				Report:    Report{State: steer.Draining, Slots: 2, Work: 1.25, Flows: 12, Incarnation: 99},
+			},
+			interval: 250 * time.Millisecond, heard: true,
+		}
+		read, err := parseHello(h.append(nil))
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(read, convey.ShouldResemble, h)
+	})
+}
+
+func FuzzDatagrams(f *testing.F) {
+	h := hello{Member: Member{Name: "a", Domain: "d", Role: Agent, Peer: 1, Run: 1}, interval: time.Second}
+	f.Add(h.append(nil))
+	f.Add(appendIntroduction(nil, []passthrough.Endpoint{1, 2}))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if len(b) == 0 {
+			return
+		}
+		w := newTown(1, 0)
+		w.peers[0].roster.Hello(b, w.now)
+		w.peers[0].roster.Introduction(b)
+		w.peers[0].roster.Tick(w.now)
+	})
+}
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -103,6 +103,9 @@
 		time.Sleep(someTime(r, 3*time.Second, 8*time.Second))
 		d.setOut(zone, false)
 	}},
+	{"change the settings of every process", true, func(d *deployment, _ *rand.Rand) {
+		each(d.processes(), func(p *process) { p.signal(syscall.SIGHUP) })
+	}},
 	{"kill a balancer", false, func(d *deployment, r *rand.Rand) {
 		p := someBalancer(d, r)
 		hurt(d, "kill "+p.name, restartDelay, p.kill, func() { restart(d, p) })
