--- a/connection/gate/flows_test.go
+++ b/connection/gate/flows_test.go
@@ -465,3 +465,29 @@
 		}
 	})
 }
+
+// TestLateOpeningPacket covers a finding of the bench: a balancer that had stood
+// still sent an old opening packet to another agent, and reset the flow when that
+// agent was lost.
+func TestLateOpeningPacket(t *testing.T) {
+	convey.Convey("A flow is not reset when an agent is lost that only got a copy of its opening packet", t, func() {
+		w := newWorld(4)
+		for i := range flowCount {
+			c := w.caller(i)
+			w.through(0, c.OpeningPacket(1))
+			w.through(0, c.Request())
+			holder := w.holder(c.Flow)
+			w.through(1, c.OpeningPacket(0))
+			servers := w.servers()
+			for j := range servers {
+				servers[j].Silent = j != holder
+				servers[j].Reachable = j == holder
+			}
+			w.balancers[1].SetServers(servers)
+			w.through(1, c.Request())
+			convey.So(c.Reset, convey.ShouldBeFalse)
+			convey.So(len(c.Answers), convey.ShouldBeGreaterThan, 1)
+			w.balancers[1].SetServers(w.servers())
+		}
+	})
+}
--- a/connection/steer/steer.go
+++ b/connection/steer/steer.go
@@ -306,9 +306,13 @@
 // flow's registration when the holder is not cached.
 func (s *Steer) follow(buffer []byte, segment *passthrough.Segment) {
 	flow := segment.FromCaller()
-	if h, ok := s.holders.Get(flow); ok {
-		e := s.byAgent[h.agent]
-		if e != nil && e.Silent {
+	h, ok := s.holders.Get(flow)
+	e := s.byAgent[h.agent]
+	lost := e != nil && e.Silent
+	// Where only an opening packet was sent, a copy of it may have opened the flow
+	// elsewhere.
+	if ok && (h.opened || !lost) {
+		if lost {
 			s.counters.HolderLost++
 			s.reset(flow, segment.Ack, errkind.PeerUnavailable)
 			s.holders.Delete(flow)
--- a/process/logging/budget.go
+++ b/process/logging/budget.go
@@ -17,6 +17,10 @@
 	// engineers look for first.
 	importantRate  = 100.0
 	importantBurst = 400.0
+	// requestRate and requestBurst bound the lines that lead from a request to its
+	// flow: twice what one server answers.
+	requestRate  = 150.0
+	requestBurst = 300.0
 	// reportInterval is the pause between lines that count what was left out.
 	reportInterval = 5 * time.Second
 )
@@ -24,6 +28,17 @@
 // important are the messages about refused or broken flows.
 var important = map[string]bool{"flow refused": true, "flow reset": true, "request unanswered": true}
 
+// rateOf returns the budget of a message.
+func rateOf(message string) (rate, burst float64) {
+	switch {
+	case important[message]:
+		return importantRate, importantBurst
+	case message == "request answered":
+		return requestRate, requestBurst
+	}
+	return ordinaryRate, ordinaryBurst
+}
+
 // budget is a zapcore.Core that bounds the lines of each message. Warnings and
 // errors, which tell of changes of state, always pass.
 type budget struct {
@@ -82,10 +97,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.now()
-	rate, burst := ordinaryRate, ordinaryBurst
-	if important[message] {
-		rate, burst = importantRate, importantBurst
-	}
+	rate, burst := rateOf(message)
 	b := s.byName[message]
 	if b == nil {
 		b = &bucket{tokens: burst, filled: now}
