--- a/Makefile
+++ b/Makefile
@@ -9,11 +9,11 @@
 
 export CGO_ENABLED := 1
 
-.PHONY: build test race lint fmt generate setup demo bench bench-slow capacity clean
+.PHONY: build test race lint fmt generate setup spin demo platform-demo soak bench bench-slow capacity clean
 
 build:
 	mkdir -p bin
-	go build -o bin/ ./cmd/... ./standin ./demo
+	go build -o bin/ ./cmd/... ./standin ./demo ./soak
 
 demo: build
 	bin/demo
@@ -54,16 +54,29 @@
 	go test -v -count=1 -run StreamMemory ./request/admission | $(LINES)) > out/capacity.txt
 	go run ./capacity < out/capacity.txt
 
-test:
+test: spin
 	go test ./...
 
-race:
+race: spin
 	go test -race ./...
 
-setup:
+# platform-demo runs both roles of the users' platform as processes among
+# stand-ins while balancers are replaced and servers drained.
+platform-demo: build
+	bin/soak --demo --length 25s --output out/platform-demo
+
+# soak injects faults into such a deployment, drawn by SEEDS seeds from FIRST on.
+SEEDS ?= 5
+FIRST ?= 1
+soak: build
+	bin/soak --seeds $(SEEDS) --first $(FIRST) --length 30s
+
+spin:
+	@command -v spin >/dev/null || (apt-get update -qq && apt-get install -y -qq spin)
+
+setup: spin
 	@test "$$($(GOLANGCI) version --short 2>/dev/null)" = "$(GOLANGCI_VERSION:v%=%)" || \
 		go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(GOLANGCI_VERSION)
-	@command -v spin >/dev/null || (apt-get update -qq && apt-get install -y -qq spin)
 
 lint: setup
 	go vet ./...
@@ -80,4 +93,4 @@
 		--twirp_out=. --twirp_opt=paths=source_relative $(PROTO_FILES)
 
 clean:
-	rm -rf bin out
+	rm -rf bin out target
--- a/connection/gate/world_test.go
+++ b/connection/gate/world_test.go
@@ -16,10 +16,6 @@
 
 var serviceAddr = netip.MustParseAddrPort("198.18.0.1:443")
 
-func endpoint(text string) passthrough.Endpoint {
-	return passthrough.EndpointOf(netip.MustParseAddrPort(text))
-}
-
 // peerOf and backendOf are the addresses of agent i and its server.
 func peerOf(i int) passthrough.Endpoint {
 	return passthrough.MakeEndpoint(0x0a000100+uint32(i), 7000)
--- a/process/ctl/args.go
+++ b/process/ctl/args.go
@@ -27,6 +27,7 @@
 	Domain   *DomainCommand   `arg:"subcommand:domain" help:"take a failure domain out or bring it back"`
 	Drain    *DrainCommand    `arg:"subcommand:drain" help:"drain a backend server"`
 	Timeline *TimelineCommand `arg:"subcommand:timeline" help:"show the events of all processes in order"`
+	Explain  *ExplainCommand  `arg:"subcommand:explain" help:"find the way of a request or flow in log files"`
 	Version  *EmptyCommand    `arg:"subcommand:version" help:"print the version of this program"`
 
 	Store    string        `arg:"--store,env:BERGAMOT_STORE" default:"127.0.0.1:8500" placeholder:"HOST:PORT" help:"address of the key-value service"`
@@ -82,6 +83,14 @@
 	Domain  string        `arg:"--domain" help:"only events of this failure domain"`
 	Request string        `arg:"--request" help:"only events of this request"`
 	Kind    []string      `arg:"--kind,separate" help:"only events of this kind; may be repeated"`
+	SVG     bool          `arg:"--svg" help:"print a picture with a lane for each process"`
+	Follow  bool          `arg:"--follow" help:"go on with new events until the time limit or an interrupt"`
+}
+
+// ExplainCommand finds the way of a request or flow.
+type ExplainCommand struct {
+	Subject string   `arg:"positional,required" placeholder:"ID|CALLER" help:"identifier of the request, or address and port of the caller"`
+	Logs    []string `arg:"--logs,required" placeholder:"PATH" help:"log files, or directories with *.log and *.txt"`
 }
 
 // parsed is what came of a command line.
--- a/process/ctl/run.go
+++ b/process/ctl/run.go
@@ -83,6 +83,8 @@
 		return c.drain(ctx, a.Drain)
 	case a.Timeline != nil:
 		return c.timeline(ctx, a.Timeline)
+	case a.Explain != nil:
+		return c.explain(a.Explain)
 	case a.Version != nil:
 		return c.version()
 	}
--- a/process/ctl/timeline.go
+++ b/process/ctl/timeline.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/netip"
 	"strings"
 	"time"
@@ -22,12 +23,11 @@
 			controls = append(controls, control)
 		}
 	}
-	entries, missing := timeline.Collect(ctx, controls, a.filter(time.Now()))
-	write := timeline.WriteText
-	if c.arguments.JSON {
-		write = timeline.WriteJSON
+	if a.Follow {
+		return c.follow(ctx, controls, a)
 	}
-	if err := write(c.streams.Out, entries); err != nil {
+	entries, missing := timeline.Collect(ctx, controls, a.filter(time.Now()))
+	if err := c.writer(a)(c.streams.Out, entries); err != nil {
 		return err
 	}
 	if err := incomplete(missing); err != nil {
@@ -36,6 +36,35 @@
 	return f.complete()
 }
 
+// writer returns the form in which events are printed.
+func (c *command) writer(a *TimelineCommand) func(io.Writer, []timeline.Entry) error {
+	switch {
+	case a.SVG:
+		return timeline.WriteSVG
+	case c.arguments.JSON:
+		return timeline.WriteJSON
+	}
+	return timeline.WriteText
+}
+
+// follow prints new events until ctx ends. Errors: Usage for a picture, which
+// needs all events at once.
+func (c *command) follow(ctx context.Context, controls []netip.AddrPort, a *TimelineCommand) error {
+	if a.SVG {
+		return errkind.New(errkind.Usage, "command line: --svg and --follow exclude each other")
+	}
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	var failure error
+	write := c.writer(a)
+	timeline.NewCollector(controls, a.filter(time.Now())).Follow(ctx, func(entries []timeline.Entry, _ []timeline.Missing) {
+		if failure = write(c.streams.Out, entries); failure != nil {
+			stop()
+		}
+	})
+	return failure
+}
+
 func (a *TimelineCommand) filter(now time.Time) timeline.Filter {
 	filter := timeline.Filter{
 		Service: a.Service, Server: a.Server, Domain: a.Domain, Request: a.Request,
--- a/process/roster/hello.go
+++ b/process/roster/hello.go
@@ -71,15 +71,19 @@
 // fixedHelloSize is the size of a heartbeat without its texts, in bytes.
 const fixedHelloSize = 47
 
+// texts is the number of texts in a heartbeat; each has a byte for its length.
+const texts = 3
+
 // milli is the unit of the mean number of open requests on the wire.
 const milli = 1000
 
-// append appends the heartbeat to b.
-func (h *hello) append(b []byte) []byte {
+// encode returns the heartbeat on the wire.
+func (h *hello) encode() []byte {
 	flags := byte(0)
 	if h.heard {
 		flags |= heardFlag
 	}
+	b := make([]byte, 0, fixedHelloSize+len(h.Name)+len(h.Domain)+len(h.Service)+texts)
 	b = append(b, byte(passthrough.Hello), helloProtocol, byte(h.Role), byte(h.Report.State), flags)
 	b = binary.LittleEndian.AppendUint64(b, h.Run)
 	b = binary.LittleEndian.AppendUint64(b, h.Version)
@@ -140,9 +144,9 @@
 // into a packet of 1,200 bytes.
 const maxIntroduced = 1200 / introductionSize
 
-// appendIntroduction appends a list of peer addresses.
-func appendIntroduction(b []byte, peers []passthrough.Endpoint) []byte {
-	b = append(b, byte(passthrough.Introduction))
+// encodeIntroduction returns a list of peer addresses on the wire.
+func encodeIntroduction(peers []passthrough.Endpoint) []byte {
+	b := []byte{byte(passthrough.Introduction)}
 	for _, peer := range peers[:min(len(peers), maxIntroduced)] {
 		b = binary.LittleEndian.AppendUint64(b, uint64(peer))
 	}
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -196,7 +196,7 @@
 		}
 	}
 	if len(peers) > 0 {
-		r.options.Sender.Send(appendIntroduction(nil, peers), peer)
+		r.options.Sender.Send(encodeIntroduction(peers), peer)
 	}
 }
 
@@ -293,7 +293,7 @@
 	if reports(self, c) {
 		h.interval = report
 	}
-	r.options.Sender.Send(h.append(nil), peer)
+	r.options.Sender.Send(h.encode(), peer)
 }
 
 func (c *contact) freshFor() time.Duration { return freshIntervals*c.interval + freshSlack }
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -181,7 +181,7 @@
 		w.pass(200 * time.Millisecond)
 		convey.So(w.status(0, 1).Run, convey.ShouldEqual, 2)
 		convey.So(w.status(1, 2).Reachable, convey.ShouldBeTrue)
-		w.peers[0].roster.Hello(old.append(nil), w.now)
+		w.peers[0].roster.Hello(old.encode(), w.now)
 		convey.So(w.status(0, 1).Run, convey.ShouldEqual, 2)
 	})
 }
@@ -209,7 +209,7 @@
 			},
 			interval: 250 * time.Millisecond, heard: true,
 		}
-		read, err := parseHello(h.append(nil))
+		read, err := parseHello(h.encode())
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(read, convey.ShouldResemble, h)
 	})
@@ -217,9 +217,9 @@
 
 func FuzzDatagrams(f *testing.F) {
 	h := hello{Member: Member{Name: "a", Domain: "d", Role: Agent, Peer: 1, Run: 1}, interval: time.Second}
-	f.Add(h.append(nil))
-	f.Add(appendIntroduction(nil, []passthrough.Endpoint{1, 2}))
-	f.Fuzz(func(t *testing.T, b []byte) {
+	f.Add(h.encode())
+	f.Add(encodeIntroduction([]passthrough.Endpoint{1, 2}))
+	f.Fuzz(func(_ *testing.T, b []byte) {
 		if len(b) == 0 {
 			return
 		}
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -83,7 +83,7 @@
 			d.judge.Break("server of %s: %v", v.process.name, err)
 		}
 	}},
-	{"add a route", true, func(d *deployment, r *rand.Rand) {
+	{"add a route", true, func(d *deployment, _ *rand.Rand) {
 		route, excused := d.addRoute(), d.judge.Excused()
 		time.Sleep(configBound)
 		c, err := d.probe()
@@ -126,11 +126,11 @@
 		v := someVM(d, r)
 		hurt(d, "crash "+v.process.name, someTime(r, 100*time.Millisecond, 3*time.Second), v.crash, func() { d.revive(v) })
 	}},
-	{"kill every process", false, func(d *deployment, r *rand.Rand) {
+	{"kill every process", false, func(d *deployment, _ *rand.Rand) {
 		hurt(d, "kill all", restartDelay, func() { each(d.processes(), (*process).kill) },
 			func() { each(d.processes(), func(p *process) { restart(d, p) }) })
 	}},
-	{"power loss of everything", false, func(d *deployment, r *rand.Rand) {
+	{"power loss of everything", false, func(d *deployment, _ *rand.Rand) {
 		hurt(d, "power", time.Second, func() {
 			each(d.processes(), (*process).kill)
 			each(d.vms, (*vm).crash)
@@ -151,7 +151,7 @@
 		return standin.Faults{Delay: someTime(r, 100*time.Millisecond, 900*time.Millisecond)}
 	}),
 	storeFault("store loses answers", func(*rand.Rand) standin.Faults { return standin.Faults{Lost: 0.4} }),
-	{"watches are deaf while a route is added", false, func(d *deployment, r *rand.Rand) {
+	{"watches are deaf while a route is added", false, func(d *deployment, _ *rand.Rand) {
 		hurt(d, "deaf", 4*time.Second, func() {
 			d.store.SetFaults(standin.Faults{Deaf: true})
 			d.addRoute()
