Let two balancers a domain follow the store; read the directory once

Changes: the first two reachable balancers of a domain watch and tell the others by heartbeat; the directory is read after the own entry is written.

--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -29,7 +29,7 @@
 
 // NewAgent opens the addresses of an agent. Nothing runs before Run.
 func NewAgent(s settings.Settings, logger *zap.Logger, adapter Adapter, reload Reload) (*Agent, error) {
-	n, err := newNode(s, logger, adapter, reload)
+	n, err := newNode(roster.Agent, s, logger, adapter, reload)
 	if err != nil {
 		return nil, err
 	}
@@ -66,7 +66,7 @@
 
 // self describes the agent and its backend server; it runs with mu held.
 func (a *Agent) self() roster.Member {
-	m := a.member(roster.Agent)
+	m := a.member()
 	server := a.gate.Server()
 	m.Service = server.Service
 	m.Report = roster.Report{
--- a/process/passthrough/balancer.go
+++ b/process/passthrough/balancer.go
@@ -28,7 +28,7 @@
 
 // NewBalancer opens the addresses of a balancer. Nothing runs before Run.
 func NewBalancer(s settings.Settings, logger *zap.Logger, adapter Adapter, reload Reload) (*Balancer, error) {
-	n, err := newNode(s, logger, adapter, reload)
+	n, err := newNode(roster.Balancer, s, logger, adapter, reload)
 	if err != nil {
 		return nil, err
 	}
@@ -48,7 +48,7 @@
 	})
 	n.orders = newOrders(n, b.setVersion)
 	n.roster = roster.New(roster.Options{
-		Self:        func() roster.Member { return n.member(roster.Balancer) },
+		Self:        n.member,
 		Sender:      n.sender,
 		OnVersion:   n.orders.offerHint,
 		OnConfirmed: n.orders.confirm,
--- a/process/passthrough/directory.go
+++ b/process/passthrough/directory.go
@@ -23,9 +23,6 @@
 	// listInterval is the pause between reads of the directory, which bring
 	// together processes that never heard of each other.
 	listInterval = 15 * time.Second
-	// startSpread is the time within which processes that start together have
-	// written their entries: VMs start within 0.3 s of each other.
-	startSpread = 500 * time.Millisecond
 )
 
 // directory keeps the process' own entry in the store and reads those of others.
@@ -37,11 +34,17 @@
 	add    func(passthrough.Endpoint)
 
 	lease uint64
-	// complete tells that the directory has been read twice, so that processes
-	// that started together are known.
+	// written is closed when the own entry has been written for the first time.
+	written chan struct{}
+	// complete tells that the directory was read after the own entry was written:
+	// of two processes that start together the later reader finds the other.
 	complete atomic.Bool
 }
 
+func newDirectory(n *node) *directory {
+	return &directory{store: n.store, logger: n.logger, name: n.settings.Name, peer: n.self(), add: n.greet, written: make(chan struct{})}
+}
+
 // announce keeps the own entry until ctx ends.
 func (d *directory) announce(ctx context.Context) error {
 	pause := backoff{}
@@ -83,13 +86,23 @@
 		return err
 	}
 	d.lease = lease
+	select {
+	case <-d.written:
+	default:
+		close(d.written)
+	}
 	return nil
 }
 
 // read reads the entries of others until ctx ends.
 func (d *directory) read(ctx context.Context) error {
+	select {
+	case <-d.written:
+	case <-ctx.Done():
+		return nil
+	}
 	pause := backoff{}
-	for first := true; ctx.Err() == nil; {
+	for ctx.Err() == nil {
 		items, _, err := d.store.List(ctx, directoryPrefix, d.complete.Load())
 		if err != nil {
 			pause.wait(ctx)
@@ -99,12 +112,6 @@
 		for _, item := range items {
 			d.take(item)
 		}
-		if first {
-			// Processes that start together may have read before all have written.
-			first = false
-			sleep(ctx, startSpread)
-			continue
-		}
 		d.complete.Store(true)
 		sleep(ctx, listInterval)
 	}
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -23,6 +23,9 @@
 const (
 	// tickInterval is the pace of heartbeats, registrations and judgements.
 	tickInterval = 50 * time.Millisecond
+	// watchersPerDomain is the number of processes of a failure domain that follow
+	// the store; the others hear of changes in heartbeats.
+	watchersPerDomain = 2
 	// sweepInterval is the pace of forgetting flows.
 	sweepInterval = time.Second
 	// headerTimeout and idleTimeout bound the connections of the HTTP servers.
@@ -40,6 +43,7 @@
 	logger    *zap.Logger
 	clock     clock
 	run       uint64
+	role      roster.Role
 	peer      *datagram.Conn
 	orders    *orders
 	directory *directory
@@ -55,23 +59,17 @@
 
 // newNode opens the peer socket. role describes the process for its heartbeats
 // and is called with mu held.
-func newNode(s settings.Settings, logger *zap.Logger, adapter Adapter, reload Reload) (*node, error) {
+func newNode(role roster.Role, s settings.Settings, logger *zap.Logger, adapter Adapter, reload Reload) (*node, error) {
 	store := newMeasuredStore(adapter.Store)
 	adapter.Store = store
-	n := &node{settings: s, reload: reload, adapter: adapter, store: store, logger: logger, clock: newClock(), run: uint64(time.Now().UnixNano())}
+	n := &node{role: role, settings: s, reload: reload, adapter: adapter, store: store, logger: logger, clock: newClock(), run: uint64(time.Now().UnixNano())}
 	var err error
 	if n.peer, err = listenDatagrams(s.Passthrough.Peer); err != nil {
 		return nil, errkind.Wrap(err, errkind.InvalidSettings, "field \"passthrough.peer\"")
 	}
 	n.sender = newSender(n.peer)
 	n.heartbeat = time.Duration(s.Passthrough.Heartbeat)
-	n.directory = &directory{
-		store:  adapter.Store,
-		logger: logger,
-		name:   s.Name,
-		peer:   passthrough.EndpointOf(s.Passthrough.Peer),
-		add:    n.greet,
-	}
+	n.directory = newDirectory(n)
 	return n, nil
 }
 
@@ -140,8 +138,8 @@
 }
 
 // member describes the process for its heartbeats.
-func (n *node) member(role roster.Role) roster.Member {
-	m := roster.Member{Name: n.settings.Name, Domain: n.settings.Domain, Role: role, Peer: n.self(), Run: n.run}
+func (n *node) member() roster.Member {
+	m := roster.Member{Name: n.settings.Name, Domain: n.settings.Domain, Role: n.role, Peer: n.self(), Run: n.run}
 	if n.version != nil {
 		m.Version = n.version.Revision
 		m.Confirmed = n.orders.confirmedAge()
@@ -149,6 +147,25 @@
 	return m
 }
 
+// watches tells whether this process follows the store's changes: the first two
+// balancers of each failure domain do, and every process of a domain where none
+// can be reached.
+func (n *node) watches() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	ahead := 0
+	for _, status := range n.roster.Members() {
+		if status.Role == roster.Balancer && status.Reachable && status.Domain == n.settings.Domain &&
+			(n.role == roster.Agent || status.Name < n.settings.Name) {
+			ahead++
+		}
+	}
+	if n.role == roster.Agent {
+		return ahead == 0
+	}
+	return ahead < watchersPerDomain
+}
+
 // announce sends a heartbeat to all members at once.
 func (n *node) announce() {
 	n.mu.Lock()
--- a/process/passthrough/orders.go
+++ b/process/passthrough/orders.go
@@ -22,6 +22,9 @@
 	// watchWait is how long one watch waits in the store. Each is a priced call;
 	// heartbeats tell of a version that a silent watch missed.
 	watchWait = 20 * time.Second
+	// watchCheck is the pace at which a process that does not watch looks whether it
+	// should.
+	watchCheck = 500 * time.Millisecond
 	// storeRetry and storeRetryLimit bound the pause after a failed call.
 	storeRetry      = 100 * time.Millisecond
 	storeRetryLimit = 800 * time.Millisecond
@@ -59,6 +62,8 @@
 	domains []string
 	clock   clock
 	client  http.Client
+	// watches tells whether this process follows the store.
+	watches func() bool
 	// announce tells all members of the version and that it is confirmed.
 	announce func()
 
@@ -81,6 +86,7 @@
 		adapter:  n.adapter,
 		logger:   n.logger,
 		clock:    n.clock,
+		watches:  n.watches,
 		announce: n.announce,
 		domains:  n.settings.Passthrough.Domains,
 		apply:    apply,
@@ -197,6 +203,11 @@
 	lost := false
 	position := uint64(0)
 	for ctx.Err() == nil {
+		if o.revision() != 0 && !o.watches() {
+			position = 0
+			sleep(ctx, watchCheck)
+			continue
+		}
 		next, err := o.step(ctx, position)
 		if err == nil {
 			if lost {
@@ -235,7 +246,9 @@
 	if err != nil {
 		return 0, err
 	}
-	o.merge(events)
+	if o.merge(events) {
+		o.announce()
+	}
 	return max(at, position), nil
 }
 
@@ -269,8 +282,9 @@
 	}
 }
 
-// merge takes over changes in the order of their revisions.
-func (o *orders) merge(events []Item) {
+// merge takes over changes in the order of their revisions and tells whether there
+// were new ones.
+func (o *orders) merge(events []Item) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	state := orderState{Revision: o.state.Revision, Items: slices.Clone(o.state.Items)}
@@ -284,9 +298,11 @@
 			state.Items = append(state.Items, event)
 		}
 	}
-	if state.Revision > o.state.Revision {
-		o.install(state, "watch")
+	if state.Revision <= o.state.Revision {
+		return false
 	}
+	o.install(state, "watch")
+	return true
 }
 
 // install puts a state in force; one that cannot be read leaves the last good
--- a/process/passthrough/orders_test.go
+++ b/process/passthrough/orders_test.go
@@ -129,6 +129,7 @@
 		logger:   zap.NewNop(),
 		clock:    newClock(),
 		announce: func() {},
+		watches:  func() bool { return true },
 		domains:  []string{"junin"},
 		apply: func(v *routes.Version) {
 			mu.Lock()
