Judge a backend server by its answers

An agent counts answers, statuses of 500 and more and flows ended without an answer; a server that fails a sixth gets new flows only when no other can, and is tried again seconds after its last failure. Ruled out: its liveness check, which misleads. The lifetime of flows and the shortest lease are taken from the settings.

--- a/connection/gate/admit.go
+++ b/connection/gate/admit.go
@@ -115,6 +115,7 @@
 	if g.server.Incarnation != 0 && server.Incarnation != g.server.Incarnation {
 		g.lose(errkind.BackendUnavailable, now)
 		server.Older = false
+		g.health = healthMeter{last: now}
 	}
 	if server.State == steer.Down && g.server.State != steer.Down {
 		g.lose(errkind.BackendUnavailable, now)
--- a/connection/gate/flow.go
+++ b/connection/gate/flow.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"bergamotbank/connection/passthrough"
+	"bergamotbank/connection/steer"
 )
 
 // phase is the state of a flow at the agent.
@@ -36,8 +37,6 @@
 	closedLinger = 5 * time.Second
 	// lostLinger keeps a lost flow, to answer its caller.
 	lostLinger = 10 * time.Second
-	// idleFlow is how long a flow without packets is kept.
-	idleFlow = 60 * time.Second
 	// registerAfter is the age at which an open flow is registered; most flows of
 	// a single request have ended by then.
 	registerAfter = 150 * time.Millisecond
@@ -109,6 +108,9 @@
 		}
 		f.serverSeq, f.answered = segment.Seq, true
 	}
+	if f.busy {
+		g.judge(segment, now)
+	}
 	if len(segment.Payload) > 0 && f.busy {
 		g.options.Observer.Answered(key, g.exchange(f, now))
 		g.idle(f)
@@ -120,6 +122,23 @@
 	}
 }
 
+// judge takes the outcome of an open request from a server's packet: an answer, or
+// the end of the flow without one.
+func (g *Gate) judge(segment *passthrough.Segment, now time.Duration) {
+	ended := segment.Flags&(passthrough.Reset|passthrough.Finish) != 0
+	answered := len(segment.Payload) > 0
+	if !answered && !ended {
+		return
+	}
+	failed := !answered || g.options.Format.Failed(segment.Payload)
+	if failed {
+		g.counters.Failures++
+	}
+	if g.server.State == steer.Ready {
+		g.health.record(failed, now)
+	}
+}
+
 // finish notes that one end has no more data.
 func (g *Gate) finish(key passthrough.Flow, f *flow, end uint8, now time.Duration) {
 	f.finished |= end
@@ -152,7 +171,7 @@
 // sweep forgets flows that are over.
 func (g *Gate) sweep(now time.Duration) {
 	for key, f := range g.flows {
-		if now-f.used < f.keep() {
+		if now-f.used < f.keep(g.options.FlowLifetime) {
 			continue
 		}
 		g.close(key, f, now)
@@ -160,8 +179,9 @@
 	}
 }
 
-// keep returns how long the flow is kept after its last packet.
-func (f *flow) keep() time.Duration {
+// keep returns how long the flow is kept after its last packet; open ones for the
+// lifetime of a flow.
+func (f *flow) keep(lifetime time.Duration) time.Duration {
 	switch f.phase {
 	case phaseOpening:
 		return openingTimeout
@@ -171,7 +191,7 @@
 		return lostLinger
 	case phaseOpen:
 	}
-	return idleFlow
+	return lifetime
 }
 
 // workMeter averages the number of open requests.
--- a/connection/gate/flows_test.go
+++ b/connection/gate/flows_test.go
@@ -491,3 +491,38 @@
 		}
 	})
 }
+
+func TestFailingServer(t *testing.T) {
+	convey.Convey("A server that fails a part of its requests is found by its answers, and is well again later", t, func() {
+		w := newWorld(1)
+		s := w.sites[0]
+		for i := range 40 {
+			s.server.Name = "answer"
+			if i%4 == 0 {
+				s.server.Name = "!"
+			}
+			w.now += 10 * time.Millisecond
+			c := w.caller(i)
+			w.through(0, c.OpeningPacket(0))
+			w.through(0, c.Request())
+			convey.So(s.gate.Failing(), convey.ShouldEqual, i >= 8)
+		}
+		w.now += 8 * time.Second
+		s.gate.Tick(w.now)
+		convey.So(s.gate.Failing(), convey.ShouldBeFalse)
+	})
+	convey.Convey("A few failures among many answers are no reason", t, func() {
+		w := newWorld(1)
+		s := w.sites[0]
+		for i := range 100 {
+			s.server.Name = "answer"
+			if i%20 == 19 {
+				s.server.Name = "!"
+			}
+			c := w.caller(i)
+			w.through(0, c.OpeningPacket(0))
+			w.through(0, c.Request())
+		}
+		convey.So(s.gate.Failing(), convey.ShouldBeFalse)
+	})
+}
--- a/connection/gate/gate.go
+++ b/connection/gate/gate.go
@@ -27,6 +27,8 @@
 	CallerPort uint16
 	// Sender takes datagrams to the server, to callers and to other processes.
 	Sender passthrough.Sender
+	// FlowLifetime is the age at which a flow may be forgotten.
+	FlowLifetime time.Duration
 	// Observer is told of decisions; nil for none.
 	Observer Observer
 }
@@ -64,8 +66,8 @@
 	Adopted uint64
 	// Offered are packets given to the server to see whether it holds the flow.
 	Offered uint64
-	// Requests are the requests seen.
-	Requests uint64
+	// Requests are the requests seen, Failures those that the server failed.
+	Requests, Failures uint64
 }
 
 // Gate decides for one backend server. It is not safe for concurrent use.
@@ -77,6 +79,7 @@
 	flows    map[passthrough.Flow]*flow
 	open     int
 	work     workMeter
+	health   healthMeter
 	agents   []Agent
 	settled  bool
 	owners   *steering.Table
@@ -90,9 +93,9 @@
 }
 
 const (
-	// registryPeriod is how long a registration lives at least. It covers the
-	// lifetime of a flow, so that holders need not refresh it.
-	registryPeriod = 75 * time.Second
+	// registrySlack is how much longer than a flow its registration lives, so that
+	// holders need not refresh it.
+	registrySlack = 15 * time.Second
 	// offerPeriod is how long the outcome of an offer to the server is kept.
 	offerPeriod = 10 * time.Second
 	// searchPeriod is how long a search is kept at least.
@@ -120,7 +123,7 @@
 		options:  options,
 		flows:    map[passthrough.Flow]*flow{},
 		owners:   steering.Build(nil),
-		registry: passthrough.NewGenerations[registration](registryPeriod, maxRegistrations),
+		registry: passthrough.NewGenerations[registration](options.FlowLifetime+registrySlack, maxRegistrations),
 		offers:   passthrough.NewGenerations[offer](offerPeriod, maxRegistrations),
 		searches: passthrough.NewGenerations[*search](searchPeriod, maxRegistrations),
 		pending:  map[passthrough.Endpoint][]passthrough.Flow{},
--- a/connection/gate/world_test.go
+++ b/connection/gate/world_test.go
@@ -95,13 +95,14 @@
 func (w *world) startAgent(i int) {
 	s := w.sites[i]
 	s.gate = gate.New(gate.Options{
-		Format:     passthroughtest.Format{},
-		Domain:     "junin",
-		Self:       peerOf(i),
-		Backend:    backendOf(i),
-		CallerPort: callerPort,
-		Sender:     w.network,
-		Observer:   &resetRecorder{site: s},
+		Format:       passthroughtest.Format{},
+		Domain:       "junin",
+		Self:         peerOf(i),
+		Backend:      backendOf(i),
+		CallerPort:   callerPort,
+		Sender:       w.network,
+		Observer:     &resetRecorder{site: s},
+		FlowLifetime: time.Minute,
 	})
 	s.gate.SetVersion(w.version)
 	s.gate.SetServer(s.info, w.now)
--- a/connection/passthrough/packet.go
+++ b/connection/passthrough/packet.go
@@ -128,6 +128,9 @@
 	// RequestID returns the identifier of the request that starts with payload, a
 	// part of it; nil when there is none.
 	RequestID(payload []byte) []byte
+	// Failed tells whether an answer that starts with payload reports a failure of
+	// the server, other than a refusal.
+	Failed(payload []byte) bool
 }
 
 // Sender takes datagrams. The bytes must stay unchanged until the batch in work
--- a/connection/passthrough/passthroughtest/format.go
+++ b/connection/passthrough/passthroughtest/format.go
@@ -40,6 +40,9 @@
 // RequestID takes the whole payload for the identifier.
 func (Format) RequestID(payload []byte) []byte { return payload }
 
+// Failed takes an answer that starts with an exclamation mark for a failure.
+func (Format) Failed(payload []byte) bool { return len(payload) > 0 && payload[0] == '!' }
+
 // Append appends a packet.
 func Append(b []byte, s passthrough.Segment) []byte {
 	b = append(b, byte(s.Flags))
--- a/connection/steer/choose.go
+++ b/connection/steer/choose.go
@@ -12,6 +12,9 @@
 	flowWork = 0.02
 	// coldPenalty makes a cold server the last choice among equals.
 	coldPenalty = 0.5
+	// failingPenalty makes a server that fails requests the last choice; when all of
+	// a service fail they share its flows.
+	failingPenalty = 100.0
 )
 
 // choose picks a server of a service for a new flow, other than except: the
@@ -66,15 +69,19 @@
 
 // eligible tells whether a server may get new flows by what this balancer knows.
 func (s *Steer) eligible(e *entry) bool {
-	return e.Reachable && (e.State == Ready || e.State == Cold) && !s.version.OutDomains[e.Domain]
+	return e.Reachable && (e.State == Ready || e.State == Cold || e.State == Failing) && !s.version.OutDomains[e.Domain]
 }
 
 // score is the load of a server per slot; lower is better.
 func (s *Steer) score(e *entry) float64 {
 	slots := float64(max(e.Slots, 1))
 	v := (e.Work + flowWork*(float64(e.Flows)+e.opened)) / slots
-	if e.State == Cold {
+	switch e.State {
+	case Cold:
 		v += coldPenalty
+	case Failing:
+		v += failingPenalty
+	default:
 	}
 	if e.Domain != s.options.Domain {
 		v += crossDomainPenalty
--- a/connection/steer/steer.go
+++ b/connection/steer/steer.go
@@ -40,6 +40,8 @@
 	Draining
 	// Down does not answer.
 	Down
+	// Failing reports to be ready and fails part of its requests.
+	Failing
 )
 
 // String returns the name of the state in logs.
@@ -53,6 +55,8 @@
 		return "draining"
 	case Down:
 		return "down"
+	case Failing:
+		return "failing"
 	case Unknown:
 	}
 	return "unknown"
--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -25,6 +25,7 @@
 	gate     *gate.Gate
 	backend  *backend
 	swept    time.Duration
+	failing  bool
 }
 
 // NewAgent opens the addresses of an agent. Nothing runs before Run.
@@ -39,13 +40,14 @@
 	}
 	observer := newAgentObserver(a)
 	a.gate = gate.New(gate.Options{
-		Format:     adapter.Format,
-		Domain:     s.Domain,
-		Self:       n.self(),
-		Backend:    passthrough.EndpointOf(s.Passthrough.Backend),
-		CallerPort: s.Packet.Port(),
-		Sender:     n.sender,
-		Observer:   observer,
+		Format:       adapter.Format,
+		Domain:       s.Domain,
+		Self:         n.self(),
+		Backend:      passthrough.EndpointOf(s.Passthrough.Backend),
+		CallerPort:   s.Packet.Port(),
+		Sender:       n.sender,
+		Observer:     observer,
+		FlowLifetime: time.Duration(s.Passthrough.FlowLifetime),
 	})
 	a.backend = newBackend(a)
 	n.orders = newOrders(n, a.setVersion)
@@ -143,6 +145,12 @@
 func (a *Agent) advance(now time.Duration) {
 	a.gate.SetSettled(a.settled())
 	a.gate.Tick(now)
+	if failing := a.gate.Failing(); failing != a.failing {
+		a.failing = failing
+		a.logger.Warn("judgement of the server by its answers changed", zap.Bool("failing", failing),
+			zap.Uint64("failures", a.gate.Counters().Failures), zap.String("server", a.backend.last.ID))
+		a.roster.Announce(now)
+	}
 	if now-a.swept >= sweepInterval {
 		a.swept = now
 		a.gate.Sweep(now)
--- a/process/passthrough/backend.go
+++ b/process/passthrough/backend.go
@@ -55,6 +55,8 @@
 		return steer.Down
 	case b.stopped:
 		return steer.Draining
+	case server.State == steer.Ready && b.agent.gate.Failing():
+		return steer.Failing
 	case server.State == steer.Ready && now < server.ColdUntil:
 		return steer.Cold
 	}
--- a/process/passthrough/directory.go
+++ b/process/passthrough/directory.go
@@ -15,11 +15,11 @@
 const (
 	// directoryPrefix is where processes write their peer addresses.
 	directoryPrefix = "bergamotbank/members/"
-	// entryLifetime is the lease of a directory entry. Heartbeats judge members;
-	// the entry only has to lead newcomers to them.
+	// entryLifetime is the lease of a directory entry, where the store grants one so
+	// short. Heartbeats judge members; the entry only has to lead newcomers to them.
 	entryLifetime = 30 * time.Second
-	// renewInterval is a third of the lease, so that two renewals may be lost.
-	renewInterval = entryLifetime / 3
+	// renewShare is the number of renewals in a lease, so that two may be lost.
+	renewShare = 3
 	// listInterval is the pause between reads of the directory, which bring
 	// together processes that never heard of each other.
 	listInterval = 15 * time.Second
@@ -33,7 +33,10 @@
 	peer   passthrough.Endpoint
 	add    func(passthrough.Endpoint)
 
-	lease uint64
+	// least is the shortest lease that the store grants.
+	least   time.Duration
+	lease   uint64
+	granted time.Duration
 	// written is closed when the own entry has been written for the first time.
 	written chan struct{}
 	// complete tells that the directory was read after the own entry was written:
@@ -42,7 +45,15 @@
 }
 
 func newDirectory(n *node) *directory {
-	return &directory{store: n.store, logger: n.logger, name: n.settings.Name, peer: n.self(), add: n.greet, written: make(chan struct{})}
+	return &directory{
+		store:   n.store,
+		logger:  n.logger,
+		name:    n.settings.Name,
+		peer:    n.self(),
+		add:     n.greet,
+		least:   time.Duration(n.settings.Passthrough.LeaseMinimum),
+		written: make(chan struct{}),
+	}
 }
 
 // announce keeps the own entry until ctx ends.
@@ -58,7 +69,7 @@
 			}
 			lost = false
 			pause.reset()
-			sleep(ctx, renewInterval)
+			sleep(ctx, d.granted/renewShare)
 		case errkind.Is(err, errkind.NotFound):
 			d.logger.Info("lease of the directory entry has ended; writing the entry anew", zap.Uint64("lease", d.lease))
 			d.lease = 0
@@ -78,14 +89,14 @@
 	if d.lease != 0 {
 		return d.store.Renew(ctx, d.lease)
 	}
-	lease, _, err := d.store.Grant(ctx, entryLifetime)
+	lease, granted, err := d.store.Grant(ctx, max(entryLifetime, d.least))
 	if err != nil {
 		return err
 	}
 	if err := d.store.Put(ctx, directoryPrefix+d.name, []byte(d.peer.String()), lease); err != nil {
 		return err
 	}
-	d.lease = lease
+	d.lease, d.granted = lease, granted
 	select {
 	case <-d.written:
 	default:
