--- a/connection/steer/choose.go
+++ b/connection/steer/choose.go
@@ -1,5 +1,7 @@
 package steer
 
+import "math/rand/v2"
+
 const (
 	// crossDomainPenalty is added to the score of a server in another failure
 	// domain: bytes between domains cost money and time. Crossing pays when the
@@ -62,7 +64,7 @@
 		kept[count-1] = e
 		return
 	}
-	if i := random(count); i < len(kept) {
+	if i := rand.IntN(count); i < len(kept) {
 		kept[i] = e
 	}
 }
--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -170,26 +170,18 @@
 
 // fromPeers handles datagrams of other processes.
 func (a *Agent) fromPeers(r *datagram.Reader, n int) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := a.clock.now()
-	for i := range n {
-		datagram := r.Datagram(i)
-		if len(datagram) == 0 {
-			continue
-		}
-		switch passthrough.Kind(datagram[0]) {
+	a.handle(r, n, func(d []byte, now time.Duration) {
+		switch passthrough.Kind(d[0]) {
 		case passthrough.Deliver, passthrough.Lookup, passthrough.Registered, passthrough.Search:
-			a.gate.Datagram(datagram, now)
+			a.gate.Datagram(d, now)
 		case passthrough.NotHeld:
-			a.gate.Denied(datagram, now)
+			a.gate.Denied(d, now)
 		case passthrough.Register:
-			a.gate.Registration(datagram)
+			a.gate.Registration(d)
 		default:
-			a.control(datagram, now)
+			a.control(d, now)
 		}
-	}
-	a.sender.flush()
+	})
 }
 
 // gateMetrics is the state of the gate as it is published.
--- a/process/passthrough/balancer.go
+++ b/process/passthrough/balancer.go
@@ -146,23 +146,15 @@
 
 // fromPeers handles datagrams of other processes.
 func (b *Balancer) fromPeers(r *datagram.Reader, n int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := b.clock.now()
-	for i := range n {
-		datagram := r.Datagram(i)
-		if len(datagram) == 0 {
-			continue
-		}
-		if passthrough.Kind(datagram[0]) != passthrough.Learned {
-			b.control(datagram, now)
-			continue
+	b.handle(r, n, func(d []byte, now time.Duration) {
+		if passthrough.Kind(d[0]) != passthrough.Learned {
+			b.control(d, now)
+			return
 		}
-		if holder, flow, err := passthrough.ParseHolder(datagram); err == nil {
+		if holder, flow, err := passthrough.ParseHolder(d); err == nil {
 			b.steer.Learn(holder, flow)
 		}
-	}
-	b.sender.flush()
+	})
 }
 
 func (b *Balancer) counters() steer.Counters {
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -174,6 +174,20 @@
 	n.sender.flush()
 }
 
+// handle calls each for every datagram of a batch, with mu held, and sends what
+// comes of them.
+func (n *node) handle(r *datagram.Reader, count int, each func(b []byte, now time.Duration)) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	now := n.clock.now()
+	for i := range count {
+		if b := r.Datagram(i); len(b) > 0 {
+			each(b, now)
+		}
+	}
+	n.sender.flush()
+}
+
 // control handles a datagram between processes that carries no packet.
 func (n *node) control(b []byte, now time.Duration) {
 	switch passthrough.Kind(b[0]) {
--- a/process/passthrough/orders.go
+++ b/process/passthrough/orders.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
-	"math/rand/v2"
 	"net/http"
 	"slices"
 	"strings"
@@ -28,22 +26,6 @@
 	// storeRetry and storeRetryLimit bound the pause after a failed call.
 	storeRetry      = 100 * time.Millisecond
 	storeRetryLimit = 800 * time.Millisecond
-	// hintDelay is how long the watch may take to bring a version that a heartbeat
-	// announced, before a peer is asked.
-	hintDelay = 150 * time.Millisecond
-	// pollAge is the age of the last confirmation of the version in the whole
-	// deployment after which the store is read: a watch may be deaf, and a version
-	// must be in force in 3 s, of which spreading takes one.
-	pollAge = time.Second
-	// pollJitter spreads the processes that would read at the same moment; a
-	// heartbeat tells the later ones that it is done.
-	pollJitter = 700 * time.Millisecond
-	// fetchTimeout bounds the question to a peer.
-	fetchTimeout = time.Second
-	// maxOrdersBytes bounds the answer of a peer.
-	maxOrdersBytes = 16 << 20
-	// OrdersPath is where a process gives its orders to a peer.
-	OrdersPath = "/orders"
 )
 
 // orderState is everything that operators have written, at a revision.
@@ -75,12 +57,6 @@
 	hints     chan hint
 }
 
-// hint is a newer version that a peer has in force.
-type hint struct {
-	revision uint64
-	peer     passthrough.Endpoint
-}
-
 func newOrders(n *node, apply func(*routes.Version)) *orders {
 	return &orders{
 		adapter:  n.adapter,
@@ -103,93 +79,6 @@
 	}
 }
 
-// confirmedAge returns the time since the version was known to be the newest.
-func (o *orders) confirmedAge() time.Duration {
-	return o.clock.now() - time.Duration(o.confirmed.Load())
-}
-
-// confirm notes that the version was the newest some time ago.
-func (o *orders) confirm(age time.Duration) {
-	at := int64(o.clock.now() - age)
-	for before := o.confirmed.Load(); at > before; before = o.confirmed.Load() {
-		if o.confirmed.CompareAndSwap(before, at) {
-			return
-		}
-	}
-}
-
-// poll reads the store when nobody in the deployment has done so for pollAge.
-func (o *orders) poll(ctx context.Context) error {
-	pause := backoff{}
-	for {
-		target := pollAge + rand.N(pollJitter)
-		for age := o.confirmedAge(); age < target; age = o.confirmedAge() {
-			if !sleep(ctx, target-age) {
-				return nil
-			}
-		}
-		before := o.revision()
-		if err := o.read(ctx); err != nil {
-			pause.wait(ctx)
-			if ctx.Err() != nil {
-				return nil
-			}
-			continue
-		}
-		pause.reset()
-		if before > 0 {
-			// The others need not read then.
-			o.announce()
-		}
-	}
-}
-
-// read makes sure that the newest orders are in force. They are compared first,
-// since they may be large.
-func (o *orders) read(ctx context.Context) error {
-	started := o.clock.now()
-	unchanged, err := o.unchanged(ctx)
-	if err != nil {
-		return err
-	}
-	if !unchanged {
-		items, at, err := o.adapter.Store.List(ctx, o.adapter.OrdersPrefix, false)
-		if err != nil {
-			return err
-		}
-		o.replaceListed(items, at)
-	}
-	o.confirm(o.clock.now() - started)
-	return nil
-}
-
-// unchanged tells whether the store still has the orders in force. When there are
-// too many to compare, or none, it does not.
-func (o *orders) unchanged(ctx context.Context) (bool, error) {
-	entries := o.expected()
-	if len(entries) == 0 || len(entries) > MaxConditions {
-		return false, nil
-	}
-	return o.adapter.Store.Unchanged(ctx, entries)
-}
-
-// expected returns the entries in force and those that could come, with their
-// revisions.
-func (o *orders) expected() []Item {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if o.state.Revision == 0 {
-		return nil
-	}
-	entries := slices.Clone(o.state.Items)
-	for _, key := range o.adapter.OrdersKeys(o.domains) {
-		if !slices.ContainsFunc(entries, func(item Item) bool { return item.Key == key }) {
-			entries = append(entries, Item{Key: key})
-		}
-	}
-	return entries
-}
-
 // revision returns the revision in force.
 func (o *orders) revision() uint64 {
 	o.mu.Lock()
@@ -337,54 +226,3 @@
 	}
 	return true
 }
-
-// follow asks peers for versions that the watch does not bring in time.
-func (o *orders) follow(ctx context.Context) error {
-	for {
-		var h hint
-		select {
-		case <-ctx.Done():
-			return nil
-		case h = <-o.hints:
-		}
-		if o.revision() != 0 && !sleep(ctx, hintDelay) {
-			return nil
-		}
-		if o.revision() >= h.revision {
-			continue
-		}
-		state, err := o.fetch(ctx, h.peer)
-		if err != nil {
-			o.logger.Warn("peer did not give its orders", zap.Stringer("peer", h.peer), zap.Error(err))
-			continue
-		}
-		o.replace(state, "peer "+h.peer.String())
-	}
-}
-
-// fetch asks a peer for its whole state.
-func (o *orders) fetch(ctx context.Context, peer passthrough.Endpoint) (orderState, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+OrdersPath, nil)
-	if err != nil {
-		return orderState{}, errkind.Wrap(err, errkind.Internal, "question for orders")
-	}
-	response, err := o.client.Do(request)
-	if err != nil {
-		return orderState{}, errkind.Wrap(err, errkind.PeerUnavailable, "question for orders")
-	}
-	defer func() { _ = response.Body.Close() }()
-	var state orderState
-	err = json.NewDecoder(http.MaxBytesReader(nil, response.Body, maxOrdersBytes)).Decode(&state)
-	return state, errkind.Wrap(err, errkind.Malformed, "orders of a peer")
-}
-
-// ServeHTTP gives the own state to a peer.
-func (o *orders) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
-	o.mu.Lock()
-	state := o.state
-	o.mu.Unlock()
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(state); err != nil {
-		o.logger.Debug("peer left before it had all orders", zap.Error(err))
-	}
-}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -269,13 +268,12 @@
 func (d *deployment) setOut(zone string, out bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.store.SetOut(zone, out)
 	if out {
-		d.store.Write("op/evacuate/"+zone, []byte("{}"))
 		d.out[zone] = time.Now()
 		return
 	}
 	delete(d.out, zone)
-	d.store.Write("op/evacuate/"+zone, nil)
 }
 
 // addRoute writes a manifest with one more route and returns its address.
@@ -294,24 +292,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.version += 3
-	var routes []map[string]any
-	for route, service := range d.routes {
-		addr := route.AddrPort()
-		routes = append(routes, map[string]any{
-			"name": "r-" + addr.String(), "host": addr.Addr().String(), "prefix": fmt.Sprintf("/%d/", addr.Port()),
-			"kind": "safe", "timeoutMs": 1000, "service": service,
-		})
+	if err := d.store.WriteManifest(d.version, d.routes); err != nil {
+		d.judge.Break("manifest: %v", err)
 	}
-	text, err := json.Marshal(map[string]any{
-		"version": d.version, "routes": routes,
-		"services": []map[string]any{
-			{"name": "orders", "healthCheckPath": "/health", "maxConnections": 2000},
-			{"name": "downloads", "healthCheckPath": "/health", "maxConnections": 2000},
-		},
-		"limits": map[string]any{"idleTimeoutMs": 15000},
-	})
-	if err != nil {
-		panic(err)
-	}
-	d.store.Write("op/config", text)
 }
