--- a/connection/gate/alloc_test.go
+++ b/connection/gate/alloc_test.go
@@ -1,6 +1,7 @@
 package gate_test
 
 import (
+	"encoding/binary"
 	"testing"
 
 	"github.com/smartystreets/goconvey/convey"
@@ -40,7 +41,10 @@
 		answer := passthroughtest.Framed(passthrough.Segment{
 			Source: flow.Service, Target: flow.Caller, Seq: seq + 1, Flags: passthrough.Acknowledge, Payload: []byte("answer"),
 		})
+		sequence := uint32(0)
 		allocations := testing.AllocsPerRun(1000, func() {
+			sequence += 100
+			binary.LittleEndian.PutUint32(request[passthrough.FrameSize+17:], sequence)
 			balancer.Packet(request)
 			agent.Datagram(request, w.now)
 			agent.Packet(answer, w.now)
--- a/connection/gate/flow.go
+++ b/connection/gate/flow.go
@@ -50,8 +50,11 @@
 	busy       bool
 	registered bool
 	serverSeq  uint32
+	serverEnd  uint32
 	answered   bool
 	callerAck  uint32
+	callerEnd  uint32
+	sent       bool
 	version    uint64
 	origin     passthrough.Endpoint
 	alternate  passthrough.Endpoint
@@ -90,7 +93,7 @@
 	if segment.Has(passthrough.Finish) {
 		g.finish(key, f, callerFinished, now)
 	}
-	if len(segment.Payload) > 0 && !f.busy && f.phase == phaseOpen {
+	if f.phase == phaseOpen && f.hasNewData(segment) && !f.busy {
 		f.busy = true
 		g.work.open++
 		g.counters.Requests++
@@ -99,6 +102,20 @@
 	}
 }
 
+// hasNewData tells whether a caller's packet carries data that was not seen before.
+// A copy of a request that has been answered is no new request.
+func (f *flow) hasNewData(segment *passthrough.Segment) bool {
+	if len(segment.Payload) == 0 {
+		return false
+	}
+	end := segment.Seq + uint32(len(segment.Payload))
+	if f.sent && int32(end-f.callerEnd) <= 0 {
+		return false
+	}
+	f.sent, f.callerEnd = true, end
+	return true
+}
+
 // serverPacket follows a server's packet of a held flow.
 func (g *Gate) serverPacket(key passthrough.Flow, f *flow, segment *passthrough.Segment, now time.Duration) {
 	f.used = now
@@ -106,10 +123,13 @@
 		if !f.answered {
 			g.options.Observer.Confirmed(key, now-f.opened)
 		}
-		f.serverSeq, f.answered = segment.Seq, true
+		f.serverSeq, f.serverEnd, f.answered = segment.Seq, segment.Seq+1, true
 	}
 	if f.busy {
-		g.judge(segment, now)
+		g.judge(f, segment, now)
+	}
+	if end := segment.Seq + uint32(len(segment.Payload)); int32(end-f.serverEnd) > 0 {
+		f.serverEnd = end
 	}
 	if len(segment.Payload) > 0 && f.busy {
 		g.options.Observer.Answered(key, g.exchange(f, now))
@@ -123,9 +143,9 @@
 }
 
 // judge takes the outcome of an open request from a server's packet: an answer, or
-// the end of the flow without one.
-func (g *Gate) judge(segment *passthrough.Segment, now time.Duration) {
-	ended := segment.Flags&(passthrough.Reset|passthrough.Finish) != 0
+// the end of the flow without one, unless the caller gave up first.
+func (g *Gate) judge(f *flow, segment *passthrough.Segment, now time.Duration) {
+	ended := f.endedBy(segment) && f.finished&callerFinished == 0
 	answered := len(segment.Payload) > 0
 	if !answered && !ended {
 		return
@@ -139,6 +159,15 @@
 	}
 }
 
+// endedBy tells whether a server's packet ends the flow with nothing before it that
+// is still on its way: the end of a flow may overtake the answer.
+func (f *flow) endedBy(segment *passthrough.Segment) bool {
+	if segment.Has(passthrough.Reset) {
+		return true
+	}
+	return segment.Has(passthrough.Finish) && f.answered && segment.Seq == f.serverEnd
+}
+
 // finish notes that one end has no more data.
 func (g *Gate) finish(key passthrough.Flow, f *flow, end uint8, now time.Duration) {
 	f.finished |= end
--- a/connection/gate/registry.go
+++ b/connection/gate/registry.go
@@ -79,7 +79,7 @@
 // Tick ages what the gate keeps and sends registrations that are due.
 func (g *Gate) Tick(now time.Duration) {
 	g.work.update(now)
-	g.health.fade(now)
+	g.health.update(now)
 	g.registry.Tick(now)
 	g.offers.Tick(now)
 	g.searches.Tick(now)
--- a/connection/passthrough/passthroughtest/ends.go
+++ b/connection/passthrough/passthroughtest/ends.go
@@ -99,7 +99,8 @@
 	// ResetSeq is the sequence number of the reset.
 	ResetSeq uint32
 
-	ack uint32
+	ack  uint32
+	sent uint32
 }
 
 // Handle takes a packet for the caller.
@@ -124,9 +125,21 @@
 	return Framed(passthrough.Segment{Source: c.Flow.Caller, Target: c.Flow.Service, Seq: 1, Ack: copies, Flags: passthrough.Open})
 }
 
-// Request returns a packet with a request, with room for a frame.
+// Request returns a packet with the next request, with room for a frame.
 func (c *Caller) Request() []byte {
+	c.sent += requestSize
+	return c.Again()
+}
+
+// Again returns the last request again.
+func (c *Caller) Again() []byte {
 	return Framed(passthrough.Segment{
-		Source: c.Flow.Caller, Target: c.Flow.Service, Seq: 2, Ack: c.ack, Flags: passthrough.Acknowledge, Payload: []byte("request"),
+		Source: c.Flow.Caller, Target: c.Flow.Service, Seq: c.sent, Ack: c.ack, Flags: passthrough.Acknowledge, Payload: []byte("request"),
 	})
 }
+
+// Acknowledged returns the number of the next byte that the caller expects.
+func (c *Caller) Acknowledged() uint32 { return c.ack }
+
+// requestSize is the size of a request in bytes.
+const requestSize = 7
