Soak: start no process or server twice; keep the seeds that failed

Cause of seeds 114 and 115: two steps ended and started the same process, the first of the two was lost sight of and served on into later seeds; a server was started while its predecessor drained. Both are faults of the soak, shown by the logs (address in use).

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -49,6 +49,8 @@
 	mu     sync.Mutex
 	server *standin.Server
 	starts int
+	// draining tells that the former server is still leaving.
+	draining bool
 }
 
 // deployment runs balancers and agents as processes among stand-ins.
@@ -199,6 +201,7 @@
 func (d *deployment) startServer(v *vm) error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.draining = false
 	v.starts++
 	server, err := standin.StartServer(standin.ServerOptions{
 		ID: fmt.Sprintf("%s-%s-%d", v.service, v.ip, v.starts), Service: v.service, Zone: v.zone,
@@ -227,7 +230,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	server := v.server
-	v.server = nil
+	v.server, v.draining = nil, server != nil
 	return server
 }
 
--- a/soak/main.go
+++ b/soak/main.go
@@ -24,6 +24,7 @@
 	Seeds     int           `arg:"--seeds" default:"1" help:"number of schedules to run"`
 	First     uint64        `arg:"--first" default:"1" help:"seed of the first schedule"`
 	Length    time.Duration `arg:"--length" default:"20s" help:"length of one schedule"`
+	Regress   bool          `arg:"--regressions" help:"run the schedules that failed once instead"`
 	Demo      bool          `arg:"--demo" help:"only planned changes; no flow may break"`
 	Program   string        `arg:"--program" default:"bin/bergamotd" help:"the daemon"`
 	Output    string        `arg:"--output" default:"out/soak" help:"directory for settings and logs"`
@@ -37,9 +38,9 @@
 func main() {
 	var a arguments
 	arg.MustParse(&a)
+	seeds := a.seeds()
 	failed := 0
-	for i := range a.Seeds {
-		seed := a.First + uint64(i)
+	for _, seed := range seeds {
 		broken, err := run(a, seed)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "soak:", err)
@@ -49,12 +50,28 @@
 			failed++
 		}
 	}
-	fmt.Printf("soak: %d passed, %d failed\n", a.Seeds-failed, failed)
+	fmt.Printf("soak: %d passed, %d failed\n", len(seeds)-failed, failed)
 	if failed > 0 {
 		os.Exit(1)
 	}
 }
 
+// seeds returns the seeds of the schedules to run.
+func (a arguments) seeds() []uint64 {
+	var seeds []uint64
+	if a.Regress {
+		for _, r := range regressions {
+			fmt.Printf("seed %d failed once: %s\n", r.seed, r.cause)
+			seeds = append(seeds, r.seed)
+		}
+		return seeds
+	}
+	for i := range a.Seeds {
+		seeds = append(seeds, a.First+uint64(i))
+	}
+	return seeds
+}
+
 // run runs one schedule and returns the number of broken promises.
 func run(a arguments, seed uint64) (int, error) {
 	dir := filepath.Join(a.Output, fmt.Sprintf("seed-%d", seed))
--- a/soak/process.go
+++ b/soak/process.go
@@ -22,10 +22,14 @@
 	done    chan struct{}
 }
 
-// start runs the program; its output is appended to a file.
+// start runs the program unless it runs already: two steps may end the same process
+// and both start it again. Its output is appended to a file.
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.running() {
+		return nil
+	}
 	log, err := os.OpenFile(filepath.Join(p.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
 	if err != nil {
 		return err
@@ -48,6 +52,19 @@
 	return nil
 }
 
+// running tells whether the last start has not ended; it runs with mu held.
+func (p *process) running() bool {
+	if p.done == nil {
+		return false
+	}
+	select {
+	case <-p.done:
+		return false
+	default:
+		return true
+	}
+}
+
 // signal sends a signal to the process, if it runs.
 func (p *process) signal(s os.Signal) {
 	p.mu.Lock()
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -188,7 +188,7 @@
 // revive starts the server of a VM when none runs.
 func (d *deployment) revive(v *vm) {
 	v.mu.Lock()
-	running := v.server != nil
+	running := v.server != nil || v.draining
 	v.mu.Unlock()
 	if running {
 		return
