--- /dev/null
+++ b/connection/steer/bench_test.go
@@ -0,0 +1,84 @@
+package steer_test
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+
+	"bergamotbank/connection/passthrough"
+	"bergamotbank/connection/passthrough/passthroughtest"
+	"bergamotbank/connection/steer"
+	"bergamotbank/version/routes"
+)
+
+// discard is a sender that drops every datagram.
+type discard struct{}
+
+func (discard) Send([]byte, passthrough.Endpoint) {}
+
+var service = passthrough.MakeEndpoint(0xc6120001, 443)
+
+// balancer returns a balancer that knows the given number of servers.
+func balancer(servers int) *steer.Steer {
+	s := steer.New(steer.Options{Format: passthroughtest.Format{}, Domain: "a", Sender: discard{}})
+	version := &routes.Version{Revision: 1, Services: map[string]routes.Service{"orders": {}}}
+	version.Routes = map[netip.AddrPort]*routes.Route{
+		service.AddrPort(): {Name: "r", Targets: []routes.Target{{Service: "orders", Weight: 1}}},
+	}
+	s.SetVersion(version)
+	list := make([]steer.Server, servers)
+	for i := range list {
+		list[i] = steer.Server{
+			Name: fmt.Sprintf("agent-%d", i), Agent: passthrough.MakeEndpoint(0x0a000000+uint32(i), 7000),
+			Service: "orders", Domain: "a", State: steer.Ready, Slots: 2, Reachable: true,
+		}
+	}
+	s.SetServers(list)
+	return s
+}
+
+func caller(i int) passthrough.Endpoint {
+	return passthrough.MakeEndpoint(0x64400000+uint32(i/50000), uint16(i%50000))
+}
+
+// BenchmarkPacket measures a packet of a known flow and an opening packet, by the
+// number of servers.
+func BenchmarkPacket(b *testing.B) {
+	for _, servers := range []int{10, 58, 1000} {
+		for name, flags := range map[string]passthrough.Flags{"known": passthrough.Acknowledge, "opening": passthrough.Open} {
+			b.Run(fmt.Sprintf("%s/%d", name, servers), func(b *testing.B) {
+				s := balancer(servers)
+				opening := passthroughtest.Framed(passthrough.Segment{Source: caller(1), Target: service, Flags: passthrough.Open})
+				s.Packet(opening)
+				for i := range b.N {
+					source := caller(1)
+					if name == "opening" {
+						source = caller(2 + i%100000)
+					}
+					s.Packet(passthroughtest.Framed(passthrough.Segment{Source: source, Target: service, Flags: flags, Ack: 1}))
+				}
+				fmt.Printf("bench steer/%s/%d %.0f ns\n", name, servers, float64(b.Elapsed().Nanoseconds())/float64(b.N))
+			})
+		}
+	}
+}
+
+// BenchmarkMemory measures what a remembered flow costs at a balancer.
+func BenchmarkMemory(b *testing.B) {
+	const flows = 50_000
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	s := balancer(10)
+	for i := range flows {
+		s.Packet(passthroughtest.Framed(passthrough.Segment{Source: caller(i), Target: service, Flags: passthrough.Open}))
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	fmt.Printf("bench steer/flow %.0f B\n", float64(after.HeapAlloc-before.HeapAlloc)/flows)
+	runtime.KeepAlive(s)
+	for range b.N {
+		_ = s.Flows()
+	}
+}
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -35,11 +35,32 @@
 	serveAfterDrain = 3500 * time.Millisecond
 )
 
-// size is how many processes a deployment has.
+// size is how many processes a deployment has, and where on the loopback range: its
+// balancers are at 127.network.0.0/16, its servers, callers and probes above.
 type size struct {
+	network                             byte
 	zones, balancers, orders, downloads int
 }
 
+// Offsets of the second byte of addresses, from the network of the balancers.
+const (
+	serverNetwork = iota + 1
+	callerNetwork
+	probeNetwork
+)
+
+// address returns an address of the deployment.
+func (s size) address(offset byte, i int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, s.network + offset, byte(i / 250), byte(i%250 + 1)})
+}
+
+// storeHost is the last byte but one of the store's address.
+const storeHost = 255
+
+func (s size) store(port uint16) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, s.network, storeHost, 1}), port)
+}
+
 // vm is a backend server with its agent.
 type vm struct {
 	process       *process
@@ -91,13 +112,13 @@
 		routes: map[passthrough.Endpoint]string{ordersRoute: "orders", downloadsRoute: "downloads"},
 		out:    map[string]time.Time{},
 	}
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", storePort))
+	listener, err := net.Listen("tcp", s.store(storePort).String())
 	if err != nil {
 		return nil, err
 	}
 	d.http = &http.Server{Handler: d.store, ReadHeaderTimeout: time.Second}
 	go func() { _ = d.http.Serve(listener) }()
-	if d.proxy, err = standin.NewProxy(fmt.Sprintf("127.0.0.1:%d", proxyPort), listener.Addr().String()); err != nil {
+	if d.proxy, err = standin.NewProxy(s.store(proxyPort).String(), listener.Addr().String()); err != nil {
 		return nil, err
 	}
 	if d.fabric, err = standin.NewFabric(); err != nil {
@@ -162,14 +183,14 @@
 	for i := range d.size.zones {
 		zones += fmt.Sprintf("%q, ", zoneName(i))
 	}
-	return fmt.Sprintf("name = %q\ndomain = %q\npacket = %q\ncontrol = %q\nstore = \"127.0.0.1:%d\"\nseeds = [\"127.71.0.1:%d\"]\n",
-		name, zone, at(ip, packetPort), at(ip, controlPort), proxyPort, controlPort) + "%s" +
+	return fmt.Sprintf("name = %q\ndomain = %q\npacket = %q\ncontrol = %q\nstore = %q\nseeds = [%q]\n",
+		name, zone, at(ip, packetPort), at(ip, controlPort), d.size.store(proxyPort), at(d.size.address(0, 0), controlPort)) + "%s" +
 		fmt.Sprintf("[passthrough]\npeer = %q\ndomains = [%s]\nreadiness = %q\nmetrics = %q\nheartbeat = %q\n",
 			at(ip, peerPort), zones, at(ip, readinessPort), at(ip, metricsPort), heartbeat)
 }
 
 func (d *deployment) addBalancer(i int) error {
-	ip := netip.AddrFrom4([4]byte{127, 71, 0, byte(i + 1)})
+	ip := d.size.address(0, i)
 	zone, name := zoneName(i%d.size.zones), fmt.Sprintf("balancer-%d", i)
 	text := fmt.Sprintf(d.commonSettings(name, zone, ip), "[balancer]\nstop_grace = \"1500ms\"\n")
 	p := &process{name: name, program: d.program, role: "passthrough-balancer", dir: d.dir}
@@ -182,7 +203,7 @@
 }
 
 func (d *deployment) addVM(i int, service string) (*vm, error) {
-	ip := netip.AddrFrom4([4]byte{127, 72, 0, byte(i + 1)})
+	ip := d.size.address(serverNetwork, i)
 	zone, name := zoneName(i%d.size.zones), fmt.Sprintf("agent-%d", i)
 	text := fmt.Sprintf(d.commonSettings(name, zone, ip), fmt.Sprintf("[agent]\nservice = %q\n", service)) +
 		fmt.Sprintf("outbound = %q\nbackend = %q\n", at(ip, outboundPort), at(ip, backendPort))
--- a/soak/load.go
+++ b/soak/load.go
@@ -34,7 +34,7 @@
 func startLoad(ctx context.Context, d *deployment, count int, seed uint64) (*load, error) {
 	l := &load{d: d}
 	for i := range count {
-		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 73, byte(i / 250), byte(i%250 + 1)}), packetPort)
+		at := netip.AddrPortFrom(d.size.address(callerNetwork, i), packetPort)
 		c, err := standin.NewCaller(zoneName(i%d.size.zones), at, d.fabric, d.judge, d.alive)
 		if err != nil {
 			return nil, err
--- a/soak/main.go
+++ b/soak/main.go
@@ -32,6 +32,7 @@
 	Balancers int           `arg:"--balancers" default:"4" help:"number of balancers"`
 	Orders    int           `arg:"--orders" default:"4" help:"backend servers of the service orders"`
 	Downloads int           `arg:"--downloads" default:"2" help:"backend servers of the service downloads"`
+	Network   byte          `arg:"--network" default:"71" help:"second byte of the loopback addresses; runs side by side need networks four apart"`
 	Zones     int           `arg:"--zones" default:"2" help:"number of failure domains"`
 }
 
@@ -81,7 +82,7 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return 0, err
 	}
-	d, err := newDeployment(dir, a.Program, size{a.Zones, a.Balancers, a.Orders, a.Downloads})
+	d, err := newDeployment(dir, a.Program, size{a.Network, a.Zones, a.Balancers, a.Orders, a.Downloads})
 	if d != nil {
 		defer d.close()
 	}
@@ -132,7 +133,7 @@
 func (d *deployment) probe() (*standin.Caller, error) {
 	d.mu.Lock()
 	d.probes++
-	at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 74, byte(d.probes / 250), byte(d.probes%250 + 1)}), packetPort)
+	at := netip.AddrPortFrom(d.size.address(probeNetwork, d.probes), packetPort)
 	d.mu.Unlock()
 	return standin.NewCaller(zoneName(0), at, d.fabric, d.judge, d.alive)
 }
