--- a/connection/gate/gate.go
+++ b/connection/gate/gate.go
@@ -39,8 +39,8 @@
 	Name string
 	// Peer is the peer address.
 	Peer passthrough.Endpoint
-	// Service is the service of its backend server.
-	Service string
+	// Service is the service of its backend server, Domain its failure domain.
+	Service, Domain string
 	// Run is the run of the agent's process.
 	Run uint64
 	// Silent tells that the agent has not been heard for so long that its backend
@@ -196,7 +196,7 @@
 func (g *Gate) refuse(d *delivery, kind errkind.Kind) {
 	g.counters.Refused++
 	alternate := d.frame.Alternate
-	if kind == errkind.WrongService && d.frame.Hops == 0 {
+	if (kind == errkind.WrongService || kind == errkind.DomainOut) && d.frame.Hops == 0 {
 		alternate = g.rightAgent(d.flow)
 	}
 	g.options.Observer.Refused(d.flow, kind, d.frame, alternate)
@@ -219,17 +219,21 @@
 
 // passing tells whether the reason of a refusal is likely to pass within a second.
 func passing(kind errkind.Kind) bool {
-	return kind == errkind.Overloaded || kind == errkind.WrongService
+	return kind == errkind.Overloaded || kind == errkind.WrongService || kind == errkind.DomainOut
 }
 
-// rightAgent returns an agent of the service that takes a flow by this agent's
-// version, for a balancer whose version is behind; 0 when none is known.
+// rightAgent returns an agent that takes a flow by this agent's version, for a
+// balancer whose version is behind; 0 when none is known.
 func (g *Gate) rightAgent(flow passthrough.Flow) passthrough.Endpoint {
 	hash := flow.Hash()
-	service := g.version.Route(flow.Service.AddrPort()).Pick(hash)
+	route := g.version.Route(flow.Service.AddrPort())
+	if route == nil {
+		return 0
+	}
+	service := route.Pick(hash)
 	var fitting []passthrough.Endpoint
 	for i := range g.agents {
-		if agent := &g.agents[i]; agent.Service == service && !agent.Silent && !agent.Ended {
+		if agent := &g.agents[i]; agent.Service == service && !agent.Silent && !agent.Ended && !g.version.OutDomains[agent.Domain] {
 			fitting = append(fitting, agent.Peer)
 		}
 	}
--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -61,6 +61,8 @@
 	})
 	n.publish()
 	metrics.Publish("passthrough_gate", func() any { return a.counters() })
+	metrics.Publish("refusals", func() any { return observer.refusals.counts() })
+	metrics.Publish("resets", func() any { return observer.resets.counts() })
 	metrics.Publish("opening_latency", func() any { return observer.opening.Summary() })
 	metrics.Publish("answer_latency", func() any { return observer.answer.Summary() })
 	return a, nil
@@ -122,13 +124,14 @@
 // setAgents hands the members over; it runs with mu held.
 func (a *Agent) setAgents() {
 	own := a.self()
-	agents := []gate.Agent{{Name: own.Name, Peer: own.Peer, Service: own.Service, Run: own.Run}}
+	agents := []gate.Agent{{Name: own.Name, Peer: own.Peer, Service: own.Service, Domain: own.Domain, Run: own.Run}}
 	for _, status := range a.roster.Members() {
 		if status.Role == roster.Agent {
 			agents = append(agents, gate.Agent{
 				Name:    status.Name,
 				Peer:    status.Peer,
 				Service: status.Service,
+				Domain:  status.Domain,
 				Run:     status.Run,
 				Silent:  status.Silent,
 				Ended:   status.Report.State == steer.Down,
--- a/process/passthrough/observe.go
+++ b/process/passthrough/observe.go
@@ -1,6 +1,8 @@
 package passthrough
 
 import (
+	"maps"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,12 +19,35 @@
 	return append([]zap.Field{zap.Stringer("caller", flow.Caller), zap.Stringer("service_address", flow.Service)}, more...)
 }
 
+// kindCounter counts by error kind. It is safe for concurrent use.
+type kindCounter struct {
+	mu    sync.Mutex
+	kinds map[string]uint64
+}
+
+func (c *kindCounter) add(kind errkind.Kind) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.kinds == nil {
+		c.kinds = map[string]uint64{}
+	}
+	c.kinds[kind.String()]++
+}
+
+func (c *kindCounter) counts() map[string]uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.kinds)
+}
+
 // agentObserver logs and measures what an agent's gate decides. Its methods run
 // with the agent's lock held.
 type agentObserver struct {
 	agent *Agent
 	// opening and answer are the times to the server's first answers.
 	opening, answer *metrics.Latency
+	// refusals and resets are flows by reason.
+	refusals, resets kindCounter
 }
 
 func newAgentObserver(a *Agent) *agentObserver {
@@ -48,6 +73,7 @@
 
 // Refused logs an opening packet that was turned away.
 func (o *agentObserver) Refused(flow passthrough.Flow, kind errkind.Kind, frame passthrough.Frame, passedTo passthrough.Endpoint) {
+	o.refusals.add(kind)
 	server := o.agent.gate.Server()
 	o.log("flow refused", flow, zap.Stringer("kind", kind), zap.Stringer("passed_to", passedTo),
 		zap.Uint64("balancer_revision", frame.Version), zap.Uint8("hops", frame.Hops), zap.Stringer("server_state", server.State),
@@ -56,6 +82,7 @@
 
 // Reset logs a flow that was reset at its caller.
 func (o *agentObserver) Reset(flow passthrough.Flow, kind errkind.Kind) {
+	o.resets.add(kind)
 	o.log("flow reset", flow, zap.Stringer("kind", kind), zap.Stringer("server_state", o.agent.gate.Server().State))
 }
 
