--- a/connection/gate/flows_test.go
+++ b/connection/gate/flows_test.go
@@ -296,6 +296,7 @@
 				w.startAgent(1)
 				w.startServer(1)
 				w.spread()
+				w.startBalancers(2)
 			}
 			c.prepare(w)
 			w.sites[0].gate.SetServer(w.sites[0].info, w.now)
--- a/process/explain/explain.go
+++ b/process/explain/explain.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -28,8 +29,6 @@
 	Message string
 	// Fields are all fields of the line.
 	Fields map[string]any
-	// order keeps the lines of one process in the order in which they were written.
-	order int
 }
 
 // text returns a field as text, "" when it is missing.
@@ -66,7 +65,6 @@
 			g.Skipped++
 			continue
 		}
-		line.order = len(g.lines)
 		g.lines = append(g.lines, line)
 	}
 	return errkind.Wrap(scanner.Err(), errkind.Malformed, "read log lines")
@@ -132,21 +130,36 @@
 			last = line.Time
 		}
 	}
-	var lines []Line
+	byProcess := map[string][]Line{}
 	for _, line := range g.lines {
 		near := line.Time.After(first.Add(-context)) && line.Time.Before(last.Add(context))
 		belief := line.flow() == "" && concerned[line.Process] && near && line.Message != "member reachable"
 		if belief || slices.Contains(flows, line.flow()) {
-			lines = append(lines, line)
+			byProcess[line.Process] = append(byProcess[line.Process], line)
 		}
 	}
-	slices.SortStableFunc(lines, func(a, b Line) int {
-		if a.Process == b.Process {
-			return a.order - b.order
+	return merge(byProcess)
+}
+
+// merge joins the lines of processes by time; those of one process keep their order,
+// also when its clock was set.
+func merge(byProcess map[string][]Line) []Line {
+	names := slices.Sorted(maps.Keys(byProcess))
+	var merged []Line
+	for {
+		next := ""
+		for _, name := range names {
+			lines := byProcess[name]
+			if len(lines) > 0 && (next == "" || lines[0].Time.Before(byProcess[next][0].Time)) {
+				next = name
+			}
+		}
+		if next == "" {
+			return merged
 		}
-		return a.Time.Compare(b.Time)
-	})
-	return lines
+		merged = append(merged, byProcess[next][0])
+		byProcess[next] = byProcess[next][1:]
+	}
 }
 
 // findings says in words what the lines about a subject show.
