End flows after power loss as soon as every agent has answered

Cause: a search ended a flow only in a settled view, and the view waited for every address that was named. Balancers hold no flows: their addresses are now named as such (directory key, introduction, seeds) and one that hears the process is enough. Searches that wait only for the view are concluded when it settles, and an agent that joined after the search began must deny, too. Ruled out: start-up of processes (first agents up at 35.31 s); the fabric.

--- a/connection/gate/flows_test.go
+++ b/connection/gate/flows_test.go
@@ -184,6 +184,53 @@
 			convey.So(c.Reset, convey.ShouldBeFalse)
 		}
 	})
+	convey.Convey("Flows whose search waited only for a settled view end when it settles", t, func() {
+		w := newWorld(4)
+		callers := w.opened(flowCount)
+		for i := range w.sites {
+			w.sites[i].info.Incarnation += 1000
+			w.startServer(i)
+			w.startAgent(i)
+		}
+		w.settled = false
+		w.spread()
+		w.startBalancers(1)
+		for _, c := range callers {
+			w.through(0, c.Request())
+			convey.So(c.Reset, convey.ShouldBeFalse)
+		}
+		w.settled = true
+		w.spread()
+		w.network.Run()
+		for _, c := range callers {
+			convey.So(c.Reset, convey.ShouldBeTrue)
+		}
+	})
+	convey.Convey("A flow lives on whose holder joins after all others have denied it", t, func() {
+		w := newWorld(4)
+		callers := w.opened(flowCount)
+		late := w.sites[3]
+		w.sites = w.sites[:3]
+		for i := range w.sites {
+			w.startAgent(i)
+			w.sites[i].gate.SetServer(w.sites[i].info, w.now)
+		}
+		w.settled = false
+		w.spread()
+		w.startBalancers(1)
+		for _, c := range callers {
+			w.through(0, c.Request())
+		}
+		w.sites = append(w.sites, late)
+		w.settled = true
+		w.spread()
+		w.network.Run()
+		for _, c := range callers {
+			if w.holder(c.Flow) == 3 {
+				convey.So(c.Reset, convey.ShouldBeFalse)
+			}
+		}
+	})
 	convey.Convey("An agent that does not answer the search keeps the flow alive", t, func() {
 		w := newWorld(4)
 		callers := w.opened(flowCount)
--- a/connection/gate/registry.go
+++ b/connection/gate/registry.go
@@ -17,7 +17,7 @@
 	}
 	former := g.owners
 	g.agents = agents
-	g.settled = settled
+	g.SetSettled(settled)
 	servers := make([]steering.Server, 0, len(agents))
 	renewed := map[passthrough.Endpoint]bool{}
 	for _, agent := range agents {
@@ -57,8 +57,18 @@
 	return passthrough.EndpointOf(table.Addr(a)), passthrough.EndpointOf(table.Addr(b))
 }
 
-// SetSettled tells whether no agent is missing from the view.
-func (g *Gate) SetSettled(settled bool) { g.settled = settled }
+// SetSettled tells whether no agent is missing from the view. Searches that waited
+// only for that are concluded.
+func (g *Gate) SetSettled(settled bool) {
+	before := g.settled
+	g.settled = settled
+	if before || !settled {
+		return
+	}
+	for key, question := range g.searches.All() {
+		g.conclude(key, question)
+	}
+}
 
 func (g *Gate) enqueue(owner passthrough.Endpoint, key passthrough.Flow) {
 	if owner != 0 && owner != g.options.Self {
--- a/connection/gate/search.go
+++ b/connection/gate/search.go
@@ -8,11 +8,12 @@
 	"bergamotbank/errkind"
 )
 
-// search is a question to all agents of a service who holds a flow.
+// search is a question to all agents who holds a flow.
 type search struct {
-	at      time.Duration
-	ack     uint32
-	waiting map[passthrough.Endpoint]struct{}
+	at  time.Duration
+	ack uint32
+	// denied are the agents that answered.
+	denied map[passthrough.Endpoint]struct{}
 }
 
 // search asks all agents, also those of other services: an older version may have
@@ -22,22 +23,22 @@
 	if last, ok := g.searches.Get(d.flow); ok && now-last.at < searchGap {
 		return
 	}
-	question := &search{at: now, ack: d.segment.Ack, waiting: map[passthrough.Endpoint]struct{}{}}
+	question := &search{at: now, ack: d.segment.Ack, denied: map[passthrough.Endpoint]struct{}{}}
 	g.searches.Put(d.flow, question)
 	g.counters.Searched++
 	frame := d.frame
 	frame.Kind = passthrough.Search
 	frame.Alternate = g.options.Self
 	frame.Put(d.datagram)
-	for _, agent := range g.agents {
-		if agent.Peer == g.options.Self || agent.Ended {
-			continue
+	asked := 0
+	for i := range g.agents {
+		if g.mayDeny(&g.agents[i]) {
+			asked++
+			g.options.Sender.Send(d.datagram, g.agents[i].Peer)
 		}
-		question.waiting[agent.Peer] = struct{}{}
-		g.options.Sender.Send(d.datagram, agent.Peer)
 	}
-	g.options.Observer.Searched(d.flow, len(question.waiting))
-	g.conclude(d.flow, question, now)
+	g.options.Observer.Searched(d.flow, asked)
+	g.conclude(d.flow, question)
 }
 
 // deny answers a search: the server does not hold the flow. A server that has not
@@ -49,7 +50,7 @@
 }
 
 // Denied takes a datagram of kind NotHeld.
-func (g *Gate) Denied(datagram []byte, now time.Duration) {
+func (g *Gate) Denied(datagram []byte) {
 	agent, flow, err := passthrough.ParseHolder(datagram)
 	if err != nil {
 		g.counters.Malformed++
@@ -59,17 +60,29 @@
 	if !ok {
 		return
 	}
-	delete(question.waiting, agent)
-	g.conclude(flow, question, now)
+	question.denied[agent] = struct{}{}
+	g.conclude(flow, question)
+}
+
+// mayDeny tells whether an agent is to be asked: any other whose server may hold
+// flows.
+func (g *Gate) mayDeny(agent *Agent) bool {
+	return agent.Peer != g.options.Self && !agent.Ended
 }
 
-// conclude ends a flow that every agent has denied. As long as an agent may be
-// missing from the view the flow may live there.
-func (g *Gate) conclude(key passthrough.Flow, question *search, now time.Duration) {
-	if len(question.waiting) > 0 || !g.settled || g.flows[key] != nil {
+// conclude ends a flow that every agent has denied, also those that joined since
+// the search began. As long as an agent may be missing from the view the flow may
+// live there.
+func (g *Gate) conclude(key passthrough.Flow, question *search) {
+	if !g.settled || g.flows[key] != nil {
 		return
 	}
-	g.flows[key] = &flow{phase: phaseLost, opened: now, used: now}
+	for i := range g.agents {
+		if _, denied := question.denied[g.agents[i].Peer]; !denied && g.mayDeny(&g.agents[i]) {
+			return
+		}
+	}
+	g.flows[key] = &flow{phase: phaseLost, opened: question.at, used: question.at}
 	g.reset(key, question.ack, errkind.BackendUnavailable)
 }
 
--- a/connection/gate/world_test.go
+++ b/connection/gate/world_test.go
@@ -114,7 +114,7 @@
 	case passthrough.Register:
 		g.Registration(b)
 	case passthrough.NotHeld:
-		g.Denied(b, w.now)
+		g.Denied(b)
 	default:
 		g.Datagram(b, w.now)
 	}
--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -178,7 +178,7 @@
 		case passthrough.Deliver, passthrough.Lookup, passthrough.Registered, passthrough.Search:
 			a.gate.Datagram(d, now)
 		case passthrough.NotHeld:
-			a.gate.Denied(d, now)
+			a.gate.Denied(d)
 		case passthrough.Register:
 			a.gate.Registration(d)
 		default:
--- a/process/passthrough/directory.go
+++ b/process/passthrough/directory.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -10,11 +11,15 @@
 
 	"bergamotbank/connection/passthrough"
 	"bergamotbank/errkind"
+	"bergamotbank/process/roster"
 )
 
 const (
-	// directoryPrefix is where processes write their peer addresses.
+	// directoryPrefix is where processes write their peer addresses, each below the
+	// folder of its role.
 	directoryPrefix = "bergamotbank/members/"
+	balancerFolder  = "balancers/"
+	agentFolder     = "agents/"
 	// entryLifetime is the lease of a directory entry, where the store grants one so
 	// short. Heartbeats judge members; the entry only has to lead newcomers to them.
 	entryLifetime = 30 * time.Second
@@ -29,9 +34,9 @@
 type directory struct {
 	store  Store
 	logger *zap.Logger
-	name   string
+	key    string
 	peer   passthrough.Endpoint
-	add    func(passthrough.Endpoint)
+	add    func(passthrough.Endpoint, roster.Role)
 
 	// least is the shortest lease that the store grants.
 	least   time.Duration
@@ -48,7 +53,7 @@
 	return &directory{
 		store:   n.store,
 		logger:  n.logger,
-		name:    n.settings.Name,
+		key:     directoryKey(n.role, n.settings.Name),
 		peer:    n.self(),
 		add:     n.greet,
 		least:   time.Duration(n.settings.Passthrough.LeaseMinimum),
@@ -56,6 +61,25 @@
 	}
 }
 
+// directoryKey returns the key of a process' entry.
+func directoryKey(role roster.Role, name string) string {
+	if role == roster.Agent {
+		return directoryPrefix + agentFolder + name
+	}
+	return directoryPrefix + balancerFolder + name
+}
+
+// roleOf returns the role that a key names, 0 for none.
+func roleOf(key string) roster.Role {
+	switch name := strings.TrimPrefix(key, directoryPrefix); {
+	case strings.HasPrefix(name, agentFolder):
+		return roster.Agent
+	case strings.HasPrefix(name, balancerFolder):
+		return roster.Balancer
+	}
+	return 0
+}
+
 // announce keeps the own entry until ctx ends.
 func (d *directory) announce(ctx context.Context) error {
 	pause := backoff{}
@@ -93,7 +117,7 @@
 	if err != nil {
 		return err
 	}
-	if err := d.store.Put(ctx, directoryPrefix+d.name, []byte(d.peer.String()), lease); err != nil {
+	if err := d.store.Put(ctx, d.key, []byte(d.peer.String()), lease); err != nil {
 		return err
 	}
 	d.lease, d.granted = lease, granted
@@ -135,7 +159,7 @@
 		d.logger.Warn("directory entry without an address", zap.String("key", item.Key), zap.Error(err))
 		return
 	}
-	d.add(passthrough.EndpointOf(addr))
+	d.add(passthrough.EndpointOf(addr), roleOf(item.Key))
 }
 
 // end removes the own entry.
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -123,17 +123,17 @@
 }
 
 // greet adds an address to the members to be greeted.
-func (n *node) greet(peer passthrough.Endpoint) {
+func (n *node) greet(peer passthrough.Endpoint, role roster.Role) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.roster.Add(peer)
+	n.roster.Add(peer, role)
 }
 
 // greetSeeds adds the seeds, which name addresses of another port on the VMs of
-// members; all VMs use the same ports.
+// balancers; all VMs use the same ports.
 func (n *node) greetSeeds(seeds []netip.AddrPort) {
 	for _, seed := range seeds {
-		n.greet(passthrough.EndpointOf(seed).WithPort(n.settings.Passthrough.Peer.Port()))
+		n.greet(passthrough.EndpointOf(seed).WithPort(n.settings.Passthrough.Peer.Port()), roster.Balancer)
 	}
 }
 
--- a/process/roster/hello.go
+++ b/process/roster/hello.go
@@ -13,7 +13,7 @@
 // Role tells as what a member runs.
 type Role uint8
 
-// The roles of members.
+// The roles of members; 0 stands for a role that is not known.
 const (
 	Balancer Role = 1
 	Agent    Role = 2
@@ -137,31 +137,42 @@
 	return h, nil
 }
 
-// introductionSize is the size of one entry of an introduction, in bytes.
+// introductionSize is the size of one entry of an introduction, in bytes: six of
+// an address, one of a role, one unused.
 const introductionSize = 8
 
+// roleShift is the place of the role in an entry, in bits.
+const roleShift = 48
+
 // maxIntroduced is the number of members in one introduction, so that it fits
 // into a packet of 1,200 bytes.
 const maxIntroduced = 1200 / introductionSize
 
-// encodeIntroduction returns a list of peer addresses on the wire.
-func encodeIntroduction(peers []passthrough.Endpoint) []byte {
+// introduced is a member that an introduction names.
+type introduced struct {
+	address passthrough.Endpoint
+	role    Role
+}
+
+// encodeIntroduction returns a list of members on the wire.
+func encodeIntroduction(peers []introduced) []byte {
 	b := []byte{byte(passthrough.Introduction)}
 	for _, peer := range peers[:min(len(peers), maxIntroduced)] {
-		b = binary.LittleEndian.AppendUint64(b, uint64(peer))
+		b = binary.LittleEndian.AppendUint64(b, uint64(peer.address)|uint64(peer.role)<<roleShift)
 	}
 	return b
 }
 
-// parseIntroduction reads a list of peer addresses. The error has kind Malformed.
-func parseIntroduction(b []byte) ([]passthrough.Endpoint, error) {
+// parseIntroduction reads a list of members. The error has kind Malformed.
+func parseIntroduction(b []byte) ([]introduced, error) {
 	body := b[1:]
 	if len(body)%introductionSize != 0 {
 		return nil, errkind.New(errkind.Malformed, "introduction of %d bytes", len(b))
 	}
-	peers := make([]passthrough.Endpoint, 0, len(body)/introductionSize)
+	peers := make([]introduced, 0, len(body)/introductionSize)
 	for ; len(body) > 0; body = body[introductionSize:] {
-		peers = append(peers, passthrough.Endpoint(binary.LittleEndian.Uint64(body)))
+		entry := binary.LittleEndian.Uint64(body)
+		peers = append(peers, introduced{passthrough.Endpoint(entry & (1<<roleShift - 1)), Role(entry >> roleShift)})
 	}
 	return peers, nil
 }
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -93,6 +93,8 @@
 	hearsUs  bool
 	interval time.Duration
 	tries    int
+	// named is the role that whoever named the address gave, until it answers.
+	named Role
 	// last judgement, to notice changes.
 	reachable, silent bool
 }
@@ -102,8 +104,9 @@
 	return &Roster{options: options, contacts: map[passthrough.Endpoint]*contact{}}
 }
 
-// Add names an address to greet. One that is known already is left alone.
-func (r *Roster) Add(peer passthrough.Endpoint) {
+// Add names an address to greet, with the role of its process as far as that is
+// known. One that has answered already is left alone.
+func (r *Roster) Add(peer passthrough.Endpoint, role Role) {
 	if peer == 0 || peer == r.options.Self().Peer {
 		return
 	}
@@ -113,20 +116,28 @@
 		r.contacts[peer] = c
 	}
 	if !c.known {
+		c.named = role
 		c.tries = contactTries
 		r.contactDue = 0
 	}
 }
 
-// Settled tells whether every address that was named has answered or was given
-// up.
+// Settled tells whether no agent is missing from the view: every address that was
+// named has answered or was given up. Of the balancers one that hears this process
+// is enough, since it introduces all members that it knows.
 func (r *Roster) Settled() bool {
+	awaited, introduced := false, false
 	for _, c := range r.contacts {
-		if !c.known {
+		switch {
+		case c.known:
+			introduced = introduced || (c.member.Role == Balancer && c.hearsUs)
+		case c.named == Balancer:
+			awaited = true
+		default:
 			return false
 		}
 	}
-	return true
+	return introduced || !awaited
 }
 
 // Stalls returns how often this process stood still.
@@ -183,16 +194,16 @@
 		return
 	}
 	for _, peer := range peers {
-		r.Add(peer)
+		r.Add(peer.address, peer.role)
 	}
 }
 
 // introduce tells a member that has just started of all others.
 func (r *Roster) introduce(peer passthrough.Endpoint) {
-	var peers []passthrough.Endpoint
+	var peers []introduced
 	for other, c := range r.contacts {
 		if other != peer && c.known && !c.silent {
-			peers = append(peers, other)
+			peers = append(peers, introduced{other, c.member.Role})
 		}
 	}
 	if len(peers) > 0 {
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -89,7 +89,7 @@
 	convey.Convey("Processes that know only one balancer find each other", t, func() {
 		w := newTown(3, 5)
 		for _, p := range w.peers[1:] {
-			p.roster.Add(addressOf(0))
+			p.roster.Add(addressOf(0), Balancer)
 		}
 		w.pass(time.Second)
 		for i := range w.peers {
@@ -107,8 +107,8 @@
 func TestDeadSeed(t *testing.T) {
 	convey.Convey("An address that never answers is given up, and then the view is settled", t, func() {
 		w := newTown(1, 1)
-		w.peers[1].roster.Add(addressOf(0))
-		w.peers[1].roster.Add(addressOf(77))
+		w.peers[1].roster.Add(addressOf(0), 0)
+		w.peers[1].roster.Add(addressOf(77), 0)
 		w.pass(time.Second)
 		convey.So(w.peers[1].roster.Settled(), convey.ShouldBeFalse)
 		w.pass(contactTries * contactInterval)
@@ -117,10 +117,42 @@
 	})
 }
 
+func TestSettledAgents(t *testing.T) {
+	convey.Convey("Given an agent that was told of two balancers and another agent", t, func() {
+		w := newTown(1, 2)
+		self := w.peers[1].roster
+		self.Add(addressOf(0), Balancer)
+		self.Add(addressOf(77), Balancer)
+		self.Add(addressOf(2), Agent)
+
+		convey.Convey("the view is settled without the balancer that is slow to start", func() {
+			w.pass(200 * time.Millisecond)
+			convey.So(self.Settled(), convey.ShouldBeTrue)
+		})
+		convey.Convey("it is not settled while no balancer has introduced the others", func() {
+			w.network.Attach(addressOf(0), nil)
+			w.pass(time.Second)
+			convey.So(self.Settled(), convey.ShouldBeFalse)
+			w.pass(contactTries * contactInterval)
+			convey.So(self.Settled(), convey.ShouldBeTrue)
+		})
+		convey.Convey("it is not settled while an agent has not answered", func() {
+			self.Add(addressOf(78), Agent)
+			w.pass(time.Second)
+			convey.So(self.Settled(), convey.ShouldBeFalse)
+		})
+		convey.Convey("it is not settled while an agent that the balancer introduced has not answered", func() {
+			w.peers[0].roster.Hello((&hello{Member: Member{Name: "late", Domain: "junin", Role: Agent, Peer: addressOf(79), Run: 1}, interval: time.Second}).encode(), w.now)
+			w.pass(200 * time.Millisecond)
+			convey.So(self.Settled(), convey.ShouldBeFalse)
+		})
+	})
+}
+
 func TestSilence(t *testing.T) {
 	convey.Convey("A silent agent is passed over after a second, counts as lost after two, and comes back", t, func() {
 		w := newTown(1, 1)
-		w.peers[0].roster.Add(addressOf(1))
+		w.peers[0].roster.Add(addressOf(1), 0)
 		w.pass(time.Second)
 		w.network.Drop = func([]byte, passthrough.Endpoint) bool { return true }
 		w.pass(time.Second)
@@ -135,7 +167,7 @@
 	})
 	convey.Convey("A member that nobody hears of is forgotten", t, func() {
 		w := newTown(1, 1)
-		w.peers[0].roster.Add(addressOf(1))
+		w.peers[0].roster.Add(addressOf(1), 0)
 		w.pass(time.Second)
 		w.network.Attach(addressOf(0), nil)
 		w.pass(forgetAfter + time.Second)
@@ -146,7 +178,7 @@
 func TestOneWay(t *testing.T) {
 	convey.Convey("An agent that does not hear a balancer is not reachable for it", t, func() {
 		w := newTown(1, 1)
-		w.peers[0].roster.Add(addressOf(1))
+		w.peers[0].roster.Add(addressOf(1), 0)
 		w.pass(time.Second)
 		w.network.Drop = func(_ []byte, to passthrough.Endpoint) bool { return to == addressOf(1) }
 		w.pass(freshIntervals*greetInterval + time.Second)
@@ -158,7 +190,7 @@
 func TestOwnStall(t *testing.T) {
 	convey.Convey("A process that stood still does not take the others for lost", t, func() {
 		w := newTown(1, 1)
-		w.peers[0].roster.Add(addressOf(1))
+		w.peers[0].roster.Add(addressOf(1), 0)
 		w.pass(time.Second)
 		w.now += 10 * time.Second
 		w.peers[0].roster.Tick(w.now)
@@ -171,13 +203,13 @@
 func TestRestart(t *testing.T) {
 	convey.Convey("A restarted process is known again at once, and heartbeats of its former run are ignored", t, func() {
 		w := newTown(1, 2)
-		w.peers[0].roster.Add(addressOf(1))
-		w.peers[0].roster.Add(addressOf(2))
+		w.peers[0].roster.Add(addressOf(1), 0)
+		w.peers[0].roster.Add(addressOf(2), 0)
 		w.pass(time.Second)
 		old := hello{Member: w.peers[1].self, interval: time.Second}
 		w.peers[1].self.Run = 2
 		w.start(1)
-		w.peers[1].roster.Add(addressOf(0))
+		w.peers[1].roster.Add(addressOf(0), 0)
 		w.pass(200 * time.Millisecond)
 		convey.So(w.status(0, 1).Run, convey.ShouldEqual, 2)
 		convey.So(w.status(1, 2).Reachable, convey.ShouldBeTrue)
@@ -189,7 +221,7 @@
 func TestNewerVersion(t *testing.T) {
 	convey.Convey("A heartbeat tells of a newer version", t, func() {
 		w := newTown(1, 1)
-		w.peers[0].roster.Add(addressOf(1))
+		w.peers[0].roster.Add(addressOf(1), 0)
 		w.pass(time.Second)
 		convey.So(w.peers[0].hints, convey.ShouldBeEmpty)
 		w.peers[1].self.Version = 9
@@ -218,7 +250,7 @@
 func FuzzDatagrams(f *testing.F) {
 	h := hello{Member: Member{Name: "a", Domain: "d", Role: Agent, Peer: 1, Run: 1}, interval: time.Second}
 	f.Add(h.encode())
-	f.Add(encodeIntroduction([]passthrough.Endpoint{1, 2}))
+	f.Add(encodeIntroduction([]introduced{{1, Balancer}, {2, Agent}}))
 	f.Fuzz(func(_ *testing.T, b []byte) {
 		if len(b) == 0 {
 			return
