Keep open flows in the store and reset them after a power loss

Cause: after power loss of everything nobody remembers a flow. Its caller finds out with its next request, which for an order is lost, since it must not be repeated on an open flow; a request under way waits for its copies, 0.2, 0.6 and 1.4 s later.

--- a/connection/gate/admit.go
+++ b/connection/gate/admit.go
@@ -122,6 +122,7 @@
 	}
 	g.server = server
 	g.bucket.rate = coldRate(g.version, server.Service)
+	g.settleRecalled(now)
 }
 
 // Server returns what the backend server last said of itself.
--- a/connection/gate/gate.go
+++ b/connection/gate/gate.go
@@ -72,21 +72,24 @@
 
 // Gate decides for one backend server. It is not safe for concurrent use.
 type Gate struct {
-	options  Options
-	version  *routes.Version
-	server   Server
-	bucket   bucket
-	flows    map[passthrough.Flow]*flow
-	open     int
-	work     workMeter
-	health   healthMeter
-	agents   []Agent
-	settled  bool
+	options Options
+	version *routes.Version
+	server  Server
+	bucket  bucket
+	flows   map[passthrough.Flow]*flow
+	open    int
+	work    workMeter
+	health  healthMeter
+	agents  []Agent
+	settled bool
+	// owners is the table of registrations; nil until it is needed after a change.
 	owners   *steering.Table
 	registry *passthrough.Generations[registration]
 	offers   *passthrough.Generations[offer]
 	searches *passthrough.Generations[*search]
 	pending  map[passthrough.Endpoint][]passthrough.Flow
+	// recalled is the checkpoint of a former run, until the fate of its flows is known.
+	recalled *passthrough.Checkpoint
 	young    []passthrough.Flow
 	segment  passthrough.Segment
 	counters Counters
@@ -122,7 +125,6 @@
 	return &Gate{
 		options:  options,
 		flows:    map[passthrough.Flow]*flow{},
-		owners:   steering.Build(nil),
 		registry: passthrough.NewGenerations[registration](options.FlowLifetime+registrySlack, maxRegistrations),
 		offers:   passthrough.NewGenerations[offer](offerPeriod, maxRegistrations),
 		searches: passthrough.NewGenerations[*search](searchPeriod, maxRegistrations),
--- a/connection/gate/observer.go
+++ b/connection/gate/observer.go
@@ -37,6 +37,8 @@
 	Searched(flow passthrough.Flow, asked int)
 	// Adopted reports a flow that the server turned out to hold.
 	Adopted(flow passthrough.Flow)
+	// Recalled reports flows of a checkpoint whose server has ended.
+	Recalled(flows int)
 	// Answered reports a request whose answer has begun.
 	Answered(flow passthrough.Flow, exchange Exchange)
 	// Unanswered reports a request whose flow ended first.
@@ -67,6 +69,9 @@
 // Adopted does nothing.
 func (Ignore) Adopted(passthrough.Flow) {}
 
+// Recalled does nothing.
+func (Ignore) Recalled(int) {}
+
 // Answered does nothing.
 func (Ignore) Answered(passthrough.Flow, Exchange) {}
 
--- a/connection/gate/registry.go
+++ b/connection/gate/registry.go
@@ -15,25 +15,24 @@
 	for _, agent := range g.agents {
 		runs[agent.Peer] = agent.Run
 	}
-	former := g.owners
+	registered := g.registered()
+	var former *steering.Table
+	if len(registered) > 0 {
+		former = g.ownerTable()
+	}
 	g.agents = agents
+	g.owners = nil
 	g.SetSettled(settled)
-	servers := make([]steering.Server, 0, len(agents))
+	if len(registered) == 0 {
+		return
+	}
 	renewed := map[passthrough.Endpoint]bool{}
 	for _, agent := range agents {
-		if agent.Silent {
-			continue
-		}
-		servers = append(servers, steering.Server{Name: agent.Name, Addr: agent.Peer.AddrPort(), Weight: steering.FullWeight})
-		renewed[agent.Peer] = runs[agent.Peer] != agent.Run
+		renewed[agent.Peer] = !agent.Silent && runs[agent.Peer] != agent.Run
 	}
-	g.owners = steering.Build(servers)
-	for key, f := range g.flows {
-		if !f.registered || f.phase != phaseOpen {
-			continue
-		}
+	for _, key := range registered {
 		a, b := owners(former, key)
-		c, d := owners(g.owners, key)
+		c, d := owners(g.ownerTable(), key)
 		if (c != a && c != b) || renewed[c] {
 			g.enqueue(c, key)
 		}
@@ -43,9 +42,30 @@
 	}
 }
 
-// ownersOf returns the two agents that keep the registration of a flow.
-func (g *Gate) ownersOf(key passthrough.Flow) (first, second passthrough.Endpoint) {
-	return owners(g.owners, key)
+// registered returns the open flows that owners know.
+func (g *Gate) registered() []passthrough.Flow {
+	var keys []passthrough.Flow
+	for key, f := range g.flows {
+		if f.registered && f.phase == phaseOpen {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
+// ownerTable returns the table of the agents that keep registrations. It is built
+// when it is first needed: after a restart of everything members join one by one.
+func (g *Gate) ownerTable() *steering.Table {
+	if g.owners == nil {
+		servers := make([]steering.Server, 0, len(g.agents))
+		for _, agent := range g.agents {
+			if !agent.Silent {
+				servers = append(servers, steering.Server{Name: agent.Name, Addr: agent.Peer.AddrPort(), Weight: steering.FullWeight})
+			}
+		}
+		g.owners = steering.Build(servers)
+	}
+	return g.owners
 }
 
 // owners returns two different agents for a flow where there are two.
@@ -121,7 +141,7 @@
 			continue
 		}
 		f.registered = true
-		first, second := g.ownersOf(key)
+		first, second := owners(g.ownerTable(), key)
 		g.enqueue(first, key)
 		if second != first {
 			g.enqueue(second, key)
--- a/connection/steer/steer.go
+++ b/connection/steer/steer.go
@@ -129,6 +129,7 @@
 	servers  []*entry
 	byAgent  map[passthrough.Endpoint]*entry
 	services map[string][]*entry
+	// owners is the table of registrations; nil until it is needed after a change.
 	owners   *steering.Table
 	holders  *passthrough.Generations[holding]
 	lookups  *passthrough.Generations[uint8]
@@ -160,7 +161,6 @@
 	return &Steer{
 		options: options,
 		byAgent: map[passthrough.Endpoint]*entry{},
-		owners:  steering.Build(nil),
 		holders: passthrough.NewGenerations[holding](holderPeriod, maxHolders),
 		lookups: passthrough.NewGenerations[uint8](lookupPeriod, maxHolders),
 	}
@@ -175,7 +175,6 @@
 	s.byAgent = make(map[passthrough.Endpoint]*entry, len(servers))
 	s.services = map[string][]*entry{}
 	s.servers = s.servers[:0]
-	owners := make([]steering.Server, 0, len(servers))
 	for i := range servers {
 		e := &entry{Server: servers[i]}
 		if before := former[e.Agent]; before != nil && before.Flows == e.Flows && before.Work == e.Work {
@@ -187,11 +186,23 @@
 		s.byAgent[e.Agent] = e
 		s.servers = append(s.servers, e)
 		s.services[e.Service] = append(s.services[e.Service], e)
-		if !e.Silent {
-			owners = append(owners, steering.Server{Name: e.Name, Addr: e.Agent.AddrPort(), Weight: steering.FullWeight})
+	}
+	s.owners = nil
+}
+
+// ownerTable returns the table of the agents that keep registrations. It is built
+// when it is first needed: after a restart of everything members join one by one.
+func (s *Steer) ownerTable() *steering.Table {
+	if s.owners == nil {
+		owners := make([]steering.Server, 0, len(s.servers))
+		for _, e := range s.servers {
+			if !e.Silent {
+				owners = append(owners, steering.Server{Name: e.Name, Addr: e.Agent.AddrPort(), Weight: steering.FullWeight})
+			}
 		}
+		s.owners = steering.Build(owners)
 	}
-	s.owners = steering.Build(owners)
+	return s.owners
 }
 
 // Report takes over what an agent says of its server since SetServers.
--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -21,11 +21,12 @@
 // Agent carries the packets of the backend server beside it.
 type Agent struct {
 	*node
-	outbound *datagram.Conn
-	gate     *gate.Gate
-	backend  *backend
-	swept    time.Duration
-	failing  bool
+	outbound    *datagram.Conn
+	gate        *gate.Gate
+	backend     *backend
+	checkpoints *checkpoints
+	swept       time.Duration
+	failing     bool
 }
 
 // NewAgent opens the addresses of an agent. Nothing runs before Run.
@@ -50,6 +51,7 @@
 		FlowLifetime: time.Duration(s.Passthrough.FlowLifetime),
 	})
 	a.backend = newBackend(a)
+	a.checkpoints = newCheckpoints(a)
 	n.orders = newOrders(n, a.setVersion)
 	n.roster = roster.New(roster.Options{
 		Self:        a.self,
@@ -93,6 +95,7 @@
 		func(ctx context.Context) error { return a.tick(ctx, a.advance) },
 		a.backend.watch,
 		a.backend.greet,
+		a.checkpoints.keep,
 		a.orders.watch,
 		a.orders.follow,
 		a.orders.poll,
@@ -144,6 +147,34 @@
 // settled tells whether no agent is missing from the view; it runs with mu held.
 func (a *Agent) settled() bool { return a.directory.complete.Load() && a.roster.Settled() }
 
+// checkpoint returns the open flows of the backend server.
+func (a *Agent) checkpoint() passthrough.Checkpoint {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.gate.Checkpoint()
+}
+
+// agents returns the number of other agents that this one knows.
+func (a *Agent) agents() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	agents := 0
+	for _, status := range a.roster.Members() {
+		if status.Role == roster.Agent {
+			agents++
+		}
+	}
+	return agents
+}
+
+// recall hands the checkpoint of a former run to the gate.
+func (a *Agent) recall(checkpoint passthrough.Checkpoint) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.gate.Recall(checkpoint, a.clock.now())
+	a.sender.flush()
+}
+
 // advance does what is due at a tick; it runs with mu held.
 func (a *Agent) advance(now time.Duration) {
 	a.gate.SetSettled(a.settled())
--- a/process/passthrough/directory.go
+++ b/process/passthrough/directory.go
@@ -39,8 +39,9 @@
 	add    func(passthrough.Endpoint, roster.Role)
 
 	// least is the shortest lease that the store grants.
-	least   time.Duration
-	lease   uint64
+	least time.Duration
+	// lease is the lease of the own entry, 0 for none.
+	lease   atomic.Uint64
 	granted time.Duration
 	// written is closed when the own entry has been written for the first time.
 	written chan struct{}
@@ -95,8 +96,8 @@
 			pause.reset()
 			sleep(ctx, d.granted/renewShare)
 		case errkind.Is(err, errkind.NotFound):
-			d.logger.Info("lease of the directory entry has ended; writing the entry anew", zap.Uint64("lease", d.lease))
-			d.lease = 0
+			d.logger.Info("lease of the directory entry has ended; writing the entry anew", zap.Uint64("lease", d.lease.Load()))
+			d.lease.Store(0)
 		default:
 			if !lost && ctx.Err() == nil {
 				d.logger.Warn("store does not answer; the directory entry may lapse", zap.Error(err))
@@ -110,8 +111,8 @@
 
 // renew prolongs the lease, or writes the entry under a new one.
 func (d *directory) renew(ctx context.Context) error {
-	if d.lease != 0 {
-		return d.store.Renew(ctx, d.lease)
+	if held := d.lease.Load(); held != 0 {
+		return d.store.Renew(ctx, held)
 	}
 	lease, granted, err := d.store.Grant(ctx, max(entryLifetime, d.least))
 	if err != nil {
@@ -120,7 +121,8 @@
 	if err := d.store.Put(ctx, d.key, []byte(d.peer.String()), lease); err != nil {
 		return err
 	}
-	d.lease, d.granted = lease, granted
+	d.granted = granted
+	d.lease.Store(lease)
 	select {
 	case <-d.written:
 	default:
@@ -164,10 +166,11 @@
 
 // end removes the own entry.
 func (d *directory) end(ctx context.Context) {
-	if d.lease == 0 {
+	lease := d.lease.Load()
+	if lease == 0 {
 		return
 	}
-	if err := d.store.End(ctx, d.lease); err != nil {
+	if err := d.store.End(ctx, lease); err != nil {
 		d.logger.Info("directory entry stays until its lease ends", zap.Error(err))
 	}
 }
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -185,6 +185,7 @@
 			each(b, now)
 		}
 	}
+	n.roster.Apply()
 	n.sender.flush()
 }
 
--- a/process/passthrough/observe.go
+++ b/process/passthrough/observe.go
@@ -99,6 +99,13 @@
 // Adopted logs a flow that the server turned out to hold.
 func (o *agentObserver) Adopted(flow passthrough.Flow) { o.log("flow adopted", flow) }
 
+// Recalled logs that the server of a checkpoint's flows has ended.
+func (o *agentObserver) Recalled(flows int) {
+	server := o.agent.gate.Server()
+	o.agent.logger.Info("server of the checkpoint has ended", zap.Int("flows", flows), zap.Stringer("server_state", server.State),
+		zap.Uint32("incarnation", server.Incarnation))
+}
+
 // Answered logs and measures a request whose answer has begun.
 func (o *agentObserver) Answered(flow passthrough.Flow, e gate.Exchange) {
 	o.answer.Record(e.Wait)
--- a/process/passthrough/orders_test.go
+++ b/process/passthrough/orders_test.go
@@ -28,6 +28,7 @@
 	lists    int
 	compares int
 	deaf     bool
+	down     bool
 	wake     chan struct{}
 }
 
@@ -57,9 +58,33 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lists++
+	if f.down {
+		return nil, 0, errkind.New(errkind.StoreUnavailable, "down")
+	}
 	return f.items, f.revision, nil
 }
 
+// Put implements Store; it fails while the store is down.
+func (f *fakeStore) Put(_ context.Context, key string, value []byte, _ uint64) error {
+	if f.isDown() {
+		return errkind.New(errkind.OutcomeUnknown, "down")
+	}
+	f.write(key, string(value))
+	return nil
+}
+
+func (f *fakeStore) isDown() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.down
+}
+
+func (f *fakeStore) setDown(down bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.down = down
+}
+
 func (f *fakeStore) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) ([]Item, uint64, error) {
 	for {
 		f.mu.Lock()
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -54,8 +54,8 @@
 	// OnReport is called for each heartbeat of an agent that is reachable before
 	// and after it.
 	OnReport func(Status)
-	// OnChange is called when members came, went, restarted or became reachable or
-	// unreachable.
+	// OnChange is called by Tick and Apply when members came, went, restarted or
+	// became reachable or unreachable since the last time.
 	OnChange func()
 	// OnMember is called for each such change with the word for it; nil for none.
 	OnMember func(member Member, change string, silence time.Duration)
@@ -81,6 +81,7 @@
 	greetDue   time.Duration
 	contactDue time.Duration
 	ticked     time.Duration
+	changed    bool
 	malformed  uint64
 	stalls     uint64
 }
@@ -180,7 +181,7 @@
 		r.introduce(h.Peer)
 	}
 	if r.judge(c, now) || changed {
-		r.options.OnChange()
+		r.changed = true
 	} else if h.Role == Agent && r.options.OnReport != nil {
 		r.options.OnReport(c.status())
 	}
@@ -221,17 +222,23 @@
 func (r *Roster) Tick(now time.Duration) {
 	r.excuseStall(now)
 	r.greetAll(now)
-	changed := false
 	for peer, c := range r.contacts {
 		if r.judge(c, now) {
-			changed = true
+			r.changed = true
 		}
 		if r.forgettable(c, now) {
 			delete(r.contacts, peer)
-			changed = changed || c.known
+			r.changed = r.changed || c.known
 		}
 	}
-	if changed {
+	r.Apply()
+}
+
+// Apply calls OnChange when members have changed. It is for the end of a batch of
+// datagrams: after a restart many heartbeats of new members come together.
+func (r *Roster) Apply() {
+	if r.changed {
+		r.changed = false
 		r.options.OnChange()
 	}
 }
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -61,6 +61,7 @@
 			return
 		}
 		p.roster.Hello(b, w.now)
+		p.roster.Apply()
 	})
 }
 
@@ -218,6 +219,21 @@
 	})
 }
 
+func TestChangesOfABatch(t *testing.T) {
+	convey.Convey("Members that join in one batch of datagrams change the view once", t, func() {
+		w := newTown(1, 0)
+		for i := 1; i <= 20; i++ {
+			h := hello{Member: Member{Name: "new", Role: Agent, Peer: addressOf(i), Run: 1}, interval: time.Second, heard: true}
+			w.peers[0].roster.Hello(h.encode(), w.now)
+		}
+		w.peers[0].roster.Apply()
+		convey.So(w.peers[0].changes, convey.ShouldEqual, 1)
+		convey.So(w.peers[0].roster.Members(), convey.ShouldHaveLength, 20)
+		w.peers[0].roster.Apply()
+		convey.So(w.peers[0].changes, convey.ShouldEqual, 1)
+	})
+}
+
 func TestNewerVersion(t *testing.T) {
 	convey.Convey("A heartbeat tells of a newer version", t, func() {
 		w := newTown(1, 1)
