Let one agent write the checkpoints of a group in one call

One call takes 32 entries: the first agent of up to 32 in a failure domain asks the others for their flows and writes all. Leaving agents are now last in their group, a stopping one deletes its directory entry instead of ending the lease, and an agent for which nobody has written for three rounds writes itself. Addresses of agents that ended without the store held back the settled view for 3 s; they are given up after 2 s, a little more than an agent may be silent.

--- a/connection/gate/checkpoint.go
+++ b/connection/gate/checkpoint.go
@@ -8,9 +8,9 @@
 	"bergamotbank/errkind"
 )
 
-// maxCheckpointFlows bounds a checkpoint to half of what the store takes as one
-// value of 1 MB in its text form.
-const maxCheckpointFlows = 24 << 10
+// maxCheckpointFlows bounds a checkpoint to 64 KB, so that those of 32 servers fit
+// into one call; servers hold about 2,000 connections.
+const maxCheckpointFlows = 4 << 10
 
 // Checkpoint returns the open flows that are old enough to be registered.
 func (g *Gate) Checkpoint() passthrough.Checkpoint {
--- a/process/passthrough/adapter.go
+++ b/process/passthrough/adapter.go
@@ -23,8 +23,9 @@
 	Deleted bool
 }
 
-// MaxConditions is the number of entries that one call to the store may compare.
-const MaxConditions = 32
+// MaxEntries is the number of entries that one call to the store may compare or
+// write.
+const MaxEntries = 32
 
 // Store is the platform's key-value service. The errors have kind NotFound for a
 // lease that has ended, Conflict for history that is no longer kept,
@@ -36,16 +37,17 @@
 	// Watch waits until entries below a prefix change after a revision.
 	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (events []Item, revision uint64, err error)
 	// Unchanged tells whether every entry still has its revision; 0 means that it
-	// does not exist. At most MaxConditions entries can be asked for.
+	// does not exist. At most MaxEntries entries can be asked for.
 	Unchanged(ctx context.Context, entries []Item) (bool, error)
 	// Grant asks for a lease.
 	Grant(ctx context.Context, ttl time.Duration) (lease uint64, granted time.Duration, err error)
 	// Renew prolongs a lease.
 	Renew(ctx context.Context, lease uint64) error
-	// End gives a lease back; its entries are removed.
-	End(ctx context.Context, lease uint64) error
-	// Put writes an entry that lives as long as the lease.
-	Put(ctx context.Context, key string, value []byte, lease uint64) error
+	// Put writes all of the entries or none, at most MaxEntries. They live as long as
+	// the lease.
+	Put(ctx context.Context, entries []Item, lease uint64) error
+	// Delete removes an entry.
+	Delete(ctx context.Context, key string) error
 }
 
 // BackendState is the state that a backend server reports.
--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -104,7 +104,7 @@
 		a.followSettings,
 		a.serve(a.settings.Passthrough.Readiness, a.adapter.Readiness(func() bool { return true })),
 		a.serve(a.settings.Control, a.adapter.Reports(a.backend)),
-		a.serve(a.settings.Passthrough.Peer, a.peerHandler()),
+		a.serve(a.settings.Passthrough.Peer, a.peerHandler(a.checkpoints)),
 		a.serve(a.settings.Passthrough.Metrics, metricsHandler()),
 	)
 }
@@ -154,17 +154,29 @@
 	return a.gate.Checkpoint()
 }
 
-// agents returns the number of other agents that this one knows.
-func (a *Agent) agents() int {
+// group returns the group of this agent among those of its failure domain that it
+// reaches, and the number of such groups in the deployment.
+func (a *Agent) group() (members []checkpointSource, groups int) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	agents := 0
+	near := []checkpointSource{sourceOf(a.self())}
+	agents := 1
 	for _, status := range a.roster.Members() {
-		if status.Role == roster.Agent {
-			agents++
+		if status.Role != roster.Agent {
+			continue
+		}
+		agents++
+		if status.Domain == a.settings.Domain && status.Reachable {
+			near = append(near, sourceOf(status.Member))
 		}
 	}
-	return agents
+	groups = (agents + MaxEntries - 1) / MaxEntries
+	return groupOf(near, a.settings.Name), groups
+}
+
+func sourceOf(m roster.Member) checkpointSource {
+	leaving := m.Report.State == steer.Draining || m.Report.State == steer.Down
+	return checkpointSource{name: m.Name, peer: m.Peer, leaving: leaving}
 }
 
 // recall hands the checkpoint of a former run to the gate.
--- a/process/passthrough/balancer.go
+++ b/process/passthrough/balancer.go
@@ -76,7 +76,7 @@
 		b.directory.read,
 		b.followSettings,
 		b.serve(b.settings.Passthrough.Readiness, b.adapter.Readiness(b.ready)),
-		b.serve(b.settings.Passthrough.Peer, b.peerHandler()),
+		b.serve(b.settings.Passthrough.Peer, b.peerHandler(nil)),
 		b.serve(b.settings.Passthrough.Metrics, metricsHandler()),
 	)
 }
--- a/process/passthrough/checkpoint.go
+++ b/process/passthrough/checkpoint.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net/http"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -10,48 +13,65 @@
 )
 
 const (
-	// checkpointPrefix is where agents keep the open flows of their servers.
+	// checkpointPrefix is where the open flows of backend servers are kept, each
+	// below the name of its agent.
 	checkpointPrefix = "bergamotbank/flows/"
 	// checkpointInterval is the shortest pause between two writes: the mean long
 	// flow lives several times as long, and each write is a priced call.
 	checkpointInterval = 2 * time.Second
-	// checkpointSpacing lengthens the pause with the number of agents, so that all
-	// together write at most 50 times a second, an eighth of what a small store takes.
+	// checkpointSpacing lengthens the pause with the number of groups of agents, so
+	// that all together write at most 50 times a second, an eighth of what a small
+	// store takes.
 	checkpointSpacing = 20 * time.Millisecond
+	// coveredRounds is the number of rounds after which an agent for which nobody has
+	// written writes itself.
+	coveredRounds = 3
 	// checkpointDrift is how far the acknowledgement number of a written flow may
 	// lag behind, in bytes: callers accept a reset within twice as much.
 	checkpointDrift = 32 << 10
 )
 
-// checkpoints keeps the open flows of the backend server in the store. After a
-// power loss of everything nothing else remembers them, and each caller would lose
-// the next request on its flow.
+// checkpoints keeps the open flows of backend servers in the store. After a power
+// loss of everything nothing else remembers them, and each caller would lose the
+// next request on its flow. One agent writes for a group, since calls are priced.
 type checkpoints struct {
 	store  Store
 	logger *zap.Logger
-	key    string
-	// lease returns the lease under which a checkpoint is written, 0 for none yet.
+	name   string
+	client http.Client
+	// lease returns the lease under which checkpoints are written, 0 for none yet.
 	lease func() uint64
-	// agents returns the number of agents that write to the same store.
-	agents func() int
-	// take returns the open flows, recall hands those of a former run over.
+	// group returns the agents of the own group, the one that writes for all first,
+	// and the number of groups that write to the same store.
+	group func() (members []checkpointSource, groups int)
+	// take returns the own open flows, recall hands those of a former run over.
 	take   func() passthrough.Checkpoint
 	recall func(passthrough.Checkpoint)
 
-	// written are the flows of the last checkpoint with their acknowledgements.
-	written map[passthrough.Flow]uint32
+	// written are the last checkpoints by the names of their agents.
+	written map[string]writtenFlows
 	failing bool
+	// covered is when another agent last said that it wrote for this one, in
+	// nanoseconds of clock.
+	covered atomic.Int64
+	clock   clock
 }
 
+// writtenFlows are the flows of a checkpoint with their acknowledgement numbers.
+type writtenFlows map[passthrough.Flow]uint32
+
 func newCheckpoints(a *Agent) *checkpoints {
 	return &checkpoints{
-		store:  a.store,
-		logger: a.logger,
-		key:    checkpointPrefix + a.settings.Name,
-		lease:  a.directory.lease.Load,
-		agents: a.agents,
-		take:   a.checkpoint,
-		recall: a.recall,
+		store:   a.store,
+		logger:  a.logger,
+		name:    a.settings.Name,
+		client:  http.Client{Timeout: pullTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		lease:   a.directory.lease.Load,
+		group:   a.group,
+		take:    a.checkpoint,
+		recall:  a.recall,
+		written: map[string]writtenFlows{},
+		clock:   a.clock,
 	}
 }
 
@@ -67,12 +87,33 @@
 		c.report(err)
 		pause.wait(ctx)
 	}
-	for sleep(ctx, c.interval()) {
-		c.report(c.write(ctx))
+	members, groups := c.group()
+	for sleep(ctx, checkpointPause(groups)) {
+		members, groups = c.group()
+		c.report(c.write(ctx, c.gather(ctx, c.mine(members, checkpointPause(groups)))))
+	}
+	return nil
+}
+
+// mine returns the members of the group that this agent writes for: all when it is
+// the first one, itself when nobody has written for it for several rounds, as when
+// the first one does not reach the store.
+func (c *checkpoints) mine(members []checkpointSource, pause time.Duration) []checkpointSource {
+	own := slices.IndexFunc(members, func(m checkpointSource) bool { return m.name == c.name })
+	if own == 0 {
+		return members
+	}
+	if c.clock.now()-time.Duration(c.covered.Load()) > coveredRounds*pause {
+		return members[own : own+1]
 	}
 	return nil
 }
 
+// checkpointPause returns the pause between two writes of a group.
+func checkpointPause(groups int) time.Duration {
+	return max(checkpointInterval, time.Duration(groups)*checkpointSpacing)
+}
+
 // report logs when checkpoints fail and when they work again.
 func (c *checkpoints) report(err error) {
 	switch {
@@ -86,12 +127,13 @@
 
 // read looks for the checkpoint of a former run.
 func (c *checkpoints) read(ctx context.Context) error {
-	items, _, err := c.store.List(ctx, c.key, false)
+	key := checkpointPrefix + c.name
+	items, _, err := c.store.List(ctx, key, false)
 	if err != nil {
 		return err
 	}
 	for _, item := range items {
-		if item.Key != c.key {
+		if item.Key != key {
 			continue
 		}
 		checkpoint, err := passthrough.ParseCheckpoint(item.Value)
@@ -104,34 +146,56 @@
 	return nil
 }
 
-// interval returns the pause between two checkpoints.
-func (c *checkpoints) interval() time.Duration {
-	return max(checkpointInterval, time.Duration(c.agents())*checkpointSpacing)
-}
-
-// write stores the open flows unless the last checkpoint still covers them. It
-// lives as long as the directory entry.
-func (c *checkpoints) write(ctx context.Context) error {
-	lease, checkpoint := c.lease(), c.take()
-	if lease == 0 || c.covered(checkpoint) {
+// write stores the checkpoints that the last ones do not cover. They live as long
+// as the directory entry of this agent.
+func (c *checkpoints) write(ctx context.Context, gathered map[string]passthrough.Checkpoint) error {
+	lease := c.lease()
+	if lease == 0 {
 		return nil
 	}
-	if err := c.store.Put(ctx, c.key, checkpoint.Encode(), lease); err != nil {
-		c.written = nil
+	c.forget(gathered)
+	var entries []Item
+	for name, checkpoint := range gathered {
+		if !c.written[name].cover(checkpoint) {
+			entries = append(entries, Item{Key: checkpointPrefix + name, Value: checkpoint.Encode()})
+		}
+	}
+	if len(entries) == 0 {
+		return nil
+	}
+	if err := c.store.Put(ctx, entries, lease); err != nil {
+		clear(c.written)
 		return err
 	}
-	c.written = make(map[passthrough.Flow]uint32, len(checkpoint.Flows))
-	for _, f := range checkpoint.Flows {
-		c.written[f.Flow] = f.Ack
+	for name, checkpoint := range gathered {
+		c.written[name] = flowsOf(checkpoint)
 	}
 	return nil
 }
 
-// covered tells whether the last checkpoint names every open flow with an
+// forget drops what was written for agents that another one writes for by now, or
+// that did not answer.
+func (c *checkpoints) forget(gathered map[string]passthrough.Checkpoint) {
+	for name := range c.written {
+		if _, ok := gathered[name]; !ok {
+			delete(c.written, name)
+		}
+	}
+}
+
+func flowsOf(checkpoint passthrough.Checkpoint) writtenFlows {
+	flows := make(writtenFlows, len(checkpoint.Flows))
+	for _, f := range checkpoint.Flows {
+		flows[f.Flow] = f.Ack
+	}
+	return flows
+}
+
+// cover tells whether every flow of a checkpoint is among the written ones with an
 // acknowledgement number that is recent enough.
-func (c *checkpoints) covered(checkpoint passthrough.Checkpoint) bool {
+func (w writtenFlows) cover(checkpoint passthrough.Checkpoint) bool {
 	for _, f := range checkpoint.Flows {
-		if ack, ok := c.written[f.Flow]; !ok || f.Ack-ack > checkpointDrift {
+		if ack, ok := w[f.Flow]; !ok || f.Ack-ack > checkpointDrift {
 			return false
 		}
 	}
--- a/process/passthrough/directory.go
+++ b/process/passthrough/directory.go
@@ -118,7 +118,7 @@
 	if err != nil {
 		return err
 	}
-	if err := d.store.Put(ctx, d.key, []byte(d.peer.String()), lease); err != nil {
+	if err := d.store.Put(ctx, []Item{{Key: d.key, Value: []byte(d.peer.String())}}, lease); err != nil {
 		return err
 	}
 	d.granted = granted
@@ -164,13 +164,13 @@
 	d.add(passthrough.EndpointOf(addr), roleOf(item.Key))
 }
 
-// end removes the own entry.
+// end removes the own entry. The lease runs out by itself: checkpoints that this
+// process wrote for others outlive it until another one writes them.
 func (d *directory) end(ctx context.Context) {
-	lease := d.lease.Load()
-	if lease == 0 {
+	if d.lease.Load() == 0 {
 		return
 	}
-	if err := d.store.End(ctx, lease); err != nil {
+	if err := d.store.Delete(ctx, d.key); err != nil {
 		d.logger.Info("directory entry stays until its lease ends", zap.Error(err))
 	}
 }
--- a/process/passthrough/measured.go
+++ b/process/passthrough/measured.go
@@ -95,18 +95,18 @@
 	return err
 }
 
-// End implements Store.
-func (m *measuredStore) End(ctx context.Context, lease uint64) error {
+// Delete implements Store.
+func (m *measuredStore) Delete(ctx context.Context, key string) error {
 	started := time.Now()
-	err := m.store.End(ctx, lease)
-	m.measure("end", started, err)
+	err := m.store.Delete(ctx, key)
+	m.measure("delete", started, err)
 	return err
 }
 
 // Put implements Store.
-func (m *measuredStore) Put(ctx context.Context, key string, value []byte, lease uint64) error {
+func (m *measuredStore) Put(ctx context.Context, entries []Item, lease uint64) error {
 	started := time.Now()
-	err := m.store.Put(ctx, key, value, lease)
+	err := m.store.Put(ctx, entries, lease)
 	m.measure("put", started, err)
 	return err
 }
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -225,10 +225,14 @@
 	}
 }
 
-// peerHandler serves other processes and operators.
-func (n *node) peerHandler() http.Handler {
+// peerHandler serves other processes and operators. flows gives the open flows of an
+// agent; nil for none.
+func (n *node) peerHandler(flows http.Handler) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET "+OrdersPath, n.orders)
+	if flows != nil {
+		mux.Handle("GET "+FlowsPath, flows)
+	}
 	return mux
 }
 
--- a/process/passthrough/orders_test.go
+++ b/process/passthrough/orders_test.go
@@ -26,6 +26,7 @@
 	items    []Item
 	revision uint64
 	lists    int
+	puts     int
 	compares int
 	deaf     bool
 	down     bool
@@ -65,11 +66,14 @@
 }
 
 // Put implements Store; it fails while the store is down.
-func (f *fakeStore) Put(_ context.Context, key string, value []byte, _ uint64) error {
+func (f *fakeStore) Put(_ context.Context, entries []Item, _ uint64) error {
 	if f.isDown() {
 		return errkind.New(errkind.OutcomeUnknown, "down")
 	}
-	f.write(key, string(value))
+	f.puts++
+	for _, entry := range entries {
+		f.write(entry.Key, string(entry.Value))
+	}
 	return nil
 }
 
--- a/process/passthrough/poll.go
+++ b/process/passthrough/poll.go
@@ -81,7 +81,7 @@
 // too many to compare, or none, it does not.
 func (o *orders) unchanged(ctx context.Context) (bool, error) {
 	entries := o.expected()
-	if len(entries) == 0 || len(entries) > MaxConditions {
+	if len(entries) == 0 || len(entries) > MaxEntries {
 		return false, nil
 	}
 	return o.adapter.Store.Unchanged(ctx, entries)
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -32,7 +32,7 @@
 	// contactInterval is the interval of heartbeats to an address that never
 	// answered, contactTries the number of them.
 	contactInterval = 500 * time.Millisecond
-	contactTries    = 6
+	contactTries    = 4
 	// forgetAfter removes members that nobody has heard of.
 	forgetAfter = 30 * time.Second
 	// stallThreshold is the gap between two ticks that shows that this process
