Accept a backend server whose clock was set back before its start

Cause: a heartbeat of another server was outdated when its start lay before the last one's. The start is a time of day, which may jump by seconds: a server started after a step back was never accepted, though its heartbeats were confirmed. Now former servers are remembered, and the start decides only while the last server is heard. The uncertainty in telling a server from before the agent's start grows from 2 s to 10 s for the same reason.

--- a/process/passthrough/backend.go
+++ b/process/passthrough/backend.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -24,8 +25,12 @@
 	// checkTimeout bounds a check; the server is on the same VM.
 	checkTimeout = 400 * time.Millisecond
 	// olderSlack is the uncertainty of comparing the start of the server with that
-	// of the agent by the time of day.
-	olderSlack = 2 * time.Second
+	// of the agent by the time of day, which may jump by seconds. A server that is
+	// wrongly taken for older costs some packets that it returns.
+	olderSlack = 10 * time.Second
+	// formerServers is the number of former servers whose late heartbeats are told
+	// from those of the next one.
+	formerServers = 8
 )
 
 // backend follows the backend server beside the agent by its heartbeats, and by a
@@ -36,6 +41,8 @@
 	// started is the time of day of the agent's start.
 	started time.Time
 	last    BackendReport
+	// former are the incarnations of servers before the last one.
+	former  []uint32
 	heard   time.Duration
 	leaving bool
 	stopped bool
@@ -92,6 +99,8 @@
 	}
 	if server.Incarnation != before.Incarnation {
 		b.leaving = false
+		b.former = append(b.former, before.Incarnation)
+		b.former = b.former[max(0, len(b.former)-formerServers):]
 	}
 	if report.State == BackendDraining || b.leaving {
 		server.State = steer.Draining
@@ -119,12 +128,31 @@
 	a.sender.flush()
 }
 
-// outdated tells whether a heartbeat is older than the last one.
+// outdated tells whether a heartbeat is older than the last one; it runs with the
+// agent's lock held. The start of a server is a time of day, which may have been set
+// back: it decides only while the last server is heard.
 func (b *backend) outdated(report BackendReport) bool {
-	if report.Born.Before(b.last.Born) {
+	if report.ID == b.last.ID && report.Born.Equal(b.last.Born) {
+		return report.Sequence <= b.last.Sequence
+	}
+	if slices.Contains(b.former, incarnation(report)) {
 		return true
 	}
-	return report.ID == b.last.ID && report.Born.Equal(b.last.Born) && report.Sequence <= b.last.Sequence
+	return report.Born.Before(b.last.Born) && !b.ended()
+}
+
+// ended tells whether the last server is down or should have been heard; it runs
+// with the agent's lock held.
+func (b *backend) ended() bool {
+	return b.agent.gate.Server().State == steer.Down || b.silence() > b.patience()
+}
+
+// silence returns the time since the last heartbeat.
+func (b *backend) silence() time.Duration { return b.agent.clock.now() - b.heard }
+
+// patience returns the silence from which a server should have been heard.
+func (b *backend) patience() time.Duration {
+	return time.Duration(suspectAfter * float64(b.agent.heartbeat))
 }
 
 // incarnation identifies one start of a server; it is never 0.
@@ -235,8 +263,7 @@
 	if server.State == steer.Unknown || server.State == steer.Down {
 		return false
 	}
-	limit := time.Duration(suspectAfter * float64(b.agent.heartbeat))
-	return b.leaving || b.agent.clock.now()-b.heard > limit
+	return b.leaving || b.silence() > b.patience()
 }
 
 // check opens a connection to the server. Only a refusal shows that the server
