Soak: packets lost, late and twice, revoked leases, wrong clocks, cold and shedding servers, a steady fabric

Callers repeat as the platform's callers do: a safe request after any failure, an unsafe one only when it has not run. The demo crashes servers, too. Schedules that failed once draw from the kinds of trouble of their time, so they stay as they were.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -31,6 +31,8 @@
 	heartbeat     = 500 * time.Millisecond
 	startTimeout  = 10 * time.Second
 	evacuateBound = 5 * time.Second
+	// coldTime is how long a server is slow after its start.
+	coldTime = time.Second
 	// serveAfterDrain is how long a server goes on after its drain is confirmed.
 	serveAfterDrain = 3500 * time.Millisecond
 )
@@ -70,6 +72,8 @@
 	mu     sync.Mutex
 	server *standin.Server
 	starts int
+	// clockError is how far the clock of the next server is wrong.
+	clockError time.Duration
 	// draining tells that the former server is still leaving.
 	draining bool
 }
@@ -227,7 +231,7 @@
 	server, err := standin.StartServer(standin.ServerOptions{
 		ID: fmt.Sprintf("%s-%s-%d", v.service, v.ip, v.starts), Service: v.service, Zone: v.zone,
 		App: at(v.ip, backendPort), Outbound: at(v.ip, outboundPort), Control: at(v.ip, controlPort),
-		Slots: 4, Work: 5 * time.Millisecond, Beat: heartbeat, Judge: d.judge,
+		Slots: 4, Queue: 8, Work: 5 * time.Millisecond, Cold: coldTime, ClockError: v.clockError, Beat: heartbeat, Judge: d.judge,
 		Routes: func() map[passthrough.Endpoint]bool { return d.routesOf(v.service) },
 		Barred: d.barred,
 	})
@@ -237,6 +241,12 @@
 	return err
 }
 
+func (v *vm) setClockError(d time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.clockError = d
+}
+
 func (v *vm) crash() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
--- a/soak/load.go
+++ b/soak/load.go
@@ -69,23 +69,30 @@
 			pause(ctx, requestPause)
 			continue
 		}
-		l.useFlow(ctx, f, random, fmt.Sprintf("o%d.%d", i, n))
+		l.useFlow(ctx, c, f, random, fmt.Sprintf("o%d.%d", i, n))
 		f.Close()
 	}
 }
 
 // useFlow sends requests on a flow until it ends.
-func (l *load) useFlow(ctx context.Context, f *standin.Flow, random *rand.Rand, prefix string) {
+func (l *load) useFlow(ctx context.Context, c *standin.Caller, f *standin.Flow, random *rand.Rand, prefix string) {
 	end := time.Now().Add(time.Duration(random.ExpFloat64() * float64(flowLife)))
 	for n := 0; ctx.Err() == nil && time.Now().Before(end); n++ {
 		unsafe := random.IntN(3) == 0
-		outcome := f.Request(fmt.Sprintf("%s.%d", prefix, n), orderSize, unsafe, requestLimit)
-		l.d.judge.Ended(outcome == standin.Served)
-		if outcome != standin.Served {
-			l.d.judge.Count("requests not served on open flows")
-			return
+		id := fmt.Sprintf("%s.%d", prefix, n)
+		outcome := f.Request(id, orderSize, unsafe, requestLimit)
+		if outcome == standin.Shed || outcome == standin.Served {
+			l.d.judge.Ended(outcome == standin.Served)
+			pause(ctx, time.Duration(random.ExpFloat64()*float64(requestPause)))
+			continue
+		}
+		l.d.judge.Count("requests not served on open flows")
+		if !outcome.Repeatable(unsafe) {
+			l.d.judge.Ended(false)
+		} else if l.exchange(c, ordersRoute, id, orderSize, unsafe) {
+			l.d.judge.Count("requests served by a repeat")
 		}
-		pause(ctx, time.Duration(random.ExpFloat64()*float64(requestPause)))
+		return
 	}
 }
 
--- a/soak/main.go
+++ b/soak/main.go
@@ -1,7 +1,7 @@
 // Command soak runs balancers and agents as separate processes among stand-ins of
 // the users' platform, injects faults from outside, drawn by a seed, and checks
 // the promises of the platform's pages from what callers and backend servers see.
-// Its verb demo runs only planned changes and prints a summary.
+// With --demo it runs only planned changes and crashes of servers.
 package main
 
 import (
@@ -25,7 +25,7 @@
 	First     uint64        `arg:"--first" default:"1" help:"seed of the first schedule"`
 	Length    time.Duration `arg:"--length" default:"20s" help:"length of one schedule"`
 	Regress   bool          `arg:"--regressions" help:"run the schedules that failed once instead"`
-	Demo      bool          `arg:"--demo" help:"only planned changes; no flow may break"`
+	Demo      bool          `arg:"--demo" help:"only planned changes and crashes of servers; no flow may break but those of a crashed server"`
 	Program   string        `arg:"--program" default:"bin/bergamotd" help:"the daemon"`
 	Output    string        `arg:"--output" default:"out/soak" help:"directory for settings and logs"`
 	Callers   int           `arg:"--callers" default:"24" help:"number of callers"`
@@ -39,10 +39,10 @@
 func main() {
 	var a arguments
 	arg.MustParse(&a)
-	seeds := a.seeds()
+	schedules := a.schedules()
 	failed := 0
-	for _, seed := range seeds {
-		broken, err := run(a, seed)
+	for _, plan := range schedules {
+		broken, err := run(a, plan)
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "soak:", err)
 			os.Exit(errkind.ExitCode(err))
@@ -51,30 +51,31 @@
 			failed++
 		}
 	}
-	fmt.Printf("soak: %d passed, %d failed\n", len(seeds)-failed, failed)
+	fmt.Printf("soak: %d passed, %d failed\n", len(schedules)-failed, failed)
 	if failed > 0 {
 		os.Exit(1)
 	}
 }
 
-// seeds returns the seeds of the schedules to run.
-func (a arguments) seeds() []uint64 {
-	var seeds []uint64
+// schedules returns the schedules to run.
+func (a arguments) schedules() []schedule {
+	var all []schedule
 	if a.Regress {
 		for _, r := range regressions {
 			fmt.Printf("seed %d failed once: %s\n", r.seed, r.cause)
-			seeds = append(seeds, r.seed)
+			all = append(all, schedule{seed: r.seed, steps: r.steps})
 		}
-		return seeds
+		return all
 	}
 	for i := range a.Seeds {
-		seeds = append(seeds, a.First+uint64(i))
+		all = append(all, schedule{seed: a.First + uint64(i), steps: len(allSteps), demo: a.Demo})
 	}
-	return seeds
+	return all
 }
 
 // run runs one schedule and returns the number of broken promises.
-func run(a arguments, seed uint64) (int, error) {
+func run(a arguments, plan schedule) (int, error) {
+	seed := plan.seed
 	dir := filepath.Join(a.Output, fmt.Sprintf("seed-%d", seed))
 	if err := os.RemoveAll(dir); err != nil {
 		return 0, err
@@ -95,10 +96,11 @@
 	if err != nil {
 		return 0, err
 	}
-	schedule, end := context.WithTimeout(ctx, a.Length)
+	d.fabric.SetSteady(seed%steadySeeds == 1)
+	limited, end := context.WithTimeout(ctx, a.Length)
 	defer end()
 	started := time.Now()
-	runSchedule(schedule, d, seed, a.Demo, func(step string) {
+	runSchedule(limited, d, plan, func(step string) {
 		fmt.Printf("seed %d %6.2f s %s\n", seed, time.Since(started).Seconds(), step)
 	})
 	checkRecovery(d, l)
@@ -107,6 +109,10 @@
 	return report(seed, d.judge.Report()), nil
 }
 
+// steadySeeds is the number of seeds of which one has a fabric that moves few flows
+// when a balancer joins or leaves.
+const steadySeeds = 5
+
 // report prints what a schedule showed.
 func report(seed uint64, r standin.Report) int {
 	served, failed := 0, 0
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -24,11 +25,13 @@
 	slackForCallers = time.Second
 )
 
-// step is one kind of trouble. Planned ones must break no flow.
+// step is one kind of trouble.
 type step struct {
-	name    string
-	planned bool
-	run     func(d *deployment, r *rand.Rand)
+	name string
+	// demo marks those of the demo: planned changes, which must break no flow, and
+	// the crash of a server, which breaks only its own.
+	demo bool
+	run  func(d *deployment, r *rand.Rand)
 }
 
 // hurt runs a fault for which promises with a time bound rest.
@@ -60,7 +63,7 @@
 	}}
 }
 
-// steps are all kinds of trouble.
+// steps are the first kinds of trouble.
 var steps = []step{
 	{"stop a balancer and start it again", true, func(d *deployment, r *rand.Rand) {
 		p := someBalancer(d, r)
@@ -122,7 +125,7 @@
 		p := someVM(d, r).process
 		hurt(d, "pause "+p.name, someTime(r, time.Second, 4*time.Second), func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) })
 	}},
-	{"crash a server and start it again", false, func(d *deployment, r *rand.Rand) {
+	{"crash a server and start it again", true, func(d *deployment, r *rand.Rand) {
 		v := someVM(d, r)
 		hurt(d, "crash "+v.process.name, someTime(r, 100*time.Millisecond, 3*time.Second), v.crash, func() { d.revive(v) })
 	}},
@@ -176,6 +179,39 @@
 	}},
 }
 
+// laterSteps came after schedules that failed once, which draw only from steps.
+var laterSteps = []step{
+	{"callers' packets are lost, late and sent twice", false, func(d *deployment, r *rand.Rand) {
+		faults := standin.FabricFaults{Lost: 0.1 * r.Float64(), Twice: 0.3 * r.Float64(), Delay: someTime(r, time.Millisecond, 60*time.Millisecond)}
+		hurt(d, "packets", someTime(r, time.Second, 4*time.Second),
+			func() { d.fabric.SetFaults(faults) }, func() { d.fabric.SetFaults(standin.FabricFaults{}) })
+	}},
+	{"all leases end and no request shows it", false, func(d *deployment, _ *rand.Rand) {
+		hurt(d, "revoked leases", 0, d.store.Revoke, func() {})
+	}},
+	{"a server comes back with a wrong clock", false, func(d *deployment, r *rand.Rand) {
+		v := someVM(d, r)
+		clockError := someTime(r, -10*time.Second, 10*time.Second)
+		hurt(d, "clock of "+v.process.name, restartDelay, v.crash, func() {
+			v.setClockError(clockError)
+			d.revive(v)
+		})
+	}},
+	{"power loss of everything while leases are gone", false, func(d *deployment, _ *rand.Rand) {
+		hurt(d, "power and leases", time.Second, func() {
+			d.store.Revoke()
+			each(d.processes(), (*process).kill)
+			each(d.vms, (*vm).crash)
+		}, func() {
+			each(d.processes(), func(p *process) { restart(d, p) })
+			each(d.vms, d.revive)
+		})
+	}},
+}
+
+// allSteps are all kinds of trouble, in the order in which they came.
+var allSteps = slices.Concat(steps, laterSteps)
+
 func each[T any](all []T, work func(T)) {
 	var done sync.WaitGroup
 	for _, one := range all {
@@ -198,17 +234,26 @@
 	}
 }
 
-// runSchedule runs steps drawn by seed until ctx ends; series overlap. Steps about
+// schedule says which steps are drawn.
+type schedule struct {
+	seed uint64
+	// steps is the number of kinds of trouble to draw from.
+	steps int
+	// demo leaves out all other faults.
+	demo bool
+}
+
+// runSchedule runs steps drawn by the seed until ctx ends; series overlap. Steps about
 // the same VM wait for each other.
-func runSchedule(ctx context.Context, d *deployment, seed uint64, plannedOnly bool, say func(string)) {
-	r := rand.New(rand.NewPCG(seed, 7))
+func runSchedule(ctx context.Context, d *deployment, plan schedule, say func(string)) {
+	r := rand.New(rand.NewPCG(plan.seed, 7))
 	var running sync.WaitGroup
 	busy := make(chan struct{}, overlap)
 	for ctx.Err() == nil {
-		s := steps[r.IntN(len(steps))]
+		s := allSteps[r.IntN(plan.steps)]
 		own := rand.New(rand.NewPCG(r.Uint64(), 11))
 		gap := someTime(r, 200*time.Millisecond, 2*time.Second)
-		if plannedOnly && !s.planned {
+		if plan.demo && !s.demo {
 			continue
 		}
 		busy <- struct{}{}
