Send short heartbeats, and introduce a restarted process by few members

Heartbeats between all carried texts that the receiver knew, and each restarted process was introduced to all others by all others. A process is introduced by those that it asks, since it knows fewer addresses than seeds bring, and by about four more chosen by hash.

--- a/connection/passthrough/frame.go
+++ b/connection/passthrough/frame.go
@@ -29,11 +29,13 @@
 	Introduction
 	// NotHeld answers a Search: the sender's backend server does not hold the flow.
 	NotHeld
+	// Beat is a heartbeat without what the receiver knows already.
+	Beat
 )
 
 // String returns the name of the kind in logs.
 func (k Kind) String() string {
-	names := [...]string{"deliver", "lookup", "registered", "search", "learned", "register", "hello", "introduction", "not_held"}
+	names := [...]string{"deliver", "lookup", "registered", "search", "learned", "register", "hello", "introduction", "not_held", "beat"}
 	if k < Deliver || int(k-Deliver) >= len(names) {
 		return "unknown"
 	}
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -194,6 +194,8 @@
 	switch passthrough.Kind(b[0]) {
 	case passthrough.Hello:
 		n.roster.Hello(b, now)
+	case passthrough.Beat:
+		n.roster.Beat(b, now)
 	case passthrough.Introduction:
 		n.roster.Introduction(b)
 	default:
--- a/process/roster/hello.go
+++ b/process/roster/hello.go
@@ -61,12 +61,17 @@
 	interval time.Duration
 	// heard tells that the sender has lately heard the receiver.
 	heard bool
+	// lonely tells that the sender knows few members and asks for an introduction.
+	lonely bool
 }
 
 // helloProtocol is the version of the heartbeat's layout.
 const helloProtocol = 1
 
-const heardFlag = 1
+const (
+	heardFlag  = 1
+	lonelyFlag = 2
+)
 
 // fixedHelloSize is the size of a heartbeat without its texts, in bytes.
 const fixedHelloSize = 47
@@ -83,6 +88,9 @@
 	if h.heard {
 		flags |= heardFlag
 	}
+	if h.lonely {
+		flags |= lonelyFlag
+	}
 	b := make([]byte, 0, fixedHelloSize+len(h.Name)+len(h.Domain)+len(h.Service)+texts)
 	b = append(b, byte(passthrough.Hello), helloProtocol, byte(h.Role), byte(h.Report.State), flags)
 	b = binary.LittleEndian.AppendUint64(b, h.Run)
@@ -111,7 +119,7 @@
 	if len(b) < fixedHelloSize || b[1] != helloProtocol {
 		return hello{}, errkind.New(errkind.Malformed, "heartbeat of %d bytes or of another protocol version", len(b))
 	}
-	h := hello{heard: b[4]&heardFlag != 0}
+	h := hello{heard: b[4]&heardFlag != 0, lonely: b[4]&lonelyFlag != 0}
 	h.Role = Role(b[2])
 	h.Report.State = steer.State(b[3])
 	h.Run = binary.LittleEndian.Uint64(b[5:])
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -5,9 +5,12 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bergamotbank/connection/passthrough"
 )
 
@@ -29,6 +32,16 @@
 	// have passed.
 	silentAfter     = 1800 * time.Millisecond
 	silentIntervals = 6
+	// lonelyContacts is the number of known addresses below which a process asks to be
+	// introduced; seeds are fewer. introducers is the number of members that introduce
+	// the others to one that did not ask.
+	lonelyContacts = 5
+	introducers    = 4
+	// wholeEvery is the number of heartbeats of which one tells everything, also what
+	// the receiver should know already; wholeIntervals the number of intervals after a
+	// change in which each does, since datagrams are lost.
+	wholeEvery     = 8
+	wholeIntervals = 3
 	// contactInterval is the interval of heartbeats to an address that never
 	// answered, contactTries the number of them.
 	contactInterval = 500 * time.Millisecond
@@ -81,6 +94,10 @@
 	greetDue   time.Duration
 	contactDue time.Duration
 	ticked     time.Duration
+	// lasting is what the last heartbeat said of this process that beats leave out;
+	// after a change of it all heartbeats are whole until wholeUntil.
+	lasting    lasting
+	wholeUntil time.Duration
 	changed    bool
 	malformed  uint64
 	stalls     uint64
@@ -94,6 +111,8 @@
 	hearsUs  bool
 	interval time.Duration
 	tries    int
+	// sent counts the heartbeats to the member.
+	sent uint
 	// named is the role that whoever named the address gave, until it answers.
 	named Role
 	// last judgement, to notice changes.
@@ -150,12 +169,11 @@
 // Hello takes a datagram of kind Hello.
 func (r *Roster) Hello(datagram []byte, now time.Duration) {
 	h, err := parseHello(datagram)
-	self := r.options.Self()
 	if err != nil {
 		r.malformed++
 		return
 	}
-	if h.Peer == self.Peer {
+	if h.Peer == r.options.Self().Peer {
 		return
 	}
 	c := r.contacts[h.Peer]
@@ -166,6 +184,12 @@
 	if c.known && h.Run < c.member.Run {
 		return
 	}
+	r.take(c, &h, now)
+}
+
+// take takes over a heartbeat of a contact.
+func (r *Roster) take(c *contact, h *hello, now time.Duration) {
+	self := r.options.Self()
 	restarted := !c.known || h.Run != c.member.Run
 	changed := restarted || h.Service != c.member.Service || h.Name != c.member.Name || h.Domain != c.member.Domain ||
 		h.Report.State != c.member.Report.State
@@ -178,7 +202,9 @@
 	if restarted {
 		r.tell(c, "joined", now)
 		r.greet(h.Peer, c, self, now)
-		r.introduce(h.Peer)
+		if h.lonely || r.introduces(h.Peer, self) {
+			r.introduce(h.Peer)
+		}
 	}
 	if r.judge(c, now) || changed {
 		r.changed = true
@@ -199,6 +225,16 @@
 	}
 }
 
+// introduces tells whether this process is one of the few that introduce the others
+// to a member even if it did not ask: what it read in the directory may be old. If all
+// did, a restart of many would move the square of their number.
+func (r *Roster) introduces(peer passthrough.Endpoint, self Member) bool {
+	var ends [16]byte
+	binary.LittleEndian.PutUint64(ends[:], uint64(peer))
+	binary.LittleEndian.PutUint64(ends[8:], uint64(self.Peer))
+	return xxhash.Sum64(ends[:])%uint64(len(r.contacts)+1) < introducers
+}
+
 // introduce tells a member that has just started of all others.
 func (r *Roster) introduce(peer passthrough.Endpoint) {
 	var peers []introduced
@@ -278,6 +314,9 @@
 	if contacts {
 		r.contactDue = now + contactInterval
 	}
+	if lasting := lastingOf(self); lasting != r.lasting {
+		r.lasting, r.wholeUntil = lasting, now+wholeIntervals*greetEvery
+	}
 	for peer, c := range r.contacts {
 		switch {
 		case !c.known && contacts:
@@ -307,10 +346,16 @@
 
 func (r *Roster) greet(peer passthrough.Endpoint, c *contact, self Member, now time.Duration) {
 	report, greet := r.intervals()
-	h := hello{Member: self, interval: greet, heard: c.known && now-c.heardAt < c.freshFor()}
+	h := hello{Member: self, interval: greet, lonely: len(r.contacts) < lonelyContacts, heard: c.known && now-c.heardAt < c.freshFor()}
 	if reports(self, c) {
 		h.interval = report
 	}
+	c.sent++
+	if c.hearsUs && now >= r.wholeUntil && c.sent%wholeEvery != 0 {
+		b := beatOf(&h)
+		r.options.Sender.Send(b.encode(), peer)
+		return
+	}
 	r.options.Sender.Send(h.encode(), peer)
 }
 
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -56,11 +56,14 @@
 		OnChange:    func() { p.changes++ },
 	})
 	w.network.Attach(addressOf(i), func(b []byte) {
-		if passthrough.Kind(b[0]) == passthrough.Introduction {
+		switch passthrough.Kind(b[0]) {
+		case passthrough.Introduction:
 			p.roster.Introduction(b)
-			return
+		case passthrough.Beat:
+			p.roster.Beat(b, w.now)
+		default:
+			p.roster.Hello(b, w.now)
 		}
-		p.roster.Hello(b, w.now)
 		p.roster.Apply()
 	})
 }
@@ -234,6 +237,57 @@
 	})
 }
 
+// TestIntroductionsOfAMassRestart covers a finding of the sweep: at 300 VMs each
+// restarted process was introduced to all others by all others.
+func TestIntroductionsOfAMassRestart(t *testing.T) {
+	convey.Convey("Given 60 processes that know each other", t, func() {
+		const count = 60
+		w := newTown(20, 40)
+		for _, p := range w.peers[1:] {
+			p.roster.Add(addressOf(0), Balancer)
+		}
+		w.pass(3 * time.Second)
+		introductions := 0
+		w.network.Drop = func(b []byte, _ passthrough.Endpoint) bool {
+			if passthrough.Kind(b[0]) == passthrough.Introduction {
+				introductions++
+			}
+			return false
+		}
+		restart := func(i int, named ...int) {
+			w.peers[i].self.Run++
+			w.start(i)
+			for _, j := range named {
+				w.peers[i].roster.Add(addressOf(j), 0)
+			}
+		}
+		convey.Convey("one that starts again with the directory gets few introductions", func() {
+			var all []int
+			for j := range count {
+				all = append(all, j)
+			}
+			for i := range 10 {
+				restart(i, all...)
+			}
+			w.pass(2 * time.Second)
+			convey.So(introductions, convey.ShouldBeLessThan, 10*4*introducers)
+			for i := range 10 {
+				convey.So(w.peers[i].roster.Members(), convey.ShouldHaveLength, count-1)
+			}
+		})
+		convey.Convey("one that knows only a seed is introduced by it", func() {
+			restart(7, 0)
+			w.pass(2 * time.Second)
+			convey.So(w.peers[7].roster.Members(), convey.ShouldHaveLength, count-1)
+		})
+		convey.Convey("one whose directory lacks members hears of them", func() {
+			restart(7, 1, 2, 3, 4, 5, 6)
+			w.pass(2 * time.Second)
+			convey.So(w.peers[7].roster.Members(), convey.ShouldHaveLength, count-1)
+		})
+	})
+}
+
 func TestNewerVersion(t *testing.T) {
 	convey.Convey("A heartbeat tells of a newer version", t, func() {
 		w := newTown(1, 1)
@@ -266,6 +320,8 @@
 func FuzzDatagrams(f *testing.F) {
 	h := hello{Member: Member{Name: "a", Domain: "d", Role: Agent, Peer: 1, Run: 1}, interval: time.Second}
 	f.Add(h.encode())
+	short := beatOf(&h)
+	f.Add(short.encode())
 	f.Add(encodeIntroduction([]introduced{{1, Balancer}, {2, Agent}}))
 	f.Fuzz(func(_ *testing.T, b []byte) {
 		if len(b) == 0 {
@@ -273,6 +329,7 @@
 		}
 		w := newTown(1, 0)
 		w.peers[0].roster.Hello(b, w.now)
+		w.peers[0].roster.Beat(b, w.now)
 		w.peers[0].roster.Introduction(b)
 		w.peers[0].roster.Tick(w.now)
 	})
