--- a/connection/gate/flow.go
+++ b/connection/gate/flow.go
@@ -197,8 +197,8 @@
 	}
 }
 
-// sweep forgets flows that are over.
-func (g *Gate) sweep(now time.Duration) {
+// Sweep forgets flows that are over. It is for calls a second apart.
+func (g *Gate) Sweep(now time.Duration) {
 	for key, f := range g.flows {
 		if now-f.used < f.keep(g.options.FlowLifetime) {
 			continue
--- a/connection/gate/registry.go
+++ b/connection/gate/registry.go
@@ -124,9 +124,6 @@
 	}
 }
 
-// Sweep forgets flows that are over. It is for calls a second apart.
-func (g *Gate) Sweep(now time.Duration) { g.sweep(now) }
-
 // registerYoung queues the flows that have been open for long enough. The list is
 // in the order of opening.
 func (g *Gate) registerYoung(now time.Duration) {
--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -89,24 +89,14 @@
 func (a *Agent) Run(ctx context.Context) error {
 	a.logger.Info("agent started", zap.Stringer("backend", a.settings.Passthrough.Backend), zap.Stringer("peer", a.settings.Passthrough.Peer))
 	a.greetSeeds(a.settings.Seeds)
-	return duty.Run(ctx, a.stop,
+	return duty.Run(ctx, a.stop, append(a.duties(a.fromPeers, a.advance, func() bool { return true }),
 		func(ctx context.Context) error { return receive(ctx, a.outbound, a.fromServer) },
-		func(ctx context.Context) error { return receive(ctx, a.peer, a.fromPeers) },
-		func(ctx context.Context) error { return a.tick(ctx, a.advance) },
 		a.backend.watch,
 		a.backend.greet,
 		a.checkpoints.keep,
-		a.orders.watch,
-		a.orders.follow,
-		a.orders.poll,
-		a.directory.announce,
-		a.directory.read,
-		a.followSettings,
-		a.serve(a.settings.Passthrough.Readiness, a.adapter.Readiness(func() bool { return true })),
 		a.serve(a.settings.Control, a.adapter.Reports(a.backend)),
 		a.serve(a.settings.Passthrough.Peer, a.peerHandler(a.checkpoints)),
-		a.serve(a.settings.Passthrough.Metrics, metricsHandler()),
-	)
+	)...)
 }
 
 // stop tells the others that the agent is leaving. Its server may live on, beside
--- a/process/passthrough/balancer.go
+++ b/process/passthrough/balancer.go
@@ -65,20 +65,10 @@
 func (b *Balancer) Run(ctx context.Context) error {
 	b.logger.Info("balancer started", zap.Stringer("packet", b.settings.Packet), zap.Stringer("peer", b.settings.Passthrough.Peer))
 	b.greetSeeds(b.settings.Seeds)
-	return duty.Run(ctx, b.stop,
+	return duty.Run(ctx, b.stop, append(b.duties(b.fromPeers, b.steer.Tick, b.ready),
 		func(ctx context.Context) error { return receive(ctx, b.callers, b.fromCallers) },
-		func(ctx context.Context) error { return receive(ctx, b.peer, b.fromPeers) },
-		func(ctx context.Context) error { return b.tick(ctx, b.steer.Tick) },
-		b.orders.watch,
-		b.orders.follow,
-		b.orders.poll,
-		b.directory.announce,
-		b.directory.read,
-		b.followSettings,
-		b.serve(b.settings.Passthrough.Readiness, b.adapter.Readiness(b.ready)),
 		b.serve(b.settings.Passthrough.Peer, b.peerHandler(nil)),
-		b.serve(b.settings.Passthrough.Metrics, metricsHandler()),
-	)
+	)...)
 }
 
 // stop reports that the balancer is leaving and goes on until the fabric has
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -14,6 +14,7 @@
 	"bergamotbank/connection/datagram"
 	"bergamotbank/connection/passthrough"
 	"bergamotbank/errkind"
+	"bergamotbank/process/duty"
 	"bergamotbank/process/metrics"
 	"bergamotbank/process/roster"
 	"bergamotbank/process/settings"
@@ -208,6 +209,23 @@
 		zap.Uint64("run", m.Run), zap.Duration("silence", silence))
 }
 
+// duties are what both roles do: fromPeers takes datagrams of other processes, work is
+// what is due at a tick, ready answers the fabric's question for readiness.
+func (n *node) duties(fromPeers func(*datagram.Reader, int), work func(now time.Duration), ready func() bool) []duty.Duty {
+	return []duty.Duty{
+		func(ctx context.Context) error { return receive(ctx, n.peer, fromPeers) },
+		func(ctx context.Context) error { return n.tick(ctx, work) },
+		n.orders.watch,
+		n.orders.follow,
+		n.orders.poll,
+		n.directory.announce,
+		n.directory.read,
+		n.followSettings,
+		n.serve(n.settings.Passthrough.Readiness, n.adapter.Readiness(ready)),
+		n.serve(n.settings.Passthrough.Metrics, metricsHandler()),
+	}
+}
+
 // tick calls work at the pace of tickInterval until ctx ends.
 func (n *node) tick(ctx context.Context, work func(now time.Duration)) error {
 	ticker := time.NewTicker(tickInterval)
