--- a/process/passthrough/backend_test.go
+++ b/process/passthrough/backend_test.go
@@ -59,8 +59,10 @@
 	}{
 		{"a later one", 0, report(func(r *BackendReport) { r.Sequence = 8; r.State = BackendDraining }), true},
 		{"one that was overtaken", 0, report(func(r *BackendReport) { r.Sequence = 6; r.State = BackendDraining }), false},
-		{"one of a former server while this one is heard", 0,
-			report(func(r *BackendReport) { r.ID = "server-0"; r.Born = born.Add(-time.Minute); r.State = BackendDraining }), false},
+		{
+			"one of a former server while this one is heard", 0,
+			report(func(r *BackendReport) { r.ID = "server-0"; r.Born = born.Add(-time.Minute); r.State = BackendDraining }), false,
+		},
 		{"one of the next server", 0, report(func(r *BackendReport) {
 			r.ID, r.Born, r.Sequence, r.State = "server-2", born.Add(time.Second), 1, BackendDraining
 		}), true},
--- a/process/passthrough/checkpoint.go
+++ b/process/passthrough/checkpoint.go
@@ -87,10 +87,11 @@
 		c.report(err)
 		pause.wait(ctx)
 	}
-	members, groups := c.group()
-	for sleep(ctx, checkpointPause(groups)) {
-		members, groups = c.group()
-		c.report(c.write(ctx, c.gather(ctx, c.mine(members, checkpointPause(groups)))))
+	interval := checkpointInterval
+	for sleep(ctx, interval) {
+		members, groups := c.group()
+		interval = checkpointPause(groups)
+		c.report(c.write(ctx, c.gather(ctx, c.mine(members, interval))))
 	}
 	return nil
 }
--- a/process/passthrough/checkpoint_test.go
+++ b/process/passthrough/checkpoint_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"slices"
@@ -190,7 +191,7 @@
 		members := []checkpointSource{{name: "agent-0"}, {name: "agent-1"}, {name: "agent-2"}}
 		const pause = 10 * time.Millisecond
 		ask := func(covered string) {
-			r := httptest.NewRequest("GET", FlowsPath, nil)
+			r := httptest.NewRequest(http.MethodGet, FlowsPath, nil)
 			r.Header.Set(coveredHeader, covered)
 			c.ServeHTTP(httptest.NewRecorder(), r)
 		}
