Ask members whose heartbeat is overdue, and miss a dead agent in 1.8 s at any size

Until then callers of flows at a lost zone were not told. A member that is overdue is now asked for a heartbeat up to four times, 150 ms apart; three unanswered make it unreachable, four and 1.8 s of silence make an agent lost. Balancers, for which nothing waits, keep 6 s.

--- a/process/roster/beat.go
+++ b/process/roster/beat.go
@@ -14,8 +14,9 @@
 // slots: what may have changed since the last one, in half of the bytes.
 type beat struct {
 	state steer.State
-	// heard tells that the sender has lately heard the receiver.
-	heard bool
+	// heard tells that the sender has lately heard the receiver, asks that it wants a
+	// heartbeat at once.
+	heard, asks bool
 	// run is the lower half of the sender's run.
 	run         uint32
 	peer        passthrough.Endpoint
@@ -44,7 +45,7 @@
 // beatOf returns what a beat keeps of a heartbeat.
 func beatOf(h *hello) beat {
 	return beat{
-		state: h.Report.State, heard: h.heard, run: uint32(h.Run), peer: h.Peer, version: h.Version, interval: h.interval,
+		state: h.Report.State, heard: h.heard, asks: h.asks, run: uint32(h.Run), peer: h.Peer, version: h.Version, interval: h.interval,
 		confirmed: h.Confirmed, work: h.Report.Work, flows: h.Report.Flows, incarnation: h.Report.Incarnation,
 	}
 }
@@ -55,6 +56,9 @@
 	if b.heard {
 		flags |= heardFlag
 	}
+	if b.asks {
+		flags |= asksFlag
+	}
 	w := make([]byte, 0, beatSize)
 	w = append(w, byte(passthrough.Beat), helloProtocol, byte(b.state), flags)
 	w = binary.LittleEndian.AppendUint32(w, b.run)
@@ -77,6 +81,7 @@
 	b := beat{
 		state:       steer.State(w[2]),
 		heard:       w[3]&heardFlag != 0,
+		asks:        w[3]&asksFlag != 0,
 		run:         binary.LittleEndian.Uint32(w[4:]),
 		version:     binary.LittleEndian.Uint64(w[8:]),
 		interval:    time.Duration(binary.LittleEndian.Uint16(w[16:])) * time.Millisecond,
@@ -109,7 +114,7 @@
 		c.heardAt = min(c.heardAt, now-c.freshFor())
 		return
 	}
-	h := hello{Member: c.member, interval: b.interval, heard: b.heard}
+	h := hello{Member: c.member, interval: b.interval, heard: b.heard, asks: b.asks}
 	h.Version, h.Confirmed = b.version, b.confirmed
 	h.Report.State, h.Report.Work, h.Report.Flows, h.Report.Incarnation = b.state, b.work, b.flows, b.incarnation
 	r.take(c, &h, now)
--- a/process/roster/beat_test.go
+++ b/process/roster/beat_test.go
@@ -27,11 +27,7 @@
 // wholeLost drops the given number of whole heartbeats of a process, all others pass.
 func (w *town) wholeLost(from, count int) {
 	w.network.Drop = func(b []byte, _ passthrough.Endpoint) bool {
-		if passthrough.Kind(b[0]) != passthrough.Hello || count == 0 {
-			return false
-		}
-		h, err := parseHello(b)
-		if err != nil || h.Peer != addressOf(from) {
+		if passthrough.Kind(b[0]) != passthrough.Hello || sender(b) != addressOf(from) || count == 0 {
 			return false
 		}
 		count--
--- a/process/roster/hello.go
+++ b/process/roster/hello.go
@@ -63,6 +63,8 @@
 	heard bool
 	// lonely tells that the sender knows few members and asks for an introduction.
 	lonely bool
+	// asks tells that the sender wants a heartbeat at once.
+	asks bool
 }
 
 // helloProtocol is the version of the heartbeat's layout.
@@ -71,6 +73,7 @@
 const (
 	heardFlag  = 1
 	lonelyFlag = 2
+	asksFlag   = 4
 )
 
 // fixedHelloSize is the size of a heartbeat without its texts, in bytes.
@@ -91,6 +94,9 @@
 	if h.lonely {
 		flags |= lonelyFlag
 	}
+	if h.asks {
+		flags |= asksFlag
+	}
 	b := make([]byte, 0, fixedHelloSize+len(h.Name)+len(h.Domain)+len(h.Service)+texts)
 	b = append(b, byte(passthrough.Hello), helloProtocol, byte(h.Role), byte(h.Report.State), flags)
 	b = binary.LittleEndian.AppendUint64(b, h.Run)
@@ -119,7 +125,7 @@
 	if len(b) < fixedHelloSize || b[1] != helloProtocol {
 		return hello{}, errkind.New(errkind.Malformed, "heartbeat of %d bytes or of another protocol version", len(b))
 	}
-	h := hello{heard: b[4]&heardFlag != 0, lonely: b[4]&lonelyFlag != 0}
+	h := hello{heard: b[4]&heardFlag != 0, lonely: b[4]&lonelyFlag != 0, asks: b[4]&asksFlag != 0}
 	h.Role = Role(b[2])
 	h.Report.State = steer.State(b[3])
 	h.Run = binary.LittleEndian.Uint64(b[5:])
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -28,10 +28,20 @@
 	// as unreachable, freshSlack what a heartbeat may be late.
 	freshIntervals = 3
 	freshSlack     = 150 * time.Millisecond
-	// silentAfter and silentIntervals tell when a member counts as lost; both must
-	// have passed.
-	silentAfter     = 1800 * time.Millisecond
-	silentIntervals = 6
+	// overdueSlack is how late a heartbeat may be before the member is asked for one,
+	// askInterval the pause between questions, maxAsked the number of them. In a large
+	// deployment heartbeats are seconds apart; questions tell sooner.
+	overdueSlack = 200 * time.Millisecond
+	askInterval  = 150 * time.Millisecond
+	maxAsked     = 4
+	// unreachableAsked is the number of questions without an answer after which a
+	// member counts as unreachable.
+	unreachableAsked = 3
+	// silentAgentAfter is the silence after which an agent counts as lost when it has
+	// also left maxAsked questions without an answer: flows of its server are then
+	// ended. silentAfter is that of balancers, for which nothing waits.
+	silentAgentAfter = 1800 * time.Millisecond
+	silentAfter      = 6 * time.Second
 	// lonelyContacts is the number of known addresses below which a process asks to be
 	// introduced; seeds are fewer. introducers is the number of members that introduce
 	// the others to one that did not ask.
@@ -113,6 +123,9 @@
 	tries    int
 	// sent counts the heartbeats to the member.
 	sent uint
+	// asked counts the questions since the member was heard, askedAt is the last one.
+	asked   int
+	askedAt time.Duration
 	// named is the role that whoever named the address gave, until it answers.
 	named Role
 	// last judgement, to notice changes.
@@ -194,6 +207,7 @@
 	changed := restarted || h.Service != c.member.Service || h.Name != c.member.Name || h.Domain != c.member.Domain ||
 		h.Report.State != c.member.Report.State
 	c.member, c.known, c.heardAt, c.hearsUs, c.interval = h.Member, true, now, h.heard, h.interval
+	c.asked = 0
 	if h.Version > self.Version {
 		r.options.OnVersion(h.Version, h.Peer)
 	} else {
@@ -205,6 +219,8 @@
 		if h.lonely || r.introduces(h.Peer, self) {
 			r.introduce(h.Peer)
 		}
+	} else if h.asks {
+		r.greet(h.Peer, c, self, now)
 	}
 	if r.judge(c, now) || changed {
 		r.changed = true
@@ -259,6 +275,9 @@
 	r.excuseStall(now)
 	r.greetAll(now)
 	for peer, c := range r.contacts {
+		if c.overdue(now) {
+			r.ask(peer, c, now)
+		}
 		if r.judge(c, now) {
 			r.changed = true
 		}
@@ -270,6 +289,18 @@
 	r.Apply()
 }
 
+// overdue tells whether a question for a heartbeat is due.
+func (c *contact) overdue(now time.Duration) bool {
+	return c.known && c.asked < maxAsked && now-c.heardAt > c.interval+overdueSlack && now-c.askedAt >= askInterval
+}
+
+// ask asks a member for a heartbeat.
+func (r *Roster) ask(peer passthrough.Endpoint, c *contact, now time.Duration) {
+	c.asked++
+	c.askedAt = now
+	r.send(peer, c, r.options.Self(), now, true)
+}
+
 // Apply calls OnChange when members have changed. It is for the end of a batch of
 // datagrams: after a restart many heartbeats of new members come together.
 func (r *Roster) Apply() {
@@ -285,6 +316,7 @@
 		r.stalls++
 		for _, c := range r.contacts {
 			c.heardAt += gap
+			c.asked = 0
 		}
 	}
 	r.ticked = now
@@ -345,8 +377,13 @@
 }
 
 func (r *Roster) greet(peer passthrough.Endpoint, c *contact, self Member, now time.Duration) {
+	r.send(peer, c, self, now, false)
+}
+
+// send sends a heartbeat; asks tells that it wants one in return at once.
+func (r *Roster) send(peer passthrough.Endpoint, c *contact, self Member, now time.Duration, asks bool) {
 	report, greet := r.intervals()
-	h := hello{Member: self, interval: greet, lonely: len(r.contacts) < lonelyContacts, heard: c.known && now-c.heardAt < c.freshFor()}
+	h := hello{Member: self, asks: asks, interval: greet, lonely: len(r.contacts) < lonelyContacts, heard: c.known && now-c.heardAt < c.freshFor()}
 	if reports(self, c) {
 		h.interval = report
 	}
@@ -364,8 +401,8 @@
 // judge decides whether a member is reachable and tells whether that changed.
 func (r *Roster) judge(c *contact, now time.Duration) bool {
 	silence := now - c.heardAt
-	reachable := c.known && c.hearsUs && silence < c.freshFor()
-	silent := c.known && silence > max(silentAfter, silentIntervals*c.interval)
+	reachable := c.known && c.hearsUs && silence < c.freshFor() && c.unanswered(now) < unreachableAsked
+	silent := c.known && silence > c.patience() && c.unanswered(now) >= maxAsked
 	if reachable == c.reachable && silent == c.silent {
 		return false
 	}
@@ -381,6 +418,22 @@
 	return true
 }
 
+// patience returns the silence after which a member may count as lost.
+func (c *contact) patience() time.Duration {
+	if c.member.Role == Agent {
+		return silentAgentAfter
+	}
+	return silentAfter
+}
+
+// unanswered returns the number of questions that had time to be answered.
+func (c *contact) unanswered(now time.Duration) int {
+	if c.asked > 0 && now-c.askedAt < askInterval {
+		return c.asked - 1
+	}
+	return c.asked
+}
+
 func (r *Roster) tell(c *contact, change string, now time.Duration) {
 	if r.options.OnMember != nil {
 		r.options.OnMember(c.member, change, now-c.heardAt)
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -179,6 +179,58 @@
 	})
 }
 
+// sender returns who sent a heartbeat, 0 for another datagram.
+func sender(b []byte) passthrough.Endpoint {
+	switch passthrough.Kind(b[0]) {
+	case passthrough.Hello:
+		if h, err := parseHello(b); err == nil {
+			return h.Peer
+		}
+	case passthrough.Beat:
+		if b, err := parseBeat(b); err == nil {
+			return b.peer
+		}
+	default:
+	}
+	return 0
+}
+
+// TestSilenceInALargeDeployment covers a finding of the sweep: with the intervals of
+// heartbeats the time grew in which a dead agent was missed.
+func TestSilenceInALargeDeployment(t *testing.T) {
+	convey.Convey("Given a balancer and so many agents that heartbeats are seconds apart", t, func() {
+		w := newTown(2, 200)
+		for _, p := range w.peers[1:] {
+			p.roster.Add(addressOf(0), Balancer)
+		}
+		w.pass(8 * time.Second)
+		convey.Convey("a dead agent is passed over and counts as lost as soon as in a small one", func() {
+			w.network.Drop = func(b []byte, to passthrough.Endpoint) bool { return to == addressOf(5) || sender(b) == addressOf(5) }
+			w.pass(3200 * time.Millisecond)
+			convey.So(w.status(0, 5).Reachable, convey.ShouldBeFalse)
+			convey.So(w.status(0, 5).Silent, convey.ShouldBeTrue)
+			convey.So(w.status(0, 6).Reachable, convey.ShouldBeTrue)
+		})
+		convey.Convey("one that answers questions is neither, though its own heartbeats are late", func() {
+			h := hello{Member: w.peers[5].self, interval: 250 * time.Millisecond, heard: true}
+			w.peers[0].roster.Hello(h.encode(), w.now)
+			w.pass(1500 * time.Millisecond)
+			convey.So(w.status(0, 5).Reachable, convey.ShouldBeTrue)
+		})
+		convey.Convey("nobody is asked as long as heartbeats come", func() {
+			asked := 0
+			w.network.Drop = func(b []byte, _ passthrough.Endpoint) bool {
+				if (passthrough.Kind(b[0]) == passthrough.Beat && b[3]&asksFlag != 0) || (passthrough.Kind(b[0]) == passthrough.Hello && b[4]&asksFlag != 0) {
+					asked++
+				}
+				return false
+			}
+			w.pass(6 * time.Second)
+			convey.So(asked, convey.ShouldEqual, 0)
+		})
+	})
+}
+
 func TestOneWay(t *testing.T) {
 	convey.Convey("An agent that does not hear a balancer is not reachable for it", t, func() {
 		w := newTown(1, 1)
