Judge a server by its last second as well

A server that answers 36 requests a second had failed some 20 before the failures were a sixth of the outcomes of four seconds. The same measure over the last second is added; the way back stays with the longer window.

--- a/connection/gate/flows_test.go
+++ b/connection/gate/flows_test.go
@@ -565,6 +565,25 @@
 		s.gate.Tick(w.now)
 		convey.So(s.gate.Failing(), convey.ShouldBeFalse)
 	})
+	convey.Convey("A busy server that begins to fail is found within ten failures", t, func() {
+		w := newWorld(1)
+		s := w.sites[0]
+		const perSecond, wellSeconds, most = 40, 5, 10
+		failures := 0
+		for i := 0; !s.gate.Failing() && failures <= most; i++ {
+			s.server.Name = "answer"
+			if i >= wellSeconds*perSecond && i%2 == 0 {
+				s.server.Name = "!"
+				failures++
+			}
+			w.now += time.Second / perSecond
+			c := w.caller(i)
+			w.through(0, c.OpeningPacket(0))
+			w.through(0, c.Request())
+			s.gate.Tick(w.now)
+		}
+		convey.So(failures, convey.ShouldBeBetweenOrEqual, 3, most)
+	})
 	convey.Convey("The end of a flow that overtakes the answer is no failure, without an answer it is", t, func() {
 		for _, answered := range []bool{true, false} {
 			w := newWorld(1)
--- a/connection/gate/health.go
+++ b/connection/gate/health.go
@@ -9,6 +9,9 @@
 	// healthWindow is the time constant with which outcomes are forgotten, so that a
 	// server gets new flows again some seconds after its last failure.
 	healthWindow = 4 * time.Second
+	// recentWindow is a shorter one, so that a busy server which begins to fail is
+	// not excused by all that it answered before.
+	recentWindow = time.Second
 	// leastFailures and failureShare tell when a server counts as failing: a few
 	// failures, which are a sixth of the outcomes or more.
 	leastFailures = 2.5
@@ -18,38 +21,58 @@
 	wellFailures = 1.0
 )
 
+// outcomes are the answered and failed requests of a window, fading with time.
+type outcomes struct {
+	answered, failed float64
+}
+
+func (o *outcomes) fade(passed, window time.Duration) {
+	keep := math.Exp(-float64(passed) / float64(window))
+	o.answered *= keep
+	o.failed *= keep
+}
+
+func (o *outcomes) record(failed bool) {
+	if failed {
+		o.failed++
+	} else {
+		o.answered++
+	}
+}
+
+// failing tells whether the failures are many enough to count.
+func (o *outcomes) failing() bool {
+	return o.failed >= leastFailures && o.failed >= failureShare*(o.answered+o.failed)
+}
+
 // healthMeter judges a server by what its packets show. Liveness checks and the
 // server's own reports may mislead.
 type healthMeter struct {
-	answered, failed float64
-	failing          bool
-	last             time.Duration
+	long, recent outcomes
+	failing      bool
+	last         time.Duration
 }
 
 func (h *healthMeter) fade(now time.Duration) {
-	keep := math.Exp(-float64(now-h.last) / float64(healthWindow))
-	h.answered *= keep
-	h.failed *= keep
+	h.long.fade(now-h.last, healthWindow)
+	h.recent.fade(now-h.last, recentWindow)
 	h.last = now
 }
 
 func (h *healthMeter) record(failed bool, now time.Duration) {
 	h.fade(now)
-	if failed {
-		h.failed++
-	} else {
-		h.answered++
-	}
+	h.long.record(failed)
+	h.recent.record(failed)
 }
 
 // update judges the server anew.
 func (h *healthMeter) update(now time.Duration) {
 	h.fade(now)
 	if h.failing {
-		h.failing = h.failed >= wellFailures
+		h.failing = h.long.failed >= wellFailures
 		return
 	}
-	h.failing = h.failed >= leastFailures && h.failed >= failureShare*(h.answered+h.failed)
+	h.failing = h.long.failing() || h.recent.failing()
 }
 
 // Failing tells whether the server fails requests though it reports to be ready.
