Fewer calls: no watch right after a start, and agents know when another one writes for them

A process follows the store from 1.5 s after its start; the writer says that it writes as soon as a round worked, and a round without a lease has failed.

--- a/process/passthrough/backend_test.go
+++ b/process/passthrough/backend_test.go
@@ -41,6 +41,15 @@
 
 const testHeartbeat = 10 * time.Millisecond
 
+func TestWhoFollowsTheStore(t *testing.T) {
+	convey.Convey("An agent that knows no balancer follows the store, but not right after its start", t, func() {
+		a := testAgent(t)
+		convey.So(a.watches(), convey.ShouldBeFalse)
+		a.clock.start = a.clock.start.Add(-watchGrace)
+		convey.So(a.watches(), convey.ShouldBeTrue)
+	})
+}
+
 func TestHeartbeatsOutOfOrder(t *testing.T) {
 	born := time.UnixMilli(1_800_000_000_000)
 	first := BackendReport{ID: "server-1", Service: "orders", State: BackendReady, Slots: 2, Sequence: 7, Born: born}
--- a/process/passthrough/checkpoint.go
+++ b/process/passthrough/checkpoint.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"bergamotbank/connection/passthrough"
+	"bergamotbank/errkind"
 )
 
 const (
@@ -50,6 +51,8 @@
 
 	// written are the last checkpoints by the names of their agents.
 	written map[string]writtenFlows
+	// wrote tells that the last round worked, also when there was nothing to write.
+	wrote   bool
 	failing bool
 	// covered is when another agent last said that it wrote for this one, in
 	// nanoseconds of clock.
@@ -91,7 +94,9 @@
 	for sleep(ctx, interval) {
 		members, groups := c.group()
 		interval = checkpointPause(groups)
-		c.report(c.write(ctx, c.gather(ctx, c.mine(members, interval))))
+		err := c.write(ctx, c.gather(ctx, c.mine(members, interval)))
+		c.wrote = err == nil
+		c.report(err)
 	}
 	return nil
 }
@@ -150,10 +155,6 @@
 // write stores the checkpoints that the last ones do not cover. They live as long
 // as the directory entry of this agent.
 func (c *checkpoints) write(ctx context.Context, gathered map[string]passthrough.Checkpoint) error {
-	lease := c.lease()
-	if lease == 0 {
-		return nil
-	}
 	c.forget(gathered)
 	var entries []Item
 	for name, checkpoint := range gathered {
@@ -164,6 +165,10 @@
 	if len(entries) == 0 {
 		return nil
 	}
+	lease := c.lease()
+	if lease == 0 {
+		return errkind.New(errkind.StoreUnavailable, "no lease for %d checkpoints", len(entries))
+	}
 	if err := c.store.Put(ctx, entries, lease); err != nil {
 		clear(c.written)
 		return err
--- a/process/passthrough/checkpoint_test.go
+++ b/process/passthrough/checkpoint_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"bergamotbank/connection/passthrough"
+	"bergamotbank/errkind"
 )
 
 // checkpointed is an agent's flows beside a store, with what was recalled.
@@ -124,10 +125,6 @@
 			{"a flow was opened", func() { c.flows.Flows = append(c.flows.Flows, flowOf(3)) }, true},
 			{"a caller went on for less than a reset may lag behind", func() { c.flows.Flows[0].Ack += checkpointDrift }, false},
 			{"a caller went on for more", func() { c.flows.Flows[0].Ack += checkpointDrift + 1 }, true},
-			{"there is no lease", func() {
-				c.flows.Flows = append(c.flows.Flows, flowOf(3))
-				c.lease = func() uint64 { return 0 }
-			}, false},
 		} {
 			convey.Convey(row.name, func() {
 				row.change()
@@ -135,6 +132,12 @@
 				convey.So(c.store.writes() > before, convey.ShouldEqual, row.written)
 			})
 		}
+		convey.Convey("without a lease nothing is written, and that is a failure", func() {
+			c.flows.Flows = append(c.flows.Flows, flowOf(3))
+			c.lease = func() uint64 { return 0 }
+			convey.So(errkind.Is(c.save(t.Context()), errkind.StoreUnavailable), convey.ShouldBeTrue)
+			convey.So(c.store.writes(), convey.ShouldEqual, before)
+		})
 		convey.Convey("a write that failed is tried again", func() {
 			c.flows.Flows = append(c.flows.Flows, flowOf(3))
 			c.store.setDown(true)
@@ -258,9 +261,23 @@
 		c.store.setDown(false)
 		convey.So(c.write(t.Context(), c.gather(t.Context(), members)), convey.ShouldBeNil)
 		convey.So(other.covered.Load(), convey.ShouldEqual, 0)
+		c.wrote = true
 		c.gather(t.Context(), members)
 		convey.So(other.covered.Load(), convey.ShouldBeGreaterThan, 0)
 	})
+	convey.Convey("An agent is told that another one writes for it before it has flows", t, func() {
+		c, other := newCheckpointed(newFakeStore()), newCheckpointed(newFakeStore())
+		server := httptest.NewServer(other)
+		defer server.Close()
+		c.group = func() ([]checkpointSource, int) {
+			return []checkpointSource{{name: "agent-1"}, {name: "agent-2", peer: endpointOf(server)}}, 1
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 2*checkpointInterval+checkpointInterval/2)
+		defer cancel()
+		convey.So(c.keep(ctx), convey.ShouldBeNil)
+		convey.So(other.covered.Load(), convey.ShouldBeGreaterThan, 0)
+		convey.So(c.store.puts, convey.ShouldEqual, 0)
+	})
 }
 
 func endpointOf(server *httptest.Server) passthrough.Endpoint {
--- a/process/passthrough/gather.go
+++ b/process/passthrough/gather.go
@@ -23,7 +23,7 @@
 	pullTimeout = 500 * time.Millisecond
 	// maxCheckpointBytes bounds the answer, four times what an agent gives.
 	maxCheckpointBytes = 256 << 10
-	// coveredHeader tells an agent that its last answer has been written.
+	// coveredHeader tells an agent that the sender writes for it.
 	coveredHeader = "Bergamot-Covered"
 )
 
@@ -91,7 +91,7 @@
 	if err != nil {
 		return passthrough.Checkpoint{}, errkind.Wrap(err, errkind.Internal, "question for flows")
 	}
-	if c.written[member.name] != nil {
+	if c.wrote {
 		request.Header.Set(coveredHeader, "1")
 	}
 	response, err := c.client.Do(request)
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -27,6 +27,10 @@
 	// watchersPerDomain is the number of processes of a failure domain that follow
 	// the store; the others hear of changes in heartbeats.
 	watchersPerDomain = 2
+	// watchGrace is how long after its start a process that has a version does not
+	// follow the store: all that start together would, and each watch is a priced
+	// call. Members and the comparison of versions tell of changes meanwhile.
+	watchGrace = 1500 * time.Millisecond
 	// sweepInterval is the pace of forgetting flows.
 	sweepInterval = time.Second
 	// headerTimeout and idleTimeout bound the connections of the HTTP servers.
@@ -150,10 +154,13 @@
 
 // watches tells whether this process follows the store's changes: the first two
 // balancers of each failure domain do, and every process of a domain where none
-// can be reached.
+// can be reached. A process that has just started does not know its members yet.
 func (n *node) watches() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.clock.now() < watchGrace {
+		return false
+	}
 	ahead := 0
 	for _, status := range n.roster.Members() {
 		if status.Role == roster.Balancer && status.Reachable && status.Domain == n.settings.Domain &&
