--- a/connection/gate/gate.go
+++ b/connection/gate/gate.go
@@ -10,7 +10,6 @@
 	"bergamotbank/connection/passthrough"
 	"bergamotbank/errkind"
 	"bergamotbank/version/routes"
-	"bergamotbank/version/steering"
 )
 
 // Options configure a Gate.
@@ -72,18 +71,17 @@
 
 // Gate decides for one backend server. It is not safe for concurrent use.
 type Gate struct {
-	options Options
-	version *routes.Version
-	server  Server
-	bucket  bucket
-	flows   map[passthrough.Flow]*flow
-	open    int
-	work    workMeter
-	health  healthMeter
-	agents  []Agent
-	settled bool
-	// owners is the table of registrations; nil until it is needed after a change.
-	owners   *steering.Table
+	options  Options
+	version  *routes.Version
+	server   Server
+	bucket   bucket
+	flows    map[passthrough.Flow]*flow
+	open     int
+	work     workMeter
+	health   healthMeter
+	agents   []Agent
+	settled  bool
+	owners   *passthrough.Owners
 	registry *passthrough.Generations[registration]
 	offers   *passthrough.Generations[offer]
 	searches *passthrough.Generations[*search]
@@ -125,6 +123,7 @@
 	return &Gate{
 		options:  options,
 		flows:    map[passthrough.Flow]*flow{},
+		owners:   passthrough.NewOwners(nil),
 		registry: passthrough.NewGenerations[registration](options.FlowLifetime+registrySlack, maxRegistrations),
 		offers:   passthrough.NewGenerations[offer](offerPeriod, maxRegistrations),
 		searches: passthrough.NewGenerations[*search](searchPeriod, maxRegistrations),
--- a/connection/gate/registry.go
+++ b/connection/gate/registry.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"bergamotbank/connection/passthrough"
-	"bergamotbank/version/steering"
 )
 
 // SetAgents replaces the view of the agents that register flows with each other.
@@ -15,24 +14,25 @@
 	for _, agent := range g.agents {
 		runs[agent.Peer] = agent.Run
 	}
-	registered := g.registered()
-	var former *steering.Table
-	if len(registered) > 0 {
-		former = g.ownerTable()
-	}
+	former := g.owners
 	g.agents = agents
-	g.owners = nil
-	g.SetSettled(settled)
-	if len(registered) == 0 {
-		return
-	}
+	alive := make([]passthrough.Owner, 0, len(agents))
 	renewed := map[passthrough.Endpoint]bool{}
 	for _, agent := range agents {
-		renewed[agent.Peer] = !agent.Silent && runs[agent.Peer] != agent.Run
+		if agent.Silent {
+			continue
+		}
+		alive = append(alive, passthrough.Owner{Name: agent.Name, Peer: agent.Peer})
+		renewed[agent.Peer] = runs[agent.Peer] != agent.Run
 	}
-	for _, key := range registered {
-		a, b := owners(former, key)
-		c, d := owners(g.ownerTable(), key)
+	g.owners = passthrough.NewOwners(alive)
+	g.SetSettled(settled)
+	for key, f := range g.flows {
+		if !f.registered || f.phase != phaseOpen {
+			continue
+		}
+		a, b := former.Pair(key)
+		c, d := g.owners.Pair(key)
 		if (c != a && c != b) || renewed[c] {
 			g.enqueue(c, key)
 		}
@@ -42,41 +42,6 @@
 	}
 }
 
-// registered returns the open flows that owners know.
-func (g *Gate) registered() []passthrough.Flow {
-	var keys []passthrough.Flow
-	for key, f := range g.flows {
-		if f.registered && f.phase == phaseOpen {
-			keys = append(keys, key)
-		}
-	}
-	return keys
-}
-
-// ownerTable returns the table of the agents that keep registrations. It is built
-// when it is first needed: after a restart of everything members join one by one.
-func (g *Gate) ownerTable() *steering.Table {
-	if g.owners == nil {
-		servers := make([]steering.Server, 0, len(g.agents))
-		for _, agent := range g.agents {
-			if !agent.Silent {
-				servers = append(servers, steering.Server{Name: agent.Name, Addr: agent.Peer.AddrPort(), Weight: steering.FullWeight})
-			}
-		}
-		g.owners = steering.Build(servers)
-	}
-	return g.owners
-}
-
-// owners returns two different agents for a flow where there are two.
-func owners(table *steering.Table, key passthrough.Flow) (first, second passthrough.Endpoint) {
-	a, b, ok := table.Pair(key.Hash())
-	if !ok {
-		return 0, 0
-	}
-	return passthrough.EndpointOf(table.Addr(a)), passthrough.EndpointOf(table.Addr(b))
-}
-
 // SetSettled tells whether no agent is missing from the view. Searches that waited
 // only for that are concluded.
 func (g *Gate) SetSettled(settled bool) {
@@ -138,7 +103,7 @@
 			continue
 		}
 		f.registered = true
-		first, second := owners(g.ownerTable(), key)
+		first, second := g.owners.Pair(key)
 		g.enqueue(first, key)
 		if second != first {
 			g.enqueue(second, key)
--- a/connection/steer/packet.go
+++ b/connection/steer/packet.go
@@ -112,12 +112,10 @@
 // registration in turn, since one may have just died, and only those that can be
 // reached when there are such.
 func (s *Steer) owner(flow passthrough.Flow) passthrough.Endpoint {
-	owners := s.ownerTable()
-	a, b, ok := owners.Pair(flow.Hash())
-	if !ok {
+	first, second := s.owners.Pair(flow)
+	if first == 0 {
 		return 0
 	}
-	first, second := passthrough.EndpointOf(owners.Addr(a)), passthrough.EndpointOf(owners.Addr(b))
 	asked, _ := s.lookups.Get(flow)
 	s.lookups.Put(flow, asked+1)
 	if asked%2 == 1 {
--- a/connection/steer/steer.go
+++ b/connection/steer/steer.go
@@ -10,7 +10,6 @@
 	"bergamotbank/connection/passthrough"
 	"bergamotbank/errkind"
 	"bergamotbank/version/routes"
-	"bergamotbank/version/steering"
 )
 
 const (
@@ -129,8 +128,7 @@
 	servers  []*entry
 	byAgent  map[passthrough.Endpoint]*entry
 	services map[string][]*entry
-	// owners is the table of registrations; nil until it is needed after a change.
-	owners   *steering.Table
+	owners   *passthrough.Owners
 	holders  *passthrough.Generations[holding]
 	lookups  *passthrough.Generations[uint8]
 	segment  passthrough.Segment
@@ -161,6 +159,7 @@
 	return &Steer{
 		options: options,
 		byAgent: map[passthrough.Endpoint]*entry{},
+		owners:  passthrough.NewOwners(nil),
 		holders: passthrough.NewGenerations[holding](holderPeriod, maxHolders),
 		lookups: passthrough.NewGenerations[uint8](lookupPeriod, maxHolders),
 	}
@@ -175,6 +174,7 @@
 	s.byAgent = make(map[passthrough.Endpoint]*entry, len(servers))
 	s.services = map[string][]*entry{}
 	s.servers = s.servers[:0]
+	owners := make([]passthrough.Owner, 0, len(servers))
 	for i := range servers {
 		e := &entry{Server: servers[i]}
 		if before := former[e.Agent]; before != nil && before.Flows == e.Flows && before.Work == e.Work {
@@ -186,23 +186,11 @@
 		s.byAgent[e.Agent] = e
 		s.servers = append(s.servers, e)
 		s.services[e.Service] = append(s.services[e.Service], e)
-	}
-	s.owners = nil
-}
-
-// ownerTable returns the table of the agents that keep registrations. It is built
-// when it is first needed: after a restart of everything members join one by one.
-func (s *Steer) ownerTable() *steering.Table {
-	if s.owners == nil {
-		owners := make([]steering.Server, 0, len(s.servers))
-		for _, e := range s.servers {
-			if !e.Silent {
-				owners = append(owners, steering.Server{Name: e.Name, Addr: e.Agent.AddrPort(), Weight: steering.FullWeight})
-			}
+		if !e.Silent {
+			owners = append(owners, passthrough.Owner{Name: e.Name, Peer: e.Agent})
 		}
-		s.owners = steering.Build(owners)
 	}
-	return s.owners
+	s.owners = passthrough.NewOwners(owners)
 }
 
 // Report takes over what an agent says of its server since SetServers.
