Let checkpoints of agents that have left run out

They now have a lease of their own of two minutes that is not renewed: after half of it the writer takes another one and writes all anew. Test: TestCheckpointsAreWrittenWhenNeeded.

--- a/process/passthrough/checkpoint.go
+++ b/process/passthrough/checkpoint.go
@@ -10,7 +10,6 @@
 	"go.uber.org/zap"
 
 	"bergamotbank/connection/passthrough"
-	"bergamotbank/errkind"
 )
 
 const (
@@ -24,6 +23,9 @@
 	// that all together write at most 50 times a second, an eighth of what a small
 	// store takes.
 	checkpointSpacing = 20 * time.Millisecond
+	// checkpointLifetime is how long a checkpoint is kept that nobody writes anew:
+	// twice the lifetime of a flow.
+	checkpointLifetime = 2 * time.Minute
 	// coveredRounds is the number of rounds after which an agent for which nobody has
 	// written writes itself.
 	coveredRounds = 3
@@ -40,8 +42,6 @@
 	logger *zap.Logger
 	name   string
 	client http.Client
-	// lease returns the lease under which checkpoints are written, 0 for none yet.
-	lease func() uint64
 	// group returns the agents of the own group, the one that writes for all first,
 	// and the number of groups that write to the same store.
 	group func() (members []checkpointSource, groups int)
@@ -51,6 +51,11 @@
 
 	// written are the last checkpoints by the names of their agents.
 	written map[string]writtenFlows
+	// lease is the lease of what was written, used until fresh has passed. It is not
+	// renewed but replaced, with everything written anew, so that the checkpoints of
+	// agents that have left run out.
+	lease uint64
+	fresh time.Duration
 	// wrote tells that the last round worked, also when there was nothing to write.
 	wrote   bool
 	failing bool
@@ -69,7 +74,6 @@
 		logger:  a.logger,
 		name:    a.settings.Name,
 		client:  http.Client{Timeout: pullTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
-		lease:   a.directory.lease.Load,
 		group:   a.group,
 		take:    a.checkpoint,
 		recall:  a.recall,
@@ -152,10 +156,12 @@
 	return nil
 }
 
-// write stores the checkpoints that the last ones do not cover. They live as long
-// as the directory entry of this agent.
+// write stores the checkpoints that the last ones do not cover.
 func (c *checkpoints) write(ctx context.Context, gathered map[string]passthrough.Checkpoint) error {
 	c.forget(gathered)
+	if c.clock.now() >= c.fresh {
+		clear(c.written)
+	}
 	var entries []Item
 	for name, checkpoint := range gathered {
 		if !c.written[name].cover(checkpoint) {
@@ -165,12 +171,12 @@
 	if len(entries) == 0 {
 		return nil
 	}
-	lease := c.lease()
-	if lease == 0 {
-		return errkind.New(errkind.StoreUnavailable, "no lease for %d checkpoints", len(entries))
+	if err := c.renewLease(ctx); err != nil {
+		return err
 	}
-	if err := c.store.Put(ctx, entries, lease); err != nil {
+	if err := c.store.Put(ctx, entries, c.lease); err != nil {
 		clear(c.written)
+		c.fresh = 0
 		return err
 	}
 	for name, checkpoint := range gathered {
@@ -179,6 +185,20 @@
 	return nil
 }
 
+// renewLease asks for another lease when half of the last one has passed or a write
+// under it has failed.
+func (c *checkpoints) renewLease(ctx context.Context) error {
+	if c.clock.now() < c.fresh {
+		return nil
+	}
+	lease, granted, err := c.store.Grant(ctx, checkpointLifetime)
+	if err != nil {
+		return err
+	}
+	c.lease, c.fresh = lease, c.clock.now()+granted/2
+	return nil
+}
+
 // forget drops what was written for agents that another one writes for by now, or
 // that did not answer.
 func (c *checkpoints) forget(gathered map[string]passthrough.Checkpoint) {
--- a/process/passthrough/checkpoint_test.go
+++ b/process/passthrough/checkpoint_test.go
@@ -42,7 +42,6 @@
 		store:  store,
 		logger: zap.New(core),
 		name:   "agent-1",
-		lease:  func() uint64 { return 1 },
 		group: func() ([]checkpointSource, int) {
 			return []checkpointSource{{name: "agent-1"}}, 1
 		},
@@ -134,10 +133,21 @@
 		}
 		convey.Convey("without a lease nothing is written, and that is a failure", func() {
 			c.flows.Flows = append(c.flows.Flows, flowOf(3))
-			c.lease = func() uint64 { return 0 }
+			c.fresh = 0
+			c.store.setDown(true)
 			convey.So(errkind.Is(c.save(t.Context()), errkind.StoreUnavailable), convey.ShouldBeTrue)
 			convey.So(c.store.writes(), convey.ShouldEqual, before)
 		})
+		convey.Convey("one lease serves until half of it has passed; then all is written under the next one", func() {
+			c.flows.Flows = append(c.flows.Flows, flowOf(3))
+			convey.So(c.save(t.Context()), convey.ShouldBeNil)
+			convey.So(c.store.grants, convey.ShouldEqual, 1)
+			puts := c.store.puts
+			c.clock.start = c.clock.start.Add(-checkpointLifetime/2 - time.Second)
+			convey.So(c.save(t.Context()), convey.ShouldBeNil)
+			convey.So(c.store.grants, convey.ShouldEqual, 2)
+			convey.So(c.store.puts, convey.ShouldEqual, puts+1)
+		})
 		convey.Convey("a write that failed is tried again", func() {
 			c.flows.Flows = append(c.flows.Flows, flowOf(3))
 			c.store.setDown(true)
--- a/process/passthrough/directory.go
+++ b/process/passthrough/directory.go
@@ -41,7 +41,7 @@
 	// least is the shortest lease that the store grants.
 	least time.Duration
 	// lease is the lease of the own entry, 0 for none.
-	lease   atomic.Uint64
+	lease   uint64
 	granted time.Duration
 	// written is closed when the own entry has been written for the first time.
 	written chan struct{}
@@ -96,8 +96,8 @@
 			pause.reset()
 			sleep(ctx, d.granted/renewShare)
 		case errkind.Is(err, errkind.NotFound):
-			d.logger.Info("lease of the directory entry has ended; writing the entry anew", zap.Uint64("lease", d.lease.Load()))
-			d.lease.Store(0)
+			d.logger.Info("lease of the directory entry has ended; writing the entry anew", zap.Uint64("lease", d.lease))
+			d.lease = 0
 		default:
 			if !lost && ctx.Err() == nil {
 				d.logger.Warn("store does not answer; the directory entry may lapse", zap.Error(err))
@@ -111,8 +111,8 @@
 
 // renew prolongs the lease, or writes the entry under a new one.
 func (d *directory) renew(ctx context.Context) error {
-	if held := d.lease.Load(); held != 0 {
-		return d.store.Renew(ctx, held)
+	if d.lease != 0 {
+		return d.store.Renew(ctx, d.lease)
 	}
 	lease, granted, err := d.store.Grant(ctx, max(entryLifetime, d.least))
 	if err != nil {
@@ -121,8 +121,7 @@
 	if err := d.store.Put(ctx, []Item{{Key: d.key, Value: []byte(d.peer.String())}}, lease); err != nil {
 		return err
 	}
-	d.granted = granted
-	d.lease.Store(lease)
+	d.lease, d.granted = lease, granted
 	select {
 	case <-d.written:
 	default:
@@ -164,10 +163,9 @@
 	d.add(passthrough.EndpointOf(addr), roleOf(item.Key))
 }
 
-// end removes the own entry. The lease runs out by itself: checkpoints that this
-// process wrote for others outlive it until another one writes them.
+// end removes the own entry. Its lease runs out by itself.
 func (d *directory) end(ctx context.Context) {
-	if d.lease.Load() == 0 {
+	if d.lease == 0 {
 		return
 	}
 	if err := d.store.Delete(ctx, d.key); err != nil {
--- a/process/passthrough/orders_test.go
+++ b/process/passthrough/orders_test.go
@@ -27,6 +27,7 @@
 	revision uint64
 	lists    int
 	puts     int
+	grants   int
 	compares int
 	deaf     bool
 	down     bool
@@ -77,6 +78,15 @@
 	return nil
 }
 
+// Grant implements Store.
+func (f *fakeStore) Grant(_ context.Context, ttl time.Duration) (uint64, time.Duration, error) {
+	if f.isDown() {
+		return 0, 0, errkind.New(errkind.StoreUnavailable, "down")
+	}
+	f.grants++
+	return uint64(f.grants), ttl, nil
+}
+
 func (f *fakeStore) isDown() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
