--- a/process/roster/beat_test.go
+++ b/process/roster/beat_test.go
@@ -62,6 +62,27 @@
 			convey.So(w.status(0, 1).Version, convey.ShouldEqual, 3)
 			convey.So(w.peers[0].hints, convey.ShouldContain, uint64(3))
 		})
+		convey.Convey("a question in a heartbeat of either form is answered at once", func() {
+			answers := 0
+			w.network.Drop = func(b []byte, _ passthrough.Endpoint) bool {
+				if sender(b) == addressOf(1) {
+					answers++
+				}
+				return false
+			}
+			h := hello{Member: w.peers[0].self, interval: time.Second, heard: true, asks: true}
+			w.peers[1].roster.Hello(h.encode(), w.now)
+			w.network.Run()
+			convey.So(answers, convey.ShouldEqual, 1)
+			short := beatOf(&h)
+			w.peers[1].roster.Beat(short.encode(), w.now)
+			w.network.Run()
+			convey.So(answers, convey.ShouldEqual, 2)
+			h.asks = false
+			w.peers[1].roster.Hello(h.encode(), w.now)
+			w.network.Run()
+			convey.So(answers, convey.ShouldEqual, 2)
+		})
 		convey.Convey("a change of the service comes whole, also when the first ones are lost", func() {
 			w.wholeLost(1, 2)
 			w.peers[1].self.Service = "catalogue"
