--- a/process/passthrough/backend_test.go
+++ b/process/passthrough/backend_test.go
@@ -17,11 +17,17 @@
 
 // testAgent returns an agent on free ports of the loopback range that does not run.
 func testAgent(t *testing.T) *Agent {
+	t.Helper()
+	return agentWith(t, netip.MustParseAddrPort("127.0.0.1:9"))
+}
+
+// agentWith returns such an agent beside a backend server.
+func agentWith(t testing.TB, server netip.AddrPort) *Agent {
 	t.Helper()
 	free := netip.MustParseAddrPort("127.0.0.1:0")
 	s := settings.Settings{Name: "agent-1", Domain: "junin", Packet: free, Control: free}
 	s.Passthrough = settings.Passthrough{
-		Peer: free, Outbound: free, Backend: netip.MustParseAddrPort("127.0.0.1:9"),
+		Peer: free, Outbound: free, Backend: server,
 		Heartbeat: settings.Duration(testHeartbeat), FlowLifetime: settings.Duration(time.Minute),
 	}
 	a, err := NewAgent(s, zap.NewNop(), Adapter{
