publish: a repeated operation that cannot read the root has an unknown outcome

Cause: with an operation ID that an earlier call may have used, a publication that could not read or write the store ended as Refused, although the earlier call may have made the version: an operator read "refused: nothing was changed". Now every end that the store does not settle is Unknown for such an operation (root unreadable, sections or root not writable, lost race with an unreadable winner, expected version so old that the root no longer lists its successors); an operation without a given ID is Refused as before, since no other call knows its ID.

TestRepetitionWithoutStore fails without the change.

The test itself was wrong in one place: it derived the port of the next configuration from a client ID that grows by 100 with each unknown outcome, which exceeds 65535 after the first one.

--- a/process/ctl/ctl_test.go
+++ b/process/ctl/ctl_test.go
@@ -182,6 +182,23 @@
 		convey.So(got.code, convey.ShouldEqual, exitCode(errkind.StoreUnavailable))
 		convey.So(got.stderr, convey.ShouldContainSubstring, "127.0.0.1:1")
 	})
+	convey.Convey("apply --operation prints whether the operation made a version, made none or may have made one", t, func() {
+		cluster := newTestCluster(t)
+		apply := func(text string, args ...string) result {
+			return cluster.run(text, append(append([]string{"--timeout", "2s", "apply", "--operation", "change-1"}, args...), "-")...)
+		}
+		got := apply(configText)
+		convey.So(got.stdout, convey.ShouldStartWith, "accepted: version 1, operation change-1, ")
+		cluster.store.SetFaults(storetest.Faults{Down: true})
+		got = apply(configText)
+		convey.So(got.code, convey.ShouldEqual, exitCode(errkind.OutcomeUnknown))
+		convey.So(got.stdout, convey.ShouldStartWith, "unknown: retry with --operation change-1 ")
+		cluster.store.SetFaults(storetest.Faults{})
+		convey.So(apply(configText).stdout, convey.ShouldStartWith, "accepted: version 1, operation change-1, ")
+		got = cluster.run(configText+"out = true\n", "apply", "--operation", "change-2", "--expect-version", "7", "-")
+		convey.So(got.code, convey.ShouldEqual, exitCode(errkind.Conflict))
+		convey.So(got.stdout, convey.ShouldStartWith, "refused: nothing was changed")
+	})
 	convey.Convey("The output of validate, diff, apply, show and version", t, func() {
 		convey.So(cluster.run(configText, "validate", "-").stdout, convey.ShouldEqual, "valid: 1 services, 1 failure domains\n")
 		convey.So(cluster.run(configText, "diff", "-").stdout, convey.ShouldStartWith, "2 changes relative to version 0\n")
--- a/version/publish/history_test.go
+++ b/version/publish/history_test.go
@@ -76,17 +76,18 @@
 
 // runOperator publishes and loads alternately. If the outcome of an operation is
 // unknown, it repeats the operation once.
-func (h *history) runOperator(t *testing.T, id int, p *Publisher) {
+func (h *history) runOperator(t *testing.T, operator int, p *Publisher) {
 	const rounds = 8
+	client := operator
 	for round := range rounds {
-		content := 1000*(id+1) + round
+		content := 1000*(operator+1) + round
 		request := Request{Config: testConfig(t, 3, content), Operation: NewOperationID()}
 		begin := h.now()
 		result, err := publishWithTimeout(p, request)
 		if errkind.Is(err, errkind.OutcomeUnknown) {
 			result, err = publishWithTimeout(p, request)
 		}
-		operation := porcupine.Operation{ClientId: id, Input: call{content}, Call: begin, Return: h.now()}
+		operation := porcupine.Operation{ClientId: client, Input: call{content}, Call: begin, Return: h.now()}
 		switch {
 		case errkind.Is(err, errkind.OutcomeUnknown):
 			operation.Return = math.MaxInt64
@@ -94,12 +95,12 @@
 			h.add(operation)
 			// The operation has not ended in the history, so the following operations
 			// need another client ID.
-			id += 100
+			client += 100
 		case err == nil:
 			operation.Output = callOutput{outcome: result.Outcome, state: register{result.Version, content}}
 			h.add(operation)
 		}
-		h.load(id, p)
+		h.load(client, p)
 	}
 }
 
--- a/version/publish/outcome.go
+++ b/version/publish/outcome.go
@@ -31,12 +31,29 @@
 	if index <= b.index {
 		return opPending, 0
 	}
-	if len(root.Recent) == recentOperations && root.Recent[0].Version > b.version.Root.Version+1 {
+	if root.hasEvicted(b.version.Root.Version + 1) {
 		return opEvicted, 0
 	}
 	return opNotCommitted, 0
 }
 
+// hasEvicted reports whether the root may no longer list the operation that made a
+// version.
+func (r Root) hasEvicted(version uint64) bool {
+	return len(r.Recent) == recentOperations && r.Recent[0].Version > version
+}
+
+// unresolved ends an attempt that made no version. If an earlier call may have made
+// one, the outcome of the operation is Unknown, else Refused.
+func (req Request) unresolved(cause error, result *Result) error {
+	if !req.mayRepeat {
+		return cause
+	}
+	result.Outcome = Unknown
+	return errkind.Wrap(cause, errkind.OutcomeUnknown,
+		"cannot determine whether an earlier attempt of operation %s made a version; repeat it with the same operation ID", req.Operation)
+}
+
 // resolveOutcome determines the outcome of a write of the root that may or may not
 // have taken effect. While the root is unchanged, the write may still arrive;
 // incrementing the root's epoch then ensures that it fails.
@@ -78,14 +95,18 @@
 // handleConflict ends an operation whose write of the root failed with a conflict.
 // This attempt made no version, even if the version that was written first cannot be
 // read. An earlier attempt of the same operation may have made one, though.
-func (p *Publisher) handleConflict(ctx context.Context, b base, written Version, result *Result) (retry bool, err error) {
-	root, _, err := p.readRoot(ctx)
+func (p *Publisher) handleConflict(ctx context.Context, req Request, b base, written Version, result *Result) (retry bool, err error) {
+	root, index, err := p.readRoot(ctx)
 	if err != nil {
-		return false, errkind.Wrap(err, errkind.Conflict, "another operation changed the root first; its version is unknown")
+		return false, req.unresolved(errkind.Wrap(err, errkind.Conflict, "another operation changed the root first; its version is unknown"), result)
 	}
-	if version, found := root.findOperation(written.Root.Operation); found {
+	switch status, version := operationStatus(b, root, index, req.Operation); status {
+	case opCommitted:
 		result.accept(version)
 		return false, nil
+	case opEvicted:
+		return false, req.unresolved(errkind.New(errkind.Conflict, "another operation changed the root first; the root no longer lists operations of that time"), result)
+	case opPending, opNotCommitted:
 	}
 	return p.abort(ctx, b, root, written, result)
 }
--- a/version/publish/publish.go
+++ b/version/publish/publish.go
@@ -32,7 +32,9 @@
 type Request struct {
 	// Config is the desired content.
 	Config *config.Config
-	// Operation identifies the operation. If empty, a new identifier is generated.
+	// Operation identifies the operation. If empty, a new identifier is generated. An
+	// operation with a given identifier may have been attempted before, so it is
+	// Refused only if the store shows that no attempt has made a version.
 	Operation string
 	// Expect is the version that must be current; nil means any.
 	Expect *uint64
@@ -41,6 +43,8 @@
 	Floor uint64
 	// Repair replaces a root that cannot be decoded.
 	Repair bool
+	// mayRepeat is true if the operation may have been attempted by an earlier call.
+	mayRepeat bool
 }
 
 // Result is the result of a Request.
@@ -88,7 +92,8 @@
 // version in the store. With the outcome Unknown it is OutcomeUnknown, and the same
 // Operation may be published again.
 func (p *Publisher) Publish(ctx context.Context, req Request) (Result, error) {
-	if req.Operation == "" {
+	req.mayRepeat = req.Operation != ""
+	if !req.mayRepeat {
 		req.Operation = NewOperationID()
 	}
 	result := Result{Outcome: Refused, Operation: req.Operation}
@@ -106,7 +111,7 @@
 func (p *Publisher) attempt(ctx context.Context, req Request, result *Result) (retry bool, err error) {
 	b, err := p.readBase(ctx, req)
 	if err != nil {
-		return false, err
+		return false, req.unresolved(err, result)
 	}
 	result.Current = b.version.Root.Version
 	result.Changes = config.Diff(b.version.Config, req.Config)
@@ -114,7 +119,7 @@
 		result.accept(version)
 		return false, nil
 	}
-	if err := req.checkExpected(b); err != nil {
+	if err := req.checkExpected(b, result); err != nil {
 		return false, err
 	}
 	built, newSections, err := p.buildVersion(req, b)
@@ -131,10 +136,10 @@
 		result.NewTexts[s.hash] = s.text
 	}
 	if err := p.writeSections(ctx, built.Root, newSections); err != nil {
-		return false, err
+		return false, req.unresolved(err, result)
 	}
 	p.beforeRootWrite()
-	return p.writeRoot(ctx, b, built, result)
+	return p.writeRoot(ctx, req, b, built, result)
 }
 
 func (r *Result) accept(version uint64) {
@@ -142,12 +147,16 @@
 	r.Version = version
 }
 
-func (req Request) checkExpected(b base) error {
+func (req Request) checkExpected(b base, result *Result) error {
 	current := b.version.Root.Version
-	if req.Expect != nil && *req.Expect != current {
-		return errkind.New(errkind.Conflict, "version %d is current, not the expected %d", current, *req.Expect)
+	if req.Expect == nil || *req.Expect == current {
+		return nil
 	}
-	return nil
+	err := errkind.New(errkind.Conflict, "version %d is current, not the expected %d", current, *req.Expect)
+	if b.version.Root.hasEvicted(*req.Expect + 1) {
+		return req.unresolved(err, result)
+	}
+	return err
 }
 
 // readBase reads the current version. An invalid version may be replaced only if its
@@ -221,7 +230,7 @@
 	}
 	for _, s := range newSections {
 		if err := p.writeSection(ctx, keys[s.hash], s.text); err != nil {
-			return errkind.Wrap(err, errkind.StoreUnavailable, "write section %s; the configuration is unchanged", s.name)
+			return errkind.Wrap(err, errkind.StoreUnavailable, "write section %s; this attempt made no version", s.name)
 		}
 	}
 	return nil
@@ -247,7 +256,7 @@
 }
 
 // writeRoot writes the root, which commits the operation.
-func (p *Publisher) writeRoot(ctx context.Context, b base, built Version, result *Result) (retry bool, err error) {
+func (p *Publisher) writeRoot(ctx context.Context, req Request, b base, built Version, result *Result) (retry bool, err error) {
 	value, err := EncodeRoot(built.Root)
 	if err != nil {
 		return false, err
@@ -260,11 +269,11 @@
 		p.maybeCollect(ctx, built.Root.Version)
 		return false, nil
 	case errkind.Is(err, errkind.Conflict):
-		return p.handleConflict(ctx, b, built, result)
+		return p.handleConflict(ctx, req, b, built, result)
 	case errkind.Is(err, errkind.OutcomeUnknown):
 		return p.resolveOutcome(ctx, b, built, result)
 	default:
-		return false, errkind.Wrap(err, errkind.Of(err), "write the root; the configuration is unchanged")
+		return false, req.unresolved(errkind.Wrap(err, errkind.Of(err), "write the root; this attempt made no version"), result)
 	}
 }
 
--- a/version/publish/publish_test.go
+++ b/version/publish/publish_test.go
@@ -132,6 +132,91 @@
 	})
 }
 
+// TestRepetitionWithoutStore repeats an operation that has made a version while the store
+// does not let the repetition find that out.
+func TestRepetitionWithoutStore(t *testing.T) {
+	cases := []struct {
+		name string
+		// content is the port in the repeated configuration; the version has port 80.
+		content int
+		fail    func(server *storetest.Server, p *Publisher)
+	}{
+		{"the root cannot be read", 80, func(server *storetest.Server, _ *Publisher) {
+			server.SetFaults(storetest.Faults{RateLimitedCalls: 1000})
+		}},
+		{"the store is down", 80, func(server *storetest.Server, _ *Publisher) {
+			server.SetFaults(storetest.Faults{Down: true})
+		}},
+	}
+	for _, c := range cases {
+		convey.Convey("If "+c.name+", the outcome of a repeated operation is unknown, and a later repetition finds it", t, func() {
+			server := newServer(t)
+			p := newPublisher(t, server)
+			request := Request{Config: testConfig(t, 3, 80), Operation: "mine"}
+			_, err := p.Publish(t.Context(), request)
+			convey.So(err, convey.ShouldBeNil)
+			c.fail(server, p)
+			request.Config = testConfig(t, 3, c.content)
+			result, err := p.Publish(t.Context(), request)
+			convey.So(errkind.Of(err), convey.ShouldEqual, errkind.OutcomeUnknown)
+			convey.So(result.Outcome, convey.ShouldEqual, Unknown)
+			server.SetFaults(storetest.Faults{})
+			result, err = p.Publish(t.Context(), request)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(result.Outcome, convey.ShouldEqual, Accepted)
+			convey.So(result.Version, convey.ShouldEqual, 1)
+		})
+	}
+	stages := []struct {
+		name  string
+		apply func(server *storetest.Server, p *Publisher)
+	}{
+		{"its sections cannot be written", func(server *storetest.Server, _ *Publisher) {
+			server.OnWrite(func(string) { server.SetFaults(storetest.Faults{RateLimitedCalls: 1000}) })
+		}},
+		{"its root cannot be written", func(server *storetest.Server, p *Publisher) {
+			p.beforeRootWrite = func() { server.SetFaults(storetest.Faults{RateLimitedCalls: 1000}) }
+		}},
+		{"another operation is first and cannot be read", func(server *storetest.Server, p *Publisher) {
+			p.beforeRootWrite = func() {
+				_, err := newPublisher(t, server).Publish(t.Context(), Request{Config: testConfig(t, 3, 81)})
+				convey.So(err, convey.ShouldBeNil)
+				server.OnWrite(func(string) { server.SetFaults(storetest.Faults{Down: true}) })
+			}
+		}},
+	}
+	for _, given := range []string{"", "mine"} {
+		for _, c := range stages {
+			convey.Convey(fmt.Sprintf("If %s, only an operation with a given ID (%q) has an unknown outcome", c.name, given), t, func() {
+				server := newServer(t)
+				p := newPublisher(t, server)
+				c.apply(server, p)
+				result, err := p.Publish(t.Context(), Request{Config: testConfig(t, 3, 82), Operation: given})
+				convey.So(err, convey.ShouldNotBeNil)
+				convey.So(errkind.Is(err, errkind.OutcomeUnknown), convey.ShouldEqual, given != "")
+				convey.So(result.Outcome == Unknown, convey.ShouldEqual, given != "")
+			})
+		}
+	}
+	convey.Convey("A repetition that expects a version is refused unless the root no longer lists the operations after it", t, func() {
+		server := newServer(t)
+		p := newPublisher(t, server)
+		expected := uint64(1)
+		for version := range recentOperations + 2 {
+			_, err := p.Publish(t.Context(), Request{Config: testConfig(t, 3, 100+version)})
+			convey.So(err, convey.ShouldBeNil)
+			if version == 0 {
+				continue
+			}
+			result, err := p.Publish(t.Context(), Request{Config: testConfig(t, 3, 99), Operation: "mine", Expect: &expected})
+			convey.So(err, convey.ShouldNotBeNil)
+			evicted := version > recentOperations
+			convey.So(result.Outcome == Unknown, convey.ShouldEqual, evicted)
+			convey.So(errkind.Is(err, errkind.Conflict), convey.ShouldEqual, !evicted)
+		}
+	})
+}
+
 func TestConcurrentOperators(t *testing.T) {
 	convey.Convey("Of two concurrent operators one succeeds and the other receives the differences, ten times", t, func() {
 		server := newServer(t)
