steer, gate: only a report of the holder makes an agent the holder of a flow

Silence of an agent resets only reported flows; others are looked up. A registration that stems from a refused opening packet no longer replaces one of the holder and is not evidence for a reset either; a packet that an outdated registration leads astray is searched for instead of dropped, and so is one that the server returns while a late opening packet is pending.

Tried in thought and dropped: reporting with the registrations after 150 ms, which would leave requests on younger flows to wait for their time limit when a VM fails.

--- a/connection/gate/cluster_test.go
+++ b/connection/gate/cluster_test.go
@@ -131,10 +131,14 @@
 }
 
 // publishAgents updates the view of every agent.
-func (tc *testCluster) publishAgents() {
+func (tc *testCluster) publishAgents() { tc.publishAgentsWithout(make([]bool, len(tc.nodes))) }
+
+// publishAgentsWithout updates the view of every agent. Those marked in timedOut are
+// presumed failed.
+func (tc *testCluster) publishAgentsWithout(timedOut []bool) {
 	var agents []gate.Agent
 	for i, n := range tc.nodes {
-		agents = append(agents, gate.Agent{Name: string(rune('a' + i)), Peer: peerOf(i), Service: n.info.Service, Domain: n.info.Domain, Run: tc.runs[i]})
+		agents = append(agents, gate.Agent{Name: string(rune('a' + i)), Peer: peerOf(i), Service: n.info.Service, Domain: n.info.Domain, Run: tc.runs[i], TimedOut: timedOut[i]})
 	}
 	for _, n := range tc.nodes {
 		n.gate.SetAgents(agents, tc.discoveryComplete)
@@ -151,8 +155,13 @@
 		b.SetServers(tc.servers())
 		tc.balancers = append(tc.balancers, b)
 		tc.network.Attach(self, func(datagram []byte) {
-			if agent, flow, err := passthrough.ParseHolder(datagram); err == nil {
+			agent, flow, err := passthrough.ParseHolder(datagram)
+			switch {
+			case err != nil:
+			case passthrough.Kind(datagram[0]) == passthrough.Learned:
 				b.SetHolder(agent, flow)
+			default:
+				b.SetCandidate(agent, flow)
 			}
 		})
 	}
--- a/connection/gate/flow.go
+++ b/connection/gate/flow.go
@@ -58,12 +58,14 @@
 	callerNextSeq  uint32
 	callerSentData bool
 	version        uint64
-	origin         passthrough.Endpoint
-	alternate      passthrough.Endpoint
-	request        requestID
-	requestedAt    time.Duration
-	openedAt       time.Duration
-	lastUsed       time.Duration
+	// informed is the balancer that was last told that this agent holds the flow.
+	informed    passthrough.Endpoint
+	origin      passthrough.Endpoint
+	alternate   passthrough.Endpoint
+	request     requestID
+	requestedAt time.Duration
+	openedAt    time.Duration
+	lastUsed    time.Duration
 }
 
 // confirms reports whether a caller's packet confirms the opening by this
--- a/connection/gate/flows_test.go
+++ b/connection/gate/flows_test.go
@@ -543,6 +543,97 @@
 			tc.balancers[1].SetServers(tc.servers())
 		}
 	})
+	// An agent that is frozen cannot pass on the packet that the balancer sends to it.
+	convey.Convey("Nor when the balancer sent a later packet to that agent, which has failed meanwhile", t, func() {
+		tc := newTestCluster(4)
+		for i := range flowCount {
+			c := tc.caller(i)
+			tc.sendThrough(0, c.OpeningPacket(1))
+			tc.sendThrough(0, c.Request())
+			holder := tc.holder(c.Flow)
+			tc.sendThrough(1, c.OpeningPacket(0))
+			tc.network.Drop = func(b []byte, to passthrough.Endpoint) bool { return to != c.Flow.Caller.WithPort(callerPort) }
+			tc.sendThrough(1, c.Request())
+			tc.network.Drop = nil
+			servers := tc.servers()
+			for j := range servers {
+				servers[j].TimedOut = j != holder
+				servers[j].Reachable = j == holder
+			}
+			tc.balancers[1].SetServers(servers)
+			tc.network.Run()
+			convey.So(c.Reset, convey.ShouldBeFalse)
+			tc.network.Drop = func(_ []byte, to passthrough.Endpoint) bool {
+				return to != c.Flow.Caller.WithPort(callerPort) && to != peerOf(holder) && to != backendOf(holder)
+			}
+			tc.sendThrough(1, c.RetransmitRequest())
+			tc.network.Drop = nil
+			convey.So(c.Reset, convey.ShouldBeFalse)
+			convey.So(len(c.Responses), convey.ShouldBeGreaterThan, 1)
+			tc.balancers[1].SetServers(tc.servers())
+		}
+	})
+	convey.Convey("A flow is found whose late opening packet was forwarded to an agent that has failed meanwhile", t, func() {
+		tc := newTestCluster(3)
+		c := tc.caller(0)
+		tc.sendThrough(0, c.OpeningPacket(0))
+		tc.sendThrough(0, c.Request())
+		holder := tc.holder(c.Flow)
+		refusing, failed := (holder+1)%3, (holder+2)%3
+		draining := tc.nodes[refusing].info
+		draining.State = steer.Draining
+		tc.nodes[refusing].gate.SetServer(draining, tc.now)
+		late := c.OpeningPacket(1)
+		frame := passthrough.Frame{Kind: passthrough.Deliver, Version: 1, Alternate: peerOf(failed)}
+		frame.Put(late)
+		tc.network.Send(late, peerOf(refusing))
+		tc.network.Run()
+		tc.network.Attach(peerOf(failed), nil)
+		timedOut := make([]bool, 3)
+		timedOut[failed] = true
+		tc.publishAgentsWithout(timedOut)
+		lookup := c.Request()
+		frame = passthrough.Frame{Kind: passthrough.Lookup, Version: 1}
+		frame.Put(lookup)
+		tc.network.Send(lookup, peerOf(refusing))
+		tc.network.Run()
+		convey.So(c.Reset, convey.ShouldBeFalse)
+		convey.So(c.Responses, convey.ShouldHaveLength, 2)
+	})
+	convey.Convey("A late report that the opening packet was forwarded does not replace the holder", t, func() {
+		tc := newTestCluster(2)
+		c := tc.caller(0)
+		tc.sendThrough(0, c.OpeningPacket(0))
+		tc.sendThrough(0, c.Request())
+		holder := tc.holder(c.Flow)
+		tc.balancers[0].SetCandidate(peerOf(1-holder), c.Flow)
+		tc.network.Attach(peerOf(1-holder), nil)
+		tc.sendThrough(0, c.Request())
+		convey.So(c.Responses, convey.ShouldHaveLength, 2)
+	})
+	convey.Convey("An agent that refuses a late opening packet keeps the registration of the flow's holder", t, func() {
+		tc := newTestCluster(4)
+		c := tc.caller(0)
+		tc.sendThrough(0, c.OpeningPacket(0))
+		tc.sendThrough(0, c.Request())
+		tc.registerFlows()
+		holder := tc.holder(c.Flow)
+		for i, n := range tc.nodes {
+			if i == holder {
+				continue
+			}
+			full := n.info
+			full.State = steer.Draining
+			n.gate.SetServer(full, tc.now)
+		}
+		tc.balancers[1].SetServers(tc.servers())
+		tc.sendThrough(1, c.OpeningPacket(1))
+		tc.startBalancers(1)
+		tc.sendThrough(0, c.Request())
+		convey.So(c.Reset, convey.ShouldBeFalse)
+		convey.So(c.Responses, convey.ShouldHaveLength, 2)
+		convey.So(tc.searches(), convey.ShouldEqual, 0)
+	})
 }
 
 func TestFailingServer(t *testing.T) {
--- a/connection/gate/gate.go
+++ b/connection/gate/gate.go
@@ -118,6 +118,9 @@
 type registration struct {
 	holder      passthrough.Endpoint
 	incarnation uint32
+	// candidate is true if the holder has not registered the flow: this agent forwarded
+	// the opening packet to it, and the flow may have opened elsewhere.
+	candidate bool
 }
 
 // New returns a Gate that refuses every flow until SetServer and SetVersion have
@@ -195,7 +198,7 @@
 	g.options.Observer.Opened(d.flow, d.frame)
 	g.sendToServer(d.packet)
 	if d.frame.Hops > 0 {
-		g.notifyBalancer(d.frame.Origin, d.flow)
+		g.notifyBalancer(passthrough.Redirected, d.frame.Origin, d.flow)
 	}
 }
 
@@ -216,7 +219,9 @@
 		// reset would use up one of the caller's few attempts for a transient reason.
 		return
 	}
-	g.registry.Put(d.flow, registration{holder: alternate})
+	if r, ok := g.registry.Get(d.flow); !ok || r.candidate {
+		g.registry.Put(d.flow, registration{holder: alternate, candidate: true})
+	}
 	frame := d.frame
 	frame.Hops++
 	frame.Alternate = 0
@@ -276,15 +281,17 @@
 	}
 	g.trackCallerPacket(d.flow, f, d.segment, now)
 	g.sendToServer(d.packet)
-	if d.frame.Kind != passthrough.Deliver {
-		g.notifyBalancer(d.frame.Origin, d.flow)
+	if d.frame.Kind != passthrough.Deliver || f.informed != d.frame.Origin {
+		f.informed = d.frame.Origin
+		g.notifyBalancer(passthrough.Learned, d.frame.Origin, d.flow)
 	}
 }
 
-// notifyBalancer informs a balancer that this agent holds a flow.
-func (g *Gate) notifyBalancer(balancer passthrough.Endpoint, flow passthrough.Flow) {
+// notifyBalancer informs a balancer that this agent holds a flow (Learned) or was
+// forwarded its opening packet (Redirected).
+func (g *Gate) notifyBalancer(kind passthrough.Kind, balancer passthrough.Endpoint, flow passthrough.Flow) {
 	if balancer != 0 {
-		g.options.Sender.Send(passthrough.AppendHolder(nil, passthrough.Learned, g.options.Self, flow), balancer)
+		g.options.Sender.Send(passthrough.AppendHolder(nil, kind, g.options.Self, flow), balancer)
 	}
 }
 
--- a/connection/gate/unknown.go
+++ b/connection/gate/unknown.go
@@ -56,7 +56,13 @@
 // disagree on the owners of a registration, so querying the other owner would not
 // be more reliable than a search.
 func (g *Gate) forwardUnknown(d *delivery, now time.Duration) {
+	searched := d.frame.Kind == passthrough.Search || (d.frame.Kind == passthrough.Registered && d.frame.Alternate != 0)
 	if d.frame.Kind == passthrough.Registered {
+		// The registration is outdated, or the flow opened at another agent than the one
+		// to which its opening packet was forwarded.
+		if !searched {
+			g.search(d, now)
+		}
 		return
 	}
 	if d.frame.Kind == passthrough.Search {
@@ -64,12 +70,13 @@
 	}
 	r, registered := g.registry.Get(d.flow)
 	registered = registered && r.holder != g.options.Self
+	failed := registered && g.hasTimedOut(r.holder)
 	switch {
-	case registered && g.hasTimedOut(r.holder):
+	case failed && !r.candidate:
 		g.reset(d.flow, d.segment.Ack, errkind.PeerUnavailable)
-	case registered:
+	case registered && !failed:
 		g.forward(d, passthrough.Registered, r.holder, r.incarnation)
-	case d.frame.Kind != passthrough.Search:
+	case !searched:
 		g.search(d, now)
 	}
 }
@@ -128,7 +135,8 @@
 	g.openFlows++
 	g.unregistered = append(g.unregistered, key)
 	if p, ok := g.probes.Get(key); ok {
-		g.notifyBalancer(p.frame.Origin, key)
+		f.informed = p.frame.Origin
+		g.notifyBalancer(passthrough.Learned, p.frame.Origin, key)
 	}
 	return f
 }
@@ -147,6 +155,11 @@
 		g.refuse(&d, errkind.Overloaded)
 		return
 	}
+	if f != nil && f.phase == phaseOpening {
+		// The caller uses another server, or it would have confirmed the opening here.
+		delete(g.flows, d.flow)
+		f = nil
+	}
 	if f == nil {
 		g.handleReturnedProbe(&d, now)
 		return
--- a/connection/passthrough/frame.go
+++ b/connection/passthrough/frame.go
@@ -19,7 +19,8 @@
 	Registered
 	// Search carries a packet of a flow that has no registration.
 	Search
-	// Learned informs a balancer which agent holds a flow.
+	// Learned informs a balancer which agent holds a flow: the sender has seen the end
+	// of the handshake with its server, or a packet of its server on the open flow.
 	Learned
 	// Register sends an owner registrations of flows that the sender holds.
 	Register
@@ -33,11 +34,14 @@
 	// CompactHeartbeat is a heartbeat without the data that the receiver has
 	// already.
 	CompactHeartbeat
+	// Redirected informs a balancer to which agent an opening packet was forwarded.
+	// The flow may still open elsewhere.
+	Redirected
 )
 
 // String returns the name of the kind in logs.
 func (k Kind) String() string {
-	names := [...]string{"deliver", "lookup", "registered", "search", "learned", "register", "hello", "introduction", "not_held", "beat"}
+	names := [...]string{"deliver", "lookup", "registered", "search", "learned", "register", "hello", "introduction", "not_held", "beat", "redirected"}
 	if k < Deliver || int(k-Deliver) >= len(names) {
 		return "unknown"
 	}
@@ -117,14 +121,14 @@
 // so that the datagram is at most 1,200 bytes long.
 const MaxRegistrations = (1200 - registerHeaderSize) / flowSize
 
-// AppendHolder appends a datagram of kind Learned or NotHeld, which states that an
-// agent holds a flow or does not.
+// AppendHolder appends a datagram of kind Learned, Redirected or NotHeld, which states
+// that an agent holds a flow, may hold it or does not.
 func AppendHolder(b []byte, kind Kind, agent Endpoint, flow Flow) []byte {
 	b = appendEndpoint(append(b, byte(kind)), agent)
 	return appendFlow(b, flow)
 }
 
-// ParseHolder decodes a datagram of kind Learned or NotHeld. The error has kind
+// ParseHolder decodes a datagram of kind Learned, Redirected or NotHeld. The error has kind
 // Malformed.
 func ParseHolder(b []byte) (agent Endpoint, flow Flow, err error) {
 	if len(b) < holderSize {
--- a/connection/steer/packet.go
+++ b/connection/steer/packet.go
@@ -83,23 +83,22 @@
 	flow := segment.FromCaller()
 	h, ok := r.holders.Get(flow)
 	e := r.byAgent[h.agent]
-	failed := e != nil && e.TimedOut
-	// If only an opening packet was sent to that agent, a duplicate of it may have
-	// opened the flow at another one.
-	if ok && (h.established || !failed) {
-		if failed {
-			r.counters.HolderLost++
-			r.reset(flow, segment.Ack, errkind.PeerUnavailable)
-			r.holders.Delete(flow)
-			return
-		}
-		if !h.established || segment.Ack-h.ack > maxAckLag {
-			r.holders.Put(flow, holder{agent: h.agent, ack: segment.Ack, established: true})
+	switch {
+	case ok && h.confirmed && e != nil && e.TimedOut:
+		r.counters.HolderLost++
+		r.reset(flow, segment.Ack, errkind.PeerUnavailable)
+		r.holders.Delete(flow)
+		return
+	case ok && (h.confirmed || e == nil || e.Reachable):
+		if h.ack == 0 || segment.Ack-h.ack > maxAckLag {
+			h.ack = segment.Ack
+			r.holders.Put(flow, h)
 		}
 		r.counters.Known++
 		r.send(buffer, passthrough.Deliver, h.agent, 0)
 		return
 	}
+	// The holder is not cached, or an unreachable agent is only supposed to be it.
 	r.counters.Unknown++
 	if owner := r.lookupTarget(flow); owner != 0 {
 		if r.options.OnLookup != nil {
@@ -144,7 +143,7 @@
 // callers can open new ones before they need them.
 func (r *Router) resetFlows(agent passthrough.Endpoint) {
 	for flow, h := range r.holders.All() {
-		if h.agent != agent || !h.established {
+		if h.agent != agent || !h.confirmed {
 			continue
 		}
 		r.counters.HolderLost++
--- a/connection/steer/steer.go
+++ b/connection/steer/steer.go
@@ -141,8 +141,10 @@
 	agent passthrough.Endpoint
 	// ack is a recent acknowledgement number of the caller, needed for a reset.
 	ack uint32
-	// established is true if a packet after the opening packet has been seen.
-	established bool
+	// confirmed is true if the agent has reported that it holds the flow. Otherwise it
+	// was only sent the opening packet, a duplicate of which may have opened the flow at
+	// another agent.
+	confirmed bool
 }
 
 // maxAckLag is how far the cached acknowledgement number may lag behind, in bytes.
@@ -204,13 +206,22 @@
 	}
 }
 
-// SetHolder caches the holder of a flow.
+// SetHolder caches the holder of a flow, as reported by the holder itself.
 func (r *Router) SetHolder(agent passthrough.Endpoint, flow passthrough.Flow) {
 	h, _ := r.holders.Get(flow)
-	h.agent = agent
+	h.agent, h.confirmed = agent, true
 	r.holders.Put(flow, h)
 }
 
+// SetCandidate caches the agent to which an opening packet was forwarded, unless the
+// holder of the flow has reported itself.
+func (r *Router) SetCandidate(agent passthrough.Endpoint, flow passthrough.Flow) {
+	if h, _ := r.holders.Get(flow); !h.confirmed {
+		h.agent = agent
+		r.holders.Put(flow, h)
+	}
+}
+
 // Ready reports whether the balancer has a configuration and a reachable agent.
 func (r *Router) Ready() bool {
 	if r.version == nil {
--- a/process/passthrough/balancer.go
+++ b/process/passthrough/balancer.go
@@ -137,12 +137,18 @@
 // handlePeerDatagrams handles datagrams of other processes.
 func (b *Balancer) handlePeerDatagrams(r *datagram.Reader, n int) {
 	b.handleBatch(r, n, func(d []byte, now time.Duration) {
-		if passthrough.Kind(d[0]) != passthrough.Learned {
+		kind := passthrough.Kind(d[0])
+		if kind != passthrough.Learned && kind != passthrough.Redirected {
 			b.handleControl(d, now)
 			return
 		}
-		if holder, flow, err := passthrough.ParseHolder(d); err == nil {
-			b.steer.SetHolder(holder, flow)
+		agent, flow, err := passthrough.ParseHolder(d)
+		switch {
+		case err != nil:
+		case kind == passthrough.Learned:
+			b.steer.SetHolder(agent, flow)
+		default:
+			b.steer.SetCandidate(agent, flow)
 		}
 	})
 }
