flows, datagram: acknowledgements need their flag, and chosen ports are not shared

Cause as traced before: sendWindow.observe took the acknowledgement field of a late SYN copy as the newest one. A segment moves the window now only if it has an acknowledgement and a scaled window, so SYNs, resets and segments without ACK do not (all of them in TestStaleAcknowledgements, which fails before).

The port is chosen first now. TestEphemeralPortsAreUnique fails before (589 of 600 ports). Ruled out by the traces: the window, the handshake, passing between agents.

--- a/connection/datagram/conn.go
+++ b/connection/datagram/conn.go
@@ -45,11 +45,15 @@
 func (noSenderConn) SetLinger(int) error { return nil }
 
 // Listen opens a UDP socket at the address. If shared is set, several sockets may
-// use one address, and the kernel distributes the senders among them. The error
-// has kind InvalidSettings.
+// use one address, and the kernel distributes the senders among them. With port 0
+// the kernel chooses a port that no other socket uses. The error has kind
+// InvalidSettings.
 func Listen(addr netip.AddrPort, shared bool) (*Conn, error) {
 	config := net.ListenConfig{}
-	if shared {
+	// If the option were set before the kernel chooses a port, it could choose one at
+	// which another process shares its sockets.
+	joins := shared && addr.Port() != 0
+	if joins {
 		config.Control = setReusePort
 	}
 	pc, err := config.ListenPacket(context.Background(), "udp4", addr.String())
@@ -57,6 +61,12 @@
 		return nil, errkind.Wrap(err, errkind.InvalidSettings, "listen on UDP address %s", addr)
 	}
 	udp := pc.(*net.UDPConn)
+	if shared && !joins {
+		if err := shareBound(udp); err != nil {
+			_ = udp.Close()
+			return nil, errkind.Wrap(err, errkind.InvalidSettings, "share UDP address %s", udp.LocalAddr())
+		}
+	}
 	// Errors are ignored, since smaller buffers work too.
 	_ = udp.SetReadBuffer(socketBufferSize)
 	_ = udp.SetWriteBuffer(socketBufferSize)
@@ -67,6 +77,15 @@
 	}, nil
 }
 
+// shareBound lets other sockets use the address of a bound socket.
+func shareBound(udp *net.UDPConn) error {
+	raw, err := udp.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return setReusePort("", "", raw)
+}
+
 func setReusePort(_, _ string, c syscall.RawConn) error {
 	var optErr error
 	err := c.Control(func(fd uintptr) {
--- a/connection/datagram/datagram_test.go
+++ b/connection/datagram/datagram_test.go
@@ -81,3 +81,24 @@
 		convey.So(len(ports), convey.ShouldEqual, 4)
 	})
 }
+
+// TestEphemeralPortsAreUnique guards against datagrams that reach another process: the
+// kernel may assign one ephemeral port to several sockets that share their ports.
+func TestEphemeralPortsAreUnique(t *testing.T) {
+	const sockets = 600
+	convey.Convey("Shared sockets with ports chosen by the kernel have different ports, and others can join each", t, func() {
+		seen := map[netip.AddrPort]bool{}
+		for range sockets {
+			c, err := datagram.Listen(loopback, true)
+			convey.So(err, convey.ShouldBeNil)
+			defer func() { _ = c.Close() }()
+			seen[c.Addr()] = true
+		}
+		convey.So(len(seen), convey.ShouldEqual, sockets)
+		for addr := range seen {
+			c, err := datagram.Listen(addr, true)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(c.Close(), convey.ShouldBeNil)
+		}
+	})
+}
--- a/connection/flows/window.go
+++ b/connection/flows/window.go
@@ -25,6 +25,9 @@
 // observe updates the window and reports whether a segment is a stale pure ACK: one
 // older than another observed before.
 func (w *sendWindow) observe(s *encap.Segment) bool {
+	if !hasWindow(s) {
+		return false
+	}
 	right := s.Acknowledgement + uint32(s.Window)<<w.scale
 	if !w.initialized {
 		w.highestAcknowledgement, w.rightEdge, w.initialized = s.Acknowledgement, right, true
@@ -42,6 +45,14 @@
 	return false
 }
 
+// hasWindow reports whether a segment carries an acknowledgement and a scaled window:
+// the acknowledgement field is valid only with the ACK flag, the window of a SYN is never
+// scaled, and a reset advertises none. A late copy of the SYN would otherwise count as
+// the newest acknowledgement for callers with a large initial sequence number.
+func hasWindow(s *encap.Segment) bool {
+	return s.Flags&(header.TCPFlagAck|header.TCPFlagSyn|header.TCPFlagRst) == header.TCPFlagAck
+}
+
 // isPureACK reports whether a segment is an acknowledgement without data, SYN, FIN
 // or RST.
 func isPureACK(s *encap.Segment) bool {
--- a/connection/flows/window_test.go
+++ b/connection/flows/window_test.go
@@ -34,6 +34,28 @@
 			convey.So(w.observe(c.segment), convey.ShouldEqual, c.stale)
 		})
 	}
+	// The acknowledgement field is valid only with the ACK flag, and the window of a SYN is
+	// not scaled.
+	const farAhead = 2000 + 1<<30
+	ignored := map[string]*encap.Segment{
+		"a late SYN":                       {Flags: header.TCPFlagSyn, Acknowledgement: 0x80000000 + 2000 - 1, Window: 0xffff},
+		"a SYN with the ACK flag":          {Flags: header.TCPFlagSyn | header.TCPFlagAck, Acknowledgement: farAhead, Window: 0xffff},
+		"a reset":                          {Flags: header.TCPFlagRst, Acknowledgement: farAhead, Window: 0xffff},
+		"a reset with the ACK flag":        {Flags: header.TCPFlagRst | header.TCPFlagAck, Acknowledgement: farAhead, Window: 0xffff},
+		"data without the ACK flag":        {Flags: header.TCPFlagPsh, Acknowledgement: farAhead, Window: 0xffff, PayloadLength: 1},
+		"a segment without flags":          {Acknowledgement: farAhead, Window: 0xffff},
+		"a segment with the FIN flag only": {Flags: header.TCPFlagFin, Acknowledgement: farAhead, Window: 0xffff},
+	}
+	for name, segment := range ignored {
+		convey.Convey("Neither "+name+" before the first acknowledgement nor after it makes later acknowledgements stale", t, func() {
+			var w sendWindow
+			w.handleSYN(&encap.Segment{WindowScale: 1})
+			convey.So(w.observe(segment), convey.ShouldBeFalse)
+			convey.So(w.observe(ack(2000, 10)), convey.ShouldBeFalse)
+			convey.So(w.observe(segment), convey.ShouldBeFalse)
+			convey.So(w.observe(ack(2001, 9)), convey.ShouldBeFalse)
+		})
+	}
 	convey.Convey("Sequence numbers wrap around", t, func() {
 		var w sendWindow
 		convey.So(w.observe(ack(5, 10)), convey.ShouldBeFalse)
