--- a/connection/gate/interleaving_test.go
+++ b/connection/gate/interleaving_test.go
@@ -16,9 +16,6 @@
 const (
 	interleavingAgents    = 2
 	interleavingBalancers = 3
-	// maxResetDistance is the largest distance between the sequence number of a reset and
-	// the caller's last acknowledgement at which an open flow accepts it.
-	maxResetDistance = 76_800
 	// maxForeignPackets is the number of packets of an open flow in a row that may reach
 	// other servers than its own.
 	maxForeignPackets = 2
@@ -166,10 +163,6 @@
 // flow may be reset only while its holder is presumed failed.
 func (in *interleaving) check() string {
 	holder := in.tc.holder(in.caller.Flow)
-	if in.caller.Reset && in.caller.Opened && in.caller.ResetSeq-in.caller.Acknowledged()+maxResetDistance > 2*maxResetDistance {
-		// Callers ignore such a reset, for example of a refused copy of the opening packet.
-		in.caller.Reset = false
-	}
 	switch {
 	case in.tc.network.Looped:
 		return "a packet was forwarded in a loop"
--- a/connection/passthrough/passthroughtest/endpoints.go
+++ b/connection/passthrough/passthroughtest/endpoints.go
@@ -91,8 +91,9 @@
 type Caller struct {
 	// Flow identifies the flow.
 	Flow passthrough.Flow
-	// Opened is true after a response to the opening packet, Reset after a reset of
-	// the flow.
+	// Opened is true after a response to the opening packet, Reset after a reset that is
+	// valid: on an open flow, its sequence number is close to the caller's last
+	// acknowledgement.
 	Opened, Reset bool
 	// Responses are the responses to requests, in order.
 	Responses []string
@@ -111,7 +112,9 @@
 	}
 	switch {
 	case p.Has(passthrough.Reset):
-		c.Reset, c.ResetSeq = true, p.Seq
+		if !c.Opened || p.Seq-c.ack+maxResetDistance <= 2*maxResetDistance {
+			c.Reset, c.ResetSeq = true, p.Seq
+		}
 	case p.Has(passthrough.Open) && !c.Opened:
 		c.Opened, c.ack = true, p.Seq+1
 	case len(p.Payload) > 0:
@@ -141,5 +144,9 @@
 // Acknowledged returns the number of the next byte that the caller expects.
 func (c *Caller) Acknowledged() uint32 { return c.ack }
 
+// maxResetDistance is the largest distance between the sequence number of a valid reset
+// and the caller's last acknowledgement on an open flow, in bytes.
+const maxResetDistance = 76_800
+
 // requestSize is the size of a request in bytes.
 const requestSize = 7
