--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: \([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
 SKIP_KNOWN_RED = $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
-.PHONY: build test race lint fmt generate setup spin demo platform-demo soak bench bench-slow capacity clean
+.PHONY: build test race lint fmt generate setup spin demo platform-demo soak bench bench-slow capacity regress clean
 
 build:
 	mkdir -p bin
@@ -79,6 +79,13 @@
 soak: build
 	bin/soak --seeds $(SEEDS) --first $(FIRST) --length 30s
 
+# regress plays the sites that platform/regress/sites.txt lists with the users' bench
+# (BENCH), whose site files are below SITES, and compares the days with the committed
+# journal. It is not part of CI.
+regress:
+	go build -o bin/ ./platform/regress
+	bin/regress --bench "$(BENCH)" --root "$(SITES)"
+
 spin:
 	@command -v spin >/dev/null || (apt-get update -qq && apt-get install -y -qq spin)
 
