checkpoint: only entries that were written count as written

Cause: after a write, the flows of every agent of the group were recorded as written, also those that the stored checkpoint still covered and that were not part of the call.

Change: only the entries of the call are recorded. Test: fails before with a lag of 65,536 bytes (bound 32,768).

--- a/process/passthrough/checkpoint.go
+++ b/process/passthrough/checkpoint.go
@@ -165,9 +165,11 @@
 		clear(c.written)
 	}
 	var entries []Item
+	var names []string
 	for name, checkpoint := range collected {
 		if !c.written[name].covers(checkpoint) {
 			entries = append(entries, Item{Key: checkpointPrefix + name, Value: checkpoint.Encode()})
+			names = append(names, name)
 		}
 	}
 	if len(entries) == 0 {
@@ -181,8 +183,8 @@
 		c.replaceLeaseAt = 0
 		return err
 	}
-	for name, checkpoint := range collected {
-		c.written[name] = flowsOf(checkpoint)
+	for _, name := range names {
+		c.written[name] = flowsOf(collected[name])
 	}
 	return nil
 }
--- a/process/passthrough/checkpoint_test.go
+++ b/process/passthrough/checkpoint_test.go
@@ -258,6 +258,29 @@
 			convey.So(c.store.puts, convey.ShouldEqual, 2)
 		})
 	})
+	convey.Convey("Lag adds up while another agent of the group is written", t, func() {
+		c := newTestCheckpointer(newFakeStore())
+		collected := map[string]passthrough.Checkpoint{
+			"agent-1": {Incarnation: 1, Flows: []passthrough.CheckpointFlow{flowOf(1)}},
+			"agent-2": {Incarnation: 2, Flows: []passthrough.CheckpointFlow{flowOf(2)}},
+		}
+		convey.So(c.write(t.Context(), collected), convey.ShouldBeNil)
+		for i := range 4 {
+			acknowledged := flowOf(1)
+			acknowledged.Ack += uint32(i+1) * maxAckLagBytes / 2
+			opened := collected["agent-2"]
+			opened.Flows = append(opened.Flows, flowOf(3+i))
+			collected = map[string]passthrough.Checkpoint{
+				"agent-1": {Incarnation: 1, Flows: []passthrough.CheckpointFlow{acknowledged}},
+				"agent-2": opened,
+			}
+			convey.So(c.write(t.Context(), collected), convey.ShouldBeNil)
+		}
+		next := newTestCheckpointer(c.store)
+		convey.So(next.load(t.Context()), convey.ShouldBeNil)
+		stored := next.restored[0].Flows[0].Ack
+		convey.So(collected["agent-1"].Flows[0].Ack-stored, convey.ShouldBeLessThanOrEqualTo, maxAckLagBytes)
+	})
 	convey.Convey("An agent that another one writes for requests no flows", t, func() {
 		c := newTestCheckpointer(newFakeStore())
 		convey.So(c.collect(t.Context(), nil), convey.ShouldBeEmpty)
