versions: fetched from the own failure domain first, and compressed

Cause: a process fetched a new version from whichever process announced it first, whole and as uncompressed JSON, and the serving process encoded it again for each of them.

Change: announcements are kept by failure domain, a few of each; after the delay one of the own domain is asked, another domain after 300 ms more or if nobody in the domain responds. The response is compressed and kept for its revision. Requests without gzip get the JSON of before, and the transport of earlier builds accepts gzip, so builds can be mixed.

Ruled out: a delta (docs/PLATFORM.md).

--- a/process/passthrough/balancer.go
+++ b/process/passthrough/balancer.go
@@ -50,7 +50,7 @@
 	n.roster = roster.New(roster.Options{
 		Self:           n.member,
 		Sender:         n.sender,
-		OnNewerVersion: n.config.noteNewerVersion,
+		OnNewerVersion: n.config.announced.add,
 		OnConfirmed:    n.config.confirm,
 		OnReport:       func(status roster.Status) { b.steer.UpdateLoad(serverOf(status)) },
 		OnChange:       b.setServers,
--- a/process/passthrough/config.go
+++ b/process/passthrough/config.go
@@ -11,7 +11,6 @@
 
 	"go.uber.org/zap"
 
-	"bergamotbank/connection/passthrough"
 	"bergamotbank/errkind"
 	"bergamotbank/version/routes"
 )
@@ -51,31 +50,25 @@
 
 	// confirmed is the time of clock, in nanoseconds, at which the version was last
 	// known to be the newest.
-	confirmed     atomic.Int64
-	mu            sync.Mutex
-	state         configState
-	newerVersions chan newerVersion
+	confirmed atomic.Int64
+	mu        sync.Mutex
+	state     configState
+	// announced are newer versions of peers, encoded is the response to their requests.
+	announced *announcements
+	encoded   encodedConfig
 }
 
 func newConfigSync(n *node, onVersion func(*routes.Version)) *configSync {
 	return &configSync{
-		adapter:       n.adapter,
-		logger:        n.logger,
-		clock:         n.clock,
-		shouldWatch:   n.shouldWatch,
-		announce:      n.announce,
-		domains:       n.settings.Passthrough.Domains,
-		onVersion:     onVersion,
-		client:        http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
-		newerVersions: make(chan newerVersion, 1),
-	}
-}
-
-// noteNewerVersion records that a peer has a newer version. It never blocks.
-func (c *configSync) noteNewerVersion(revision uint64, peer passthrough.Endpoint) {
-	select {
-	case c.newerVersions <- newerVersion{revision, peer}:
-	default:
+		adapter:     n.adapter,
+		logger:      n.logger,
+		clock:       n.clock,
+		shouldWatch: n.shouldWatch,
+		announce:    n.announce,
+		domains:     n.settings.Passthrough.Domains,
+		onVersion:   onVersion,
+		client:      http.Client{Timeout: fetchTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		announced:   newAnnouncements(n.settings.Domain),
 	}
 }
 
--- a/process/passthrough/config_peer.go
+++ b/process/passthrough/config_peer.go
@@ -1,9 +1,13 @@
 package passthrough
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"net/http"
+	"strings"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,8 +18,15 @@
 
 const (
 	// fetchDelay is how long the watch may take to deliver a version that a heartbeat
-	// announced before it is fetched from a peer.
+	// announced before it is fetched from a peer. Versions that follow each other within
+	// this time are fetched once.
 	fetchDelay = 150 * time.Millisecond
+	// firstFetchDelay replaces fetchDelay in a process without a version, which is also
+	// reading the store.
+	firstFetchDelay = 50 * time.Millisecond
+	// otherDomainDelay is the additional time to wait for a peer of the own failure domain
+	// if only processes of other domains have announced the version.
+	otherDomainDelay = 300 * time.Millisecond
 	// fetchTimeout limits a request to a peer.
 	fetchTimeout = time.Second
 	// maxConfigBytes limits the response of a peer.
@@ -24,37 +35,63 @@
 	ConfigPath = "/orders"
 )
 
-// newerVersion is a newer version that is active at a peer.
-type newerVersion struct {
-	revision uint64
-	peer     passthrough.Endpoint
-}
-
-// fetchNewer fetches versions from peers that the watch does not deliver in time.
+// fetchNewer fetches versions that the watch does not deliver in time from peers, those
+// of the own failure domain first.
 func (c *configSync) fetchNewer(ctx context.Context) error {
 	for {
-		var newer newerVersion
 		select {
 		case <-ctx.Done():
 			return nil
-		case newer = <-c.newerVersions:
+		case <-c.announced.arrived:
 		}
-		if c.revision() != 0 && !sleep(ctx, fetchDelay) {
+		if !sleep(ctx, c.fetchDelay()) {
 			return nil
 		}
-		if c.revision() >= newer.revision {
-			continue
+		if _, ok := c.announced.newest(c.revision(), true); !ok && c.revision() != 0 {
+			if _, ok := c.announced.newest(c.revision(), false); ok && !sleep(ctx, otherDomainDelay) {
+				return nil
+			}
 		}
-		state, err := c.fetch(ctx, newer.peer)
+		c.fetchFromPeers(ctx)
+	}
+}
+
+// fetchDelay returns the time to wait for the store before a peer is asked.
+func (c *configSync) fetchDelay() time.Duration {
+	if c.revision() == 0 {
+		return firstFetchDelay
+	}
+	return fetchDelay
+}
+
+// fetchFromPeers fetches an announced version. It tries one peer after the other until
+// one responds.
+func (c *configSync) fetchFromPeers(ctx context.Context) {
+	for ctx.Err() == nil {
+		source, ok := c.announced.newest(c.revision(), true)
+		if !ok {
+			source, ok = c.announced.newest(c.revision(), false)
+		}
+		if !ok {
+			return
+		}
+		state, err := c.fetch(ctx, source.peer)
+		if err == nil && state.Revision > c.revision() {
+			c.applyIfNewer(state, "peer "+source.peer.String())
+			if c.revision() >= state.Revision {
+				// A still newer version may have been announced meanwhile.
+				c.announced.signal()
+				return
+			}
+		}
+		c.announced.remove(source.peer)
 		if err != nil {
-			c.logger.Warn("cannot fetch the configuration from a peer", zap.Stringer("peer", newer.peer), zap.Error(err))
-			continue
+			c.logger.Warn("cannot fetch the configuration from a peer; trying another one", zap.Stringer("peer", source.peer), zap.Error(err))
 		}
-		c.applyIfNewer(state, "peer "+newer.peer.String())
 	}
 }
 
-// fetch requests the complete state of a peer.
+// fetch requests the complete state of a peer. The transport requests compression.
 func (c *configSync) fetch(ctx context.Context, peer passthrough.Endpoint) (configState, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer.String()+ConfigPath, nil)
 	if err != nil {
@@ -70,13 +107,54 @@
 	return state, errkind.Wrap(err, errkind.Malformed, "decode the configuration of a peer")
 }
 
-// ServeHTTP serves this process's state to a peer.
-func (c *configSync) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+// encodedConfig is the compressed response with the state of a revision. It is kept, since
+// all other processes of a failure domain may request a new version at the same time.
+type encodedConfig struct {
+	mu       sync.Mutex
+	revision uint64
+	body     []byte
+}
+
+// of returns the compressed form of a state.
+func (e *encodedConfig) of(state configState) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.body != nil && e.revision == state.Revision {
+		return e.body, nil
+	}
+	var body bytes.Buffer
+	compressor, err := gzip.NewWriterLevel(&body, gzip.BestSpeed)
+	if err != nil {
+		return nil, errkind.Wrap(err, errkind.Internal, "compress the configuration")
+	}
+	if err := json.NewEncoder(compressor).Encode(state); err != nil {
+		return nil, errkind.Wrap(err, errkind.Internal, "encode the configuration")
+	}
+	if err := compressor.Close(); err != nil {
+		return nil, errkind.Wrap(err, errkind.Internal, "compress the configuration")
+	}
+	e.revision, e.body = state.Revision, body.Bytes()
+	return e.body, nil
+}
+
+// ServeHTTP serves this process's state to a peer, or uncompressed to an operator whose
+// client does not accept compression.
+func (c *configSync) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c.mu.Lock()
 	state := c.state
 	c.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(state); err != nil {
+	var err error
+	if strings.Contains(r.Header.Get("Accept-Encoding"), "gzip") {
+		var body []byte
+		if body, err = c.encoded.of(state); err == nil {
+			w.Header().Set("Content-Encoding", "gzip")
+			_, err = w.Write(body)
+		}
+	} else {
+		err = json.NewEncoder(w).Encode(state)
+	}
+	if err != nil {
 		c.logger.Debug("cannot send the configuration to a peer", zap.Error(err))
 	}
 }
--- a/process/passthrough/config_test.go
+++ b/process/passthrough/config_test.go
@@ -16,6 +16,7 @@
 
 	"bergamotbank/connection/passthrough"
 	"bergamotbank/errkind"
+	"bergamotbank/process/roster"
 	"bergamotbank/version/routes"
 )
 
@@ -176,7 +177,7 @@
 			defer mu.Unlock()
 			*versions = append(*versions, v)
 		},
-		newerVersions: make(chan newerVersion, 1),
+		announced: newAnnouncements("junin"),
 	}
 	return c, versions
 }
@@ -293,7 +294,7 @@
 		ctx, stop := context.WithTimeout(t.Context(), time.Second)
 		defer stop()
 		addr := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
-		behind.noteNewerVersion(ahead.revision(), passthrough.EndpointOf(addr))
+		behind.announced.add(roster.Member{Domain: "junin", Version: ahead.revision(), Peer: passthrough.EndpointOf(addr)})
 		_ = behind.fetchNewer(ctx)
 		convey.So(behind.revision(), convey.ShouldEqual, ahead.revision())
 		convey.So(*versions, convey.ShouldHaveLength, 1)
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -28,7 +28,7 @@
 	Sender passthrough.Sender
 	// OnNewerVersion is called when a member has a newer configuration version than
 	// this process.
-	OnNewerVersion func(revision uint64, peer passthrough.Endpoint)
+	OnNewerVersion func(Member)
 	// OnConfirmed is called with the time since a member's version was confirmed to
 	// be the newest, if this process has that version or a newer one.
 	OnConfirmed func(age time.Duration)
@@ -157,7 +157,7 @@
 	p.member, p.known, p.lastHeartbeatAt, p.receivesHeartbeats, p.interval = h.Member, true, now, h.receivesHeartbeats, h.interval
 	p.probes = 0
 	if h.Version > self.Version {
-		r.options.OnNewerVersion(h.Version, h.Peer)
+		r.options.OnNewerVersion(h.Member)
 	} else {
 		r.options.OnConfirmed(h.ConfirmedAge)
 	}
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -55,7 +55,7 @@
 	p.roster = New(Options{
 		Self:           func() Member { return p.self },
 		Sender:         c.network,
-		OnNewerVersion: func(revision uint64, _ passthrough.Endpoint) { p.newerVersions = append(p.newerVersions, revision) },
+		OnNewerVersion: func(m Member) { p.newerVersions = append(p.newerVersions, m.Version) },
 		OnConfirmed:    func(time.Duration) {},
 		OnChange:       func(changed []Status) { p.changes, p.lastChanged = p.changes+1, changed },
 		OnRemove:       func(m Member) { p.removed = append(p.removed, m) },
