gate: flows of a restored checkpoint are registered while their server runs

Cause: when all processes end and the servers keep running, no process knows the holder of a flow, and each of them is searched for by sending its packet to every agent. The checkpoint that each agent reads at its start names these flows, but was discarded when the server turned out to be the same.

Change: such flows are registered with their owners like open ones, and stay in the next checkpoints, from which they were missing after a restart until their next packet. They are evidence of nothing else: a packet that a registration leads to the agent is offered to the server as before. A checkpoint taken before the server's first report no longer contains adopted flows under incarnation 0, which the next run would have reset.

--- a/connection/gate/admit.go
+++ b/connection/gate/admit.go
@@ -122,6 +122,9 @@
 	if server.State == steer.Down && g.server.State != steer.Down {
 		g.abortFlows(errkind.BackendUnavailable, now)
 	}
+	if g.server.State == steer.Unknown && server.State != steer.Unknown {
+		g.ownersChanged = true
+	}
 	g.server = server
 	g.bucket.rate = coldRate(g.version, server.Service)
 	g.resolveCheckpoint(now)
--- a/connection/gate/checkpoint_test.go
+++ b/connection/gate/checkpoint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/smartystreets/goconvey/convey"
 
@@ -68,6 +69,32 @@
 				convey.So(c.Responses, convey.ShouldHaveLength, 2)
 			}
 		})
+		convey.Convey("flows of a server that is still running stay in the next checkpoints, until its state is known too", func() {
+			tc.nodes[0].gate.RestoreCheckpoint(checkpoint, tc.now)
+			convey.So(tc.nodes[0].gate.Checkpoint().Flows, convey.ShouldHaveLength, flowCount)
+			known.PredatesAgent = true
+			tc.nodes[0].gate.SetServer(known, tc.now)
+			next := tc.nodes[0].gate.Checkpoint()
+			convey.So(next.Incarnation, convey.ShouldEqual, checkpoint.Incarnation)
+			convey.So(next.Flows, convey.ShouldHaveLength, flowCount)
+			for _, f := range next.Flows {
+				convey.So(checkpoint.Flows, convey.ShouldContain, f)
+			}
+		})
+		convey.Convey("flows of a terminated server do not stay in the next checkpoints", func() {
+			tc.nodes[0].gate.RestoreCheckpoint(checkpoint, tc.now)
+			known.Incarnation++
+			tc.startServer(0)
+			tc.nodes[0].gate.SetServer(known, tc.now)
+			convey.So(tc.nodes[0].gate.Checkpoint().Flows, convey.ShouldBeEmpty)
+		})
+		convey.Convey("restored flows expire like others", func() {
+			tc.nodes[0].gate.RestoreCheckpoint(checkpoint, tc.now)
+			known.PredatesAgent = true
+			tc.nodes[0].gate.SetServer(known, tc.now)
+			tc.nodes[0].gate.ExpireFlows(tc.now + time.Minute)
+			convey.So(tc.nodes[0].gate.Checkpoint().Flows, convey.ShouldBeEmpty)
+		})
 		convey.Convey("a flow that the caller has opened again in the meantime is not reset", func() {
 			known.Incarnation++
 			tc.startServer(0)
@@ -97,6 +124,77 @@
 	})
 }
 
+// TestRestoredFlowsAreFound plays the end of all processes while the servers keep running:
+// no process knows the holder of a flow, and a search for each of them sends a packet to
+// every agent. The searches of 1,800 flows among 136 agents kept weak VMs busy for seconds.
+func TestRestoredFlowsAreFound(t *testing.T) {
+	convey.Convey("Given agents that restarted with the checkpoints of their running servers", t, func() {
+		tc := newTestCluster(8)
+		callers := tc.openFlows(flowCount)
+		tc.registerFlows()
+		var checkpoints []passthrough.Checkpoint
+		for _, n := range tc.nodes {
+			checkpoints = append(checkpoints, n.gate.Checkpoint())
+		}
+		infos := make([]gate.Server, len(tc.nodes))
+		for i, n := range tc.nodes {
+			infos[i] = n.info
+			infos[i].PredatesAgent = true
+			n.info = gate.Server{State: steer.Unknown}
+			tc.runs[i]++
+			tc.startAgent(i)
+		}
+		// reported passes the first report of each server to its agent.
+		reported := func() {
+			for i, n := range tc.nodes {
+				n.info = infos[i]
+				n.gate.SetServer(n.info, tc.now)
+			}
+		}
+		restored := func() {
+			for i, n := range tc.nodes {
+				n.gate.RestoreCheckpoint(checkpoints[i], tc.now)
+			}
+		}
+		for _, row := range []struct {
+			name  string
+			steps []func()
+		}{
+			{"members, checkpoint, server", []func(){tc.publishAgents, restored, reported}},
+			{"checkpoint, server, members", []func(){restored, reported, tc.publishAgents}},
+			{"server, members, checkpoint", []func(){reported, tc.publishAgents, restored}},
+		} {
+			convey.Convey("each flow continues without a search, in the order "+row.name, func() {
+				for _, step := range row.steps {
+					step()
+					tc.registerFlows()
+				}
+				tc.startBalancers(2)
+				for i, c := range callers {
+					tc.sendThrough(i%2, c.Request())
+					convey.So(c.Responses, convey.ShouldHaveLength, 2)
+				}
+				convey.So(tc.searches(), convey.ShouldEqual, 0)
+				convey.So(resetCount(callers), convey.ShouldEqual, 0)
+			})
+		}
+		convey.Convey("a flow that has ended since the checkpoint is not taken for an open one", func() {
+			tc.publishAgents()
+			restored()
+			for i := range tc.nodes {
+				tc.startServer(i)
+			}
+			reported()
+			tc.registerFlows()
+			tc.startBalancers(2)
+			for _, c := range callers {
+				tc.sendThrough(0, c.Request())
+				convey.So(c.Reset, convey.ShouldBeTrue)
+			}
+		})
+	})
+}
+
 func resetCount(callers []*passthroughtest.Caller) int {
 	count := 0
 	for _, c := range callers {
--- a/connection/gate/flow.go
+++ b/connection/gate/flow.go
@@ -207,6 +207,7 @@
 // ExpireFlows removes flows whose retention time has passed. It scans all flows
 // and is meant to be called about once per second.
 func (g *Gate) ExpireFlows(now time.Duration) {
+	g.expireRestored(now)
 	for key, f := range g.flows {
 		if now-f.lastUsed < f.retention(g.options.FlowLifetime) {
 			continue
--- a/connection/gate/gate.go
+++ b/connection/gate/gate.go
@@ -95,12 +95,10 @@
 	probes               *passthrough.ExpiringMap[probe]
 	searches             *passthrough.ExpiringMap[*search]
 	pendingRegistrations map[passthrough.Endpoint][]passthrough.Flow
-	// restored is the checkpoint of a previous run. It is kept until it is known
-	// whether the server that held its flows is still running.
-	restored     *passthrough.Checkpoint
-	unregistered []passthrough.Flow
-	segment      passthrough.Segment
-	counters     Counters
+	restored             restoredCheckpoint
+	unregistered         []passthrough.Flow
+	segment              passthrough.Segment
+	counters             Counters
 }
 
 const (
@@ -201,6 +199,7 @@
 	}
 	g.counters.Opened++
 	g.bucket.take()
+	delete(g.restored.flows, d.flow)
 	g.flows[d.flow] = &flow{phase: phaseOpening, openedAt: now, lastUsed: now, origin: d.frame.Origin, alternate: d.frame.Alternate, version: d.frame.Version, hops: d.frame.Hops}
 	g.options.Observer.Opened(d.flow, d.frame)
 	g.sendToServer(d.packet)
--- a/connection/gate/registry.go
+++ b/connection/gate/registry.go
@@ -43,18 +43,26 @@
 		if !f.registered || f.phase != phaseOpen {
 			continue
 		}
-		previous := f.owners
-		f.owners[0], f.owners[1] = g.owners.Pair(key)
-		for i, owner := range f.owners {
-			_, restarted := g.restartedOwners[owner]
-			if known := owner == previous[0] || owner == previous[1]; (!known || restarted) && (i == 0 || owner != f.owners[0]) {
-				g.enqueue(owner, key)
-			}
-		}
+		f.owners = g.registerAt(key, f.owners)
 	}
+	g.registerRestored()
 	clear(g.restartedOwners)
 }
 
+// registerAt queues the registration of a flow at its owners other than the previous ones,
+// and at those that have restarted. It returns the owners.
+func (g *Gate) registerAt(key passthrough.Flow, previous [2]passthrough.Endpoint) [2]passthrough.Endpoint {
+	first, second := g.owners.Pair(key)
+	owners := [2]passthrough.Endpoint{first, second}
+	for i, owner := range owners {
+		_, restarted := g.restartedOwners[owner]
+		if known := owner == previous[0] || owner == previous[1]; (!known || restarted) && (i == 0 || owner != first) {
+			g.enqueue(owner, key)
+		}
+	}
+	return owners
+}
+
 // SetDiscoveryComplete sets whether all agents are in the view. Searches that were
 // only waiting for this are concluded.
 func (g *Gate) SetDiscoveryComplete(complete bool) {
--- a/connection/gate/unknown.go
+++ b/connection/gate/unknown.go
@@ -128,6 +128,7 @@
 	g.options.Observer.Adopted(key)
 	f := &flow{phase: phaseOpen, openedAt: now, lastUsed: now}
 	g.flows[key] = f
+	delete(g.restored.flows, key)
 	if segment.Has(passthrough.Open) {
 		f.phase = phaseOpening
 		return f
@@ -186,6 +187,7 @@
 
 // rejectProbe records that the server does not hold a flow.
 func (g *Gate) rejectProbe(key passthrough.Flow) (probe, bool) {
+	delete(g.restored.flows, key)
 	p, ok := g.probes.Get(key)
 	if ok {
 		p.rejected = true
