roster: an introduction lists all members

Cause: an introduction was one datagram and left out all members after the 150th, in random order. Large deployments have 195 processes and more; pairs that no introduction names find each other only through the directory, which may not be readable at that moment.

Change: as many datagrams as it takes. Test: TestDiscoveryInLargeDeployment (3 of 209 members missing before).

--- a/process/roster/heartbeat.go
+++ b/process/roster/heartbeat.go
@@ -173,9 +173,9 @@
 	role    Role
 }
 
-// encodeIntroduction returns the wire format of an introduction.
+// encodeIntroduction returns the wire format of an introduction of at most
+// maxIntroductionEntries members.
 func encodeIntroduction(peers []introductionEntry) []byte {
-	peers = peers[:min(len(peers), maxIntroductionEntries)]
 	b := make([]byte, 0, 1+len(peers)*introductionEntrySize)
 	b = append(b, byte(passthrough.Introduction))
 	for _, peer := range peers {
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -113,6 +113,26 @@
 	})
 }
 
+// TestDiscoveryInLargeDeployment guards against members that others never contact: an
+// introduction of more members than fit into a datagram used to leave out the rest.
+func TestDiscoveryInLargeDeployment(t *testing.T) {
+	convey.Convey("All of more processes than an introduction can list discover each other through one balancer", t, func() {
+		const processes = maxIntroductionEntries + 60
+		c := newTestCluster(1, processes-1)
+		for _, p := range c.processes[1:] {
+			p.roster.Add(addressOf(0), Balancer)
+		}
+		c.advance(time.Second)
+		for _, p := range c.processes {
+			members := 0
+			for range p.roster.Members() {
+				members++
+			}
+			convey.So(members, convey.ShouldEqual, processes-1)
+		}
+	})
+}
+
 func TestUnresponsiveSeed(t *testing.T) {
 	convey.Convey("Discovery is complete once an address that never answers is no longer contacted", t, func() {
 		c := newTestCluster(1, 1)
--- a/process/roster/send.go
+++ b/process/roster/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,7 +43,8 @@
 	return xxhash.Sum64(addresses[:])%uint64(len(r.peers)+1) < introducers
 }
 
-// sendIntroduction sends a member that has just started the list of all others.
+// sendIntroduction sends a member that has just started the list of all others, in as
+// many datagrams as it takes.
 func (r *Roster) sendIntroduction(peer passthrough.Endpoint) {
 	peers := make([]introductionEntry, 0, len(r.peers))
 	for other, p := range r.peers {
@@ -50,8 +52,8 @@
 			peers = append(peers, introductionEntry{other, p.member.Role})
 		}
 	}
-	if len(peers) > 0 {
-		r.options.Sender.Send(encodeIntroduction(peers), peer)
+	for part := range slices.Chunk(peers, maxIntroductionEntries) {
+		r.options.Sender.Send(encodeIntroduction(part), peer)
 	}
 }
 
