store: one backoff for all tasks of a process, and heartbeats that end it

Cause: while the store did not respond, each task of each process retried on its own every 0.1 to 0.8 s, and noticed its return only after the rest of its delay.

Change: failed calls of a process share a backoff. Two balancers of each failure domain probe the store often; others call it rarely and retry at once when a heartbeat reports a confirmation later than their last failure. A process that has reached the store after an outage announces it. Leases are checked at once after an outage instead of at their next renewal.

Ruled out: more would be gained from calls at the start of processes (grant, write, two lists, one for the checkpoint), which are most of the rest.

--- a/connection/gate/checkpoint_test.go
+++ b/connection/gate/checkpoint_test.go
@@ -81,6 +81,18 @@
 				convey.So(checkpoint.Flows, convey.ShouldContain, f)
 			}
 		})
+		convey.Convey("flows seen before the first report of the server are not in a checkpoint: their incarnation is not known", func() {
+			tc.nodes[0].gate.SetServer(gate.Server{State: steer.Ready, PredatesAgent: true}, tc.now)
+			tc.startBalancers(1)
+			for _, c := range callers {
+				tc.sendThrough(0, c.Request())
+				convey.So(c.Responses, convey.ShouldHaveLength, 2)
+			}
+			tc.registerFlows()
+			convey.So(tc.nodes[0].gate.Checkpoint().Flows, convey.ShouldBeEmpty)
+			tc.nodes[0].gate.SetServer(known, tc.now)
+			convey.So(tc.nodes[0].gate.Checkpoint().Flows, convey.ShouldHaveLength, flowCount)
+		})
 		convey.Convey("flows of a terminated server do not stay in the next checkpoints", func() {
 			tc.nodes[0].gate.RestoreCheckpoint(checkpoint, tc.now)
 			known.Incarnation++
--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -56,8 +56,8 @@
 	n.roster = roster.New(roster.Options{
 		Self:           a.self,
 		Sender:         n.sender,
-		OnNewerVersion: n.config.announced.add,
-		OnConfirmed:    n.config.confirm,
+		OnNewerVersion: n.noteNewerVersion,
+		OnConfirmed:    n.noteConfirmed,
 		OnChange:       a.setAgents,
 		OnRemove:       func(m roster.Member) { a.gate.RemoveAgent(m.Peer) },
 		OnMemberChange: n.logMember,
--- a/process/passthrough/balancer.go
+++ b/process/passthrough/balancer.go
@@ -50,8 +50,8 @@
 	n.roster = roster.New(roster.Options{
 		Self:           n.member,
 		Sender:         n.sender,
-		OnNewerVersion: n.config.announced.add,
-		OnConfirmed:    n.config.confirm,
+		OnNewerVersion: n.noteNewerVersion,
+		OnConfirmed:    n.noteConfirmed,
 		OnReport:       func(status roster.Status) { b.steer.UpdateLoad(serverOf(status)) },
 		OnChange:       b.setServers,
 		OnRemove:       func(m roster.Member) { b.steer.RemoveServer(m.Peer) },
--- a/process/passthrough/checkpoint.go
+++ b/process/passthrough/checkpoint.go
@@ -39,10 +39,11 @@
 // the next request on its flow. One agent writes for a group of agents, since calls are
 // billed.
 type checkpointer struct {
-	store  Store
-	logger *zap.Logger
-	name   string
-	client http.Client
+	store   Store
+	backoff *storeBackoff
+	logger  *zap.Logger
+	name    string
+	client  http.Client
 	// group returns the agents of this agent's group, the writer first, and the number
 	// of groups that write to the same store.
 	group func() (members []checkpointSource, groups int)
@@ -73,6 +74,7 @@
 func newCheckpointer(a *Agent) *checkpointer {
 	return &checkpointer{
 		store:    a.store,
+		backoff:  a.backoff,
 		logger:   a.logger,
 		name:     a.settings.Name,
 		client:   http.Client{Timeout: flowsTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
@@ -87,14 +89,13 @@
 // run restores the checkpoint of a previous run and then writes new ones until ctx is
 // canceled.
 func (c *checkpointer) run(ctx context.Context) error {
-	retry := backoff{}
 	for ctx.Err() == nil {
 		err := c.load(ctx)
 		if err == nil {
 			break
 		}
 		c.logTransition(err)
-		retry.wait(ctx)
+		c.backoff.wait(ctx)
 	}
 	interval := checkpointInterval
 	for sleep(ctx, interval) {
@@ -103,6 +104,9 @@
 		err := c.write(ctx, c.collect(ctx, c.assigned(members, interval)))
 		c.lastWriteOK = err == nil
 		c.logTransition(err)
+		if err != nil {
+			c.backoff.wait(ctx)
+		}
 	}
 	return nil
 }
--- a/process/passthrough/checkpoint_test.go
+++ b/process/passthrough/checkpoint_test.go
@@ -40,9 +40,10 @@
 	core, logs := observer.New(zapcore.InfoLevel)
 	c := &testCheckpointer{store: store, logs: logs, flows: passthrough.Checkpoint{Incarnation: 7}}
 	c.checkpointer = &checkpointer{
-		store:  store,
-		logger: zap.New(core),
-		name:   "agent-1",
+		store:   store,
+		backoff: newStoreBackoff(newClock(), func() retryDelays { return retryDelays{minRetryDelay, maxRetryDelay} }),
+		logger:  zap.New(core),
+		name:    "agent-1",
 		group: func() ([]checkpointSource, int) {
 			return []checkpointSource{{name: "agent-1"}}, 1
 		},
--- a/process/passthrough/config.go
+++ b/process/passthrough/config.go
@@ -22,9 +22,6 @@
 	// watchRecheckInterval is the interval at which a process that does not watch the
 	// store checks whether it should.
 	watchRecheckInterval = 500 * time.Millisecond
-	// minRetryDelay and maxRetryDelay limit the backoff after a failed call.
-	minRetryDelay = 100 * time.Millisecond
-	maxRetryDelay = 800 * time.Millisecond
 )
 
 // configState is the complete operator configuration at a revision.
@@ -45,6 +42,9 @@
 	client    http.Client
 	// shouldWatch reports whether this process watches the store.
 	shouldWatch func() bool
+	// isProber reports whether this process probes a store that does not respond.
+	isProber func() bool
+	backoff  *storeBackoff
 	// announce sends the active revision and its confirmation to all members.
 	announce func()
 
@@ -64,6 +64,8 @@
 		logger:      n.logger,
 		clock:       n.clock,
 		shouldWatch: n.shouldWatch,
+		isProber:    n.isProber,
+		backoff:     n.backoff,
 		announce:    n.announce,
 		domains:     n.settings.Passthrough.Domains,
 		onVersion:   onVersion,
@@ -81,7 +83,6 @@
 
 // watch keeps a watch on the store until ctx is canceled.
 func (c *configSync) watch(ctx context.Context) error {
-	retry := backoff{}
 	unavailable := false
 	position := uint64(0)
 	for ctx.Err() == nil {
@@ -94,10 +95,12 @@
 		if err == nil {
 			if unavailable {
 				c.logger.Info("store responds again", zap.Uint64("revision", next))
+				if c.isProber() {
+					c.announce()
+				}
 			}
 			unavailable = false
 			position = next
-			retry.reset()
 			continue
 		}
 		if errkind.Is(err, errkind.Conflict) {
@@ -109,7 +112,7 @@
 			c.logger.Warn("watch on the store failed", zap.Error(err))
 			unavailable = true
 		}
-		retry.wait(ctx)
+		c.backoff.wait(ctx)
 	}
 	return nil
 }
@@ -118,12 +121,7 @@
 // after it. It returns the next position.
 func (c *configSync) listOrWatch(ctx context.Context, position uint64) (uint64, error) {
 	if position == 0 {
-		items, at, err := c.adapter.Store.List(ctx, c.adapter.ConfigPrefix, false)
-		if err != nil {
-			return 0, err
-		}
-		c.applyList(items, at)
-		return at, nil
+		return c.list(ctx)
 	}
 	events, at, err := c.adapter.Store.Watch(ctx, c.adapter.ConfigPrefix, position, watchWait)
 	if err != nil {
@@ -135,6 +133,18 @@
 	return max(at, position), nil
 }
 
+// list reads the whole configuration and returns the revision of the store.
+func (c *configSync) list(ctx context.Context) (uint64, error) {
+	started := c.clock.now()
+	items, at, err := c.adapter.Store.List(ctx, c.adapter.ConfigPrefix, false)
+	if err != nil {
+		return 0, err
+	}
+	c.applyList(items, at)
+	c.confirm(c.clock.now() - started)
+	return at, nil
+}
+
 // applyList applies listed entries. The state gets the highest revision of its entries,
 // as with a watch, so that all processes give a state the same revision; the revision of
 // the list also increases with unrelated entries. The revision of the list is used only
--- a/process/passthrough/config_poll.go
+++ b/process/passthrough/config_poll.go
@@ -35,7 +35,6 @@
 // poll reads the store if no process of the deployment has done so for
 // maxConfirmationAge.
 func (c *configSync) poll(ctx context.Context) error {
-	retry := backoff{}
 	for {
 		target := maxConfirmationAge + rand.N(pollJitter)
 		for age := c.confirmedAge(); age < target; age = c.confirmedAge() {
@@ -45,13 +44,12 @@
 		}
 		before := c.revision()
 		if err := c.refresh(ctx); err != nil {
-			retry.wait(ctx)
+			c.backoff.wait(ctx)
 			if ctx.Err() != nil {
 				return nil
 			}
 			continue
 		}
-		retry.reset()
 		if before > 0 {
 			// The other processes then need not read the store.
 			c.announce()
@@ -68,11 +66,8 @@
 		return err
 	}
 	if !unchanged {
-		items, at, err := c.adapter.Store.List(ctx, c.adapter.ConfigPrefix, false)
-		if err != nil {
-			return err
-		}
-		c.applyList(items, at)
+		_, err := c.list(ctx)
+		return err
 	}
 	c.confirm(c.clock.now() - started)
 	return nil
--- a/process/passthrough/config_test.go
+++ b/process/passthrough/config_test.go
@@ -170,6 +170,8 @@
 		logger:      zap.NewNop(),
 		clock:       newClock(),
 		announce:    func() {},
+		isProber:    func() bool { return false },
+		backoff:     newStoreBackoff(newClock(), func() retryDelays { return retryDelays{minRetryDelay, maxRetryDelay} }),
 		shouldWatch: func() bool { return true },
 		domains:     []string{"junin"},
 		onVersion: func(v *routes.Version) {
--- a/process/passthrough/directory.go
+++ b/process/passthrough/directory.go
@@ -32,11 +32,12 @@
 
 // directory maintains the entry of this process in the store and reads those of others.
 type directory struct {
-	store  Store
-	logger *zap.Logger
-	key    string
-	peer   passthrough.Endpoint
-	add    func(passthrough.Endpoint, roster.Role)
+	store   Store
+	backoff *storeBackoff
+	logger  *zap.Logger
+	key     string
+	peer    passthrough.Endpoint
+	add     func(passthrough.Endpoint, roster.Role)
 
 	// minLease is the shortest lease that the store grants.
 	minLease time.Duration
@@ -55,6 +56,7 @@
 func newDirectory(n *node) *directory {
 	return &directory{
 		store:        n.store,
+		backoff:      n.backoff,
 		logger:       n.logger,
 		key:          directoryKey(n.role, n.settings.Name),
 		peer:         n.self(),
@@ -85,7 +87,6 @@
 
 // maintainEntry keeps this process's entry in the store until ctx is canceled.
 func (d *directory) maintainEntry(ctx context.Context) error {
-	retry := backoff{}
 	unavailable := false
 	for ctx.Err() == nil {
 		err := d.renewOrWrite(ctx)
@@ -95,8 +96,8 @@
 				d.logger.Info("directory entry restored")
 			}
 			unavailable = false
-			retry.reset()
-			sleep(ctx, d.leaseDuration/renewalsPerLease)
+			// The lease may have expired during an outage.
+			d.backoff.sleepUntilResponding(ctx, d.leaseDuration/renewalsPerLease)
 		case errkind.Is(err, errkind.NotFound):
 			d.logger.Info("lease of the directory entry expired; writing the entry again", zap.Uint64("lease", d.lease))
 			d.lease = 0
@@ -105,7 +106,7 @@
 				d.logger.Warn("store does not respond; the directory entry may expire", zap.Error(err))
 				unavailable = true
 			}
-			retry.wait(ctx)
+			d.backoff.wait(ctx)
 		}
 	}
 	return nil
@@ -139,14 +140,12 @@
 	case <-ctx.Done():
 		return nil
 	}
-	retry := backoff{}
 	for ctx.Err() == nil {
 		items, _, err := d.store.List(ctx, directoryPrefix, d.synced.Load())
 		if err != nil {
-			retry.wait(ctx)
+			d.backoff.wait(ctx)
 			continue
 		}
-		retry.reset()
 		for _, item := range items {
 			d.addEntry(item)
 		}
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -47,6 +47,7 @@
 	reload    Reload
 	adapter   Adapter
 	store     *instrumentedStore
+	backoff   *storeBackoff
 	logger    *zap.Logger
 	clock     clock
 	runID     uint64
@@ -66,9 +67,11 @@
 
 // newNode opens the peer socket. The caller sets the configuration and the roster.
 func newNode(role roster.Role, s settings.Settings, logger *zap.Logger, adapter Adapter, reload Reload) (*node, error) {
-	store := newInstrumentedStore(adapter.Store)
-	adapter.Store = store
-	n := &node{role: role, settings: s, reload: reload, adapter: adapter, store: store, logger: logger, clock: newClock(), runID: uint64(time.Now().UnixNano())}
+	n := &node{role: role, settings: s, reload: reload, logger: logger, clock: newClock(), runID: uint64(time.Now().UnixNano())}
+	n.backoff = newStoreBackoff(n.clock, n.storeRetryDelays)
+	n.store = newInstrumentedStore(adapter.Store, n.backoff)
+	adapter.Store = n.store
+	n.adapter = adapter
 	var err error
 	if n.peer, err = listenDatagrams(s.Passthrough.Peer); err != nil {
 		return nil, errkind.Wrap(err, errkind.InvalidSettings, "field \"passthrough.peer\"")
@@ -159,11 +162,35 @@
 // it has no reachable balancer. A process that has just started does not watch, since it
 // does not know the members yet.
 func (n *node) shouldWatch() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
 	if n.clock.now() < watchStartDelay {
 		return false
 	}
+	return n.isProber() || (n.role == roster.Agent && n.balancersAhead() == 0)
+}
+
+// isProber reports whether this process probes a store that does not respond: the first
+// watchersPerDomain reachable balancers of a failure domain do.
+func (n *node) isProber() bool {
+	return n.role == roster.Balancer && n.balancersAhead() < watchersPerDomain
+}
+
+// storeRetryDelays returns the limits of the delay between calls to a store that does not
+// respond.
+func (n *node) storeRetryDelays() retryDelays {
+	switch {
+	case n.isProber():
+		return retryDelays{minRetryDelay, maxProbeDelay}
+	case n.balancersAhead() == 0:
+		return retryDelays{minRetryDelay, maxRetryDelay}
+	}
+	return retryDelays{minWokenDelay, maxWokenDelay}
+}
+
+// balancersAhead returns the number of reachable balancers of the own failure domain whose
+// names precede that of this process; for an agent, all of them.
+func (n *node) balancersAhead() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	ahead := 0
 	for status := range n.roster.Members() {
 		if status.Role == roster.Balancer && status.Reachable && status.Domain == n.settings.Domain &&
@@ -171,10 +198,19 @@
 			ahead++
 		}
 	}
-	if n.role == roster.Agent {
-		return ahead == 0
-	}
-	return ahead < watchersPerDomain
+	return ahead
+}
+
+// noteNewerVersion handles a heartbeat of a member with a newer version.
+func (n *node) noteNewerVersion(m roster.Member) {
+	n.backoff.confirmed(m.ConfirmedAge)
+	n.config.announced.add(m)
+}
+
+// noteConfirmed handles a heartbeat that confirms the active version.
+func (n *node) noteConfirmed(age time.Duration) {
+	n.backoff.confirmed(age)
+	n.config.confirm(age)
 }
 
 // announce immediately sends a heartbeat to all members.
--- a/process/passthrough/store_metrics.go
+++ b/process/passthrough/store_metrics.go
@@ -9,18 +9,19 @@
 	"bergamotbank/process/metrics"
 )
 
-// instrumentedStore counts the calls to the store by operation and outcome, and measures
-// the latency of those that do not wait for changes.
+// instrumentedStore counts the calls to the store by operation and outcome, measures the
+// latency of those that do not wait for changes, and notes whether the store responds.
 type instrumentedStore struct {
 	store   Store
+	backoff *storeBackoff
 	latency *metrics.Latency
 
 	mu     sync.Mutex
 	counts map[string]uint64
 }
 
-func newInstrumentedStore(store Store) *instrumentedStore {
-	return &instrumentedStore{store: store, latency: metrics.NewLatency(), counts: map[string]uint64{}}
+func newInstrumentedStore(store Store, backoff *storeBackoff) *instrumentedStore {
+	return &instrumentedStore{store: store, backoff: backoff, latency: metrics.NewLatency(), counts: map[string]uint64{}}
 }
 
 // storeMetrics are the published metrics of the store client.
@@ -39,8 +40,14 @@
 	return storeMetrics{calls, s.latency.Summary()}
 }
 
-// count counts a call by operation and outcome.
+// count counts a call by operation and outcome, and passes to the backoff whether the
+// store responded.
 func (s *instrumentedStore) count(operation string, err error) {
+	if errkind.Is(err, errkind.StoreUnavailable) || errkind.Is(err, errkind.OutcomeUnknown) {
+		s.backoff.failed()
+	} else {
+		s.backoff.succeeded()
+	}
 	outcome := "ok"
 	if err != nil {
 		outcome = errkind.Of(err).String()
