steer, roster: load reports on demand, and suspicions told to all members

Cause: the regular reports of agents age with the fleet.

An unanswered request counts as a probe, and the process that finds a member unreachable tells all others, within a budget; these probe it too. Heartbeats that carry no load are sent half as often.

Ruled out: reports passed on by home balancers (docs/PLATFORM.md).

--- a/connection/passthrough/frame.go
+++ b/connection/passthrough/frame.go
@@ -37,11 +37,13 @@
 	// Redirected informs a balancer to which agent an opening packet was forwarded.
 	// The flow may still open elsewhere.
 	Redirected
+	// Suspicion informs a process that a member does not answer the sender.
+	Suspicion
 )
 
 // String returns the name of the kind in logs.
 func (k Kind) String() string {
-	names := [...]string{"deliver", "lookup", "registered", "search", "learned", "register", "hello", "introduction", "not_held", "beat", "redirected"}
+	names := [...]string{"deliver", "lookup", "registered", "search", "learned", "register", "hello", "introduction", "not_held", "beat", "redirected", "suspicion"}
 	if k < Deliver || int(k-Deliver) >= len(names) {
 		return "unknown"
 	}
@@ -115,6 +117,7 @@
 	flowSize           = 2 * endpointSize
 	holderSize         = 1 + endpointSize + flowSize
 	registerHeaderSize = 1 + endpointSize + 4
+	suspicionSize      = 1 + endpointSize + 4
 )
 
 // MaxRegistrations is the maximum number of flows in a datagram of kind Register,
@@ -162,6 +165,20 @@
 	return nil
 }
 
+// AppendSuspicion appends a datagram of kind Suspicion. run holds the lower 32 bits of the
+// member's run.
+func AppendSuspicion(b []byte, member Endpoint, run uint32) []byte {
+	return binary.LittleEndian.AppendUint32(appendEndpoint(append(b, byte(Suspicion)), member), run)
+}
+
+// ParseSuspicion decodes a datagram of kind Suspicion. The error has kind Malformed.
+func ParseSuspicion(b []byte) (member Endpoint, run uint32, err error) {
+	if len(b) != suspicionSize {
+		return 0, 0, errInvalidLength
+	}
+	return endpointAt(b[1:]), binary.LittleEndian.Uint32(b[1+endpointSize:]), nil
+}
+
 func appendEndpoint(b []byte, e Endpoint) []byte {
 	var raw [endpointSize]byte
 	putEndpoint(raw[:], e)
--- a/connection/steer/choose.go
+++ b/connection/steer/choose.go
@@ -73,26 +73,40 @@
 	}
 }
 
-// choose selects a server of a service for a new flow, other than except. It
-// samples two servers in the balancer's own failure domain and two in other
-// domains, and returns the one with the lowest score.
+// choose selects a server of a service for a new flow, other than except: the one with the
+// lowest score among the drawn servers with a fresh report. If there is none, it samples two
+// servers in the balancer's own failure domain and two in other domains by their last
+// reports.
 func (r *Router) choose(service string, except *entry) *entry {
+	if e := r.bestDrawn(service, except); e != nil {
+		return e
+	}
 	c := r.services[service]
 	if c == nil {
 		return nil
 	}
-	var best *entry
-	var bestScore float64
+	var best scored
 	for group := range c {
 		first, second := sample(c[group], except)
-		for _, e := range [...]*entry{first, second} {
-			if e == nil {
-				continue
-			}
-			if score := r.score(e); best == nil || score < bestScore {
-				best, bestScore = e, score
-			}
-		}
+		best = r.better(best, first)
+		best = r.better(best, second)
+	}
+	return best.entry
+}
+
+// scored is a server with its score.
+type scored struct {
+	entry *entry
+	score float64
+}
+
+// better returns the one with the lower score; e may be nil.
+func (r *Router) better(best scored, e *entry) scored {
+	if e == nil {
+		return best
+	}
+	if score := r.score(e); best.entry == nil || score < best.score {
+		return scored{e, score}
 	}
 	return best
 }
--- a/connection/steer/packet.go
+++ b/connection/steer/packet.go
@@ -66,6 +66,7 @@
 		r.options.OnPlacement(flow, &chosen.Server)
 	}
 	r.send(buffer, passthrough.Deliver, chosen.Agent, r.alternate(chosen))
+	r.placed(service, chosen)
 }
 
 // alternate returns the agent to which the first one forwards a flow that it
--- a/connection/steer/steer.go
+++ b/connection/steer/steer.go
@@ -119,6 +119,11 @@
 	OnLookup func(flow passthrough.Flow, owner passthrough.Endpoint)
 	// OnPlacement is called when a server is selected for a new flow; nil for none.
 	OnPlacement func(flow passthrough.Flow, server *Server)
+	// Now returns the time, on the clock of Server.ReportedAt.
+	Now func() time.Duration
+	// RequestReport requests a report of an agent, which answers with its load. If it is nil,
+	// flows are placed by the last reports.
+	RequestReport func(agent passthrough.Endpoint)
 }
 
 // Router routes the callers' packets of one balancer. It is not safe for
@@ -128,6 +133,7 @@
 	version  *routes.Version
 	byAgent  map[passthrough.Endpoint]*entry
 	services map[string]*candidates
+	draws    map[string]*draw
 	owners   *passthrough.Owners
 	holders  *passthrough.ExpiringMap[holder]
 	lookups  *passthrough.ExpiringMap[uint8]
@@ -155,6 +161,8 @@
 type entry struct {
 	Server
 	openedSinceReport float64
+	// requestedAt is the time of the last request for a report.
+	requestedAt time.Duration
 	// group and position are the place in the candidates of the service; position is
 	// -1 for a server that may not receive new flows.
 	group, position int
@@ -166,6 +174,7 @@
 		options:  options,
 		byAgent:  map[passthrough.Endpoint]*entry{},
 		services: map[string]*candidates{},
+		draws:    map[string]*draw{},
 		owners:   &passthrough.Owners{},
 		holders:  passthrough.NewExpiringMap[holder](holderRetention, maxHolders),
 		lookups:  passthrough.NewExpiringMap[uint8](lookupRetention, maxHolders),
@@ -257,8 +266,9 @@
 // CachedFlows returns the number of flows whose holder is cached.
 func (r *Router) CachedFlows() int { return r.holders.Len() }
 
-// Tick expires cache entries.
+// Tick expires cache entries and keeps the reports of drawn servers fresh.
 func (r *Router) Tick(now time.Duration) {
+	r.refreshDraws(now)
 	r.holders.Tick(now)
 	r.lookups.Tick(now)
 }
--- a/process/passthrough/balancer.go
+++ b/process/passthrough/balancer.go
@@ -45,6 +45,10 @@
 		OnRefusal:   b.logRefusal,
 		OnPlacement: b.logPlacement,
 		OnLookup:    b.logLookup,
+		Now:         n.clock.now,
+		RequestReport: func(agent passthrough.Endpoint) {
+			n.roster.RequestReport(agent, n.clock.now())
+		},
 	})
 	n.config = newConfigSync(n, b.setVersion)
 	n.roster = roster.New(roster.Options{
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -245,6 +245,8 @@
 		n.roster.HandleCompactHeartbeat(b, now)
 	case passthrough.Introduction:
 		n.roster.HandleIntroduction(b)
+	case passthrough.Suspicion:
+		n.roster.HandleSuspicion(b, now)
 	default:
 	}
 }
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -16,7 +16,7 @@
 	// answered yet, contactAttempts the number of these heartbeats.
 	contactInterval = 500 * time.Millisecond
 	contactAttempts = 4
-	// removeAfter is the time without a heartbeat after which a member is removed.
+	// removeAfter is the time without a heartbeat after which a silent member is removed.
 	removeAfter = 30 * time.Second
 )
 
@@ -72,6 +72,11 @@
 	fullUntil  time.Duration
 	// agents is the number of members that are agents.
 	agents int
+	// lastReceived is the time of the last heartbeat of any member.
+	lastReceived time.Duration
+	// suspicions limits the members of which this process tells others that they do not
+	// answer.
+	suspicions suspicionBudget
 	// changed are the peers to pass to the next call of OnChange.
 	changed   []*peerState
 	malformed uint64
@@ -155,7 +160,8 @@
 	changed := restarted || h.Service != p.member.Service || h.Name != p.member.Name || h.Domain != p.member.Domain ||
 		h.Report.State != p.member.Report.State
 	p.member, p.known, p.lastHeartbeatAt, p.receivesHeartbeats, p.interval = h.Member, true, now, h.receivesHeartbeats, h.interval
-	p.probes = 0
+	p.probes, p.suspected = 0, false
+	r.lastReceived = now
 	if h.Version > self.Version {
 		r.options.OnNewerVersion(h.Member)
 	} else {
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -66,6 +66,8 @@
 			p.roster.HandleIntroduction(b)
 		case passthrough.CompactHeartbeat:
 			p.roster.HandleCompactHeartbeat(b, c.now)
+		case passthrough.Suspicion:
+			p.roster.HandleSuspicion(b, c.now)
 		default:
 			p.roster.HandleHeartbeat(b, c.now)
 		}
@@ -467,6 +469,7 @@
 	compact := compactHeartbeatOf(&h)
 	f.Add(compact.encode())
 	f.Add(encodeIntroduction([]introductionEntry{{1, Balancer}, {2, Agent}}))
+	f.Add(passthrough.AppendSuspicion(nil, 1, 1))
 	f.Fuzz(func(_ *testing.T, b []byte) {
 		if len(b) == 0 {
 			return
@@ -475,6 +478,7 @@
 		c.processes[0].roster.HandleHeartbeat(b, c.now)
 		c.processes[0].roster.HandleCompactHeartbeat(b, c.now)
 		c.processes[0].roster.HandleIntroduction(b)
+		c.processes[0].roster.HandleSuspicion(b, c.now)
 		c.processes[0].roster.Tick(c.now)
 	})
 }
--- a/process/roster/send.go
+++ b/process/roster/send.go
@@ -18,9 +18,10 @@
 	minHeartbeatInterval = time.Second
 	// reportIntervalPerAgent and heartbeatIntervalPerAgent are the intervals per agent
 	// of the deployment: they make both intervals grow with the number of agents, so
-	// that a balancer receives at most 100 reports per second.
+	// that a balancer receives at most 100 reports per second. Balancers request the
+	// reports that they need sooner, and a failed member is detected by probes.
 	reportIntervalPerAgent    = 10 * time.Millisecond
-	heartbeatIntervalPerAgent = 20 * time.Millisecond
+	heartbeatIntervalPerAgent = 40 * time.Millisecond
 	// introductionThreshold is the number of known addresses below which a process
 	// requests an introduction; a process that knows only its seeds is below it.
 	// introducers is the number of members that send an introduction unrequested.
--- a/process/roster/status.go
+++ b/process/roster/status.go
@@ -26,6 +26,9 @@
 	// failure to be detected.
 	silentAgentTimeout    = 1800 * time.Millisecond
 	silentBalancerTimeout = 6 * time.Second
+	// minProbePeriod is the time from the first unanswered probe until a member may be
+	// presumed failed: a process that is only restarted answers within it.
+	minProbePeriod = time.Second
 	// stallThreshold is the gap between two ticks above which this process is
 	// considered to have stalled.
 	stallThreshold = 500 * time.Millisecond
@@ -44,10 +47,13 @@
 	attemptsLeft       int
 	// sent counts the heartbeats to the member.
 	sent uint
-	// probes counts the probes since the last heartbeat, lastProbe is the time of the
-	// last one.
-	probes    int
-	lastProbe time.Duration
+	// probes counts the probes since the last heartbeat, firstProbe and lastProbe are the
+	// times of the first and the last one.
+	probes                int
+	firstProbe, lastProbe time.Duration
+	// suspected is true if another process has reported since the last heartbeat that the
+	// member does not answer.
+	suspected bool
 	// expectedRole is the role given when the address was added, until it answers.
 	expectedRole Role
 	// reachable and silent are the last status, to detect changes.
@@ -57,16 +63,26 @@
 	changed, removed bool
 }
 
-// probeDue reports whether a probe is due.
+// probeDue reports whether a probe is due: the heartbeat is overdue, or a probe has not been
+// answered.
 func (p *peerState) probeDue(now time.Duration) bool {
-	return p.known && p.probes < maxProbes && now-p.lastHeartbeatAt > p.interval+probeDelay && now-p.lastProbe >= probeInterval
+	overdue := p.probes > 0 || now-p.lastHeartbeatAt > p.interval+probeDelay
+	return p.known && p.probes < maxProbes && overdue && now-p.lastProbe >= probeInterval
 }
 
 // probe requests a heartbeat from a member.
 func (r *Roster) probe(peer passthrough.Endpoint, p *peerState, now time.Duration) {
+	p.countProbe(now)
+	r.send(peer, p, r.options.Self(), now, true)
+}
+
+// countProbe counts a probe that is sent now.
+func (p *peerState) countProbe(now time.Duration) {
+	if p.probes == 0 {
+		p.firstProbe = now
+	}
 	p.probes++
 	p.lastProbe = now
-	r.send(peer, p, r.options.Self(), now, true)
 }
 
 // compensateStall detects a stall of this process and excludes its duration from the
@@ -76,7 +92,7 @@
 		r.stalls++
 		for _, p := range r.peers {
 			p.lastHeartbeatAt += gap
-			p.probes = 0
+			p.probes, p.suspected = 0, false
 		}
 	}
 	r.lastTick = now
@@ -84,7 +100,7 @@
 
 func (r *Roster) expired(p *peerState, now time.Duration) bool {
 	if p.known {
-		return now-p.lastHeartbeatAt > removeAfter
+		return p.silent && now-p.lastHeartbeatAt > removeAfter
 	}
 	return p.attemptsLeft <= 0
 }
@@ -98,7 +114,7 @@
 func (r *Roster) updateStatus(p *peerState, now time.Duration) bool {
 	sinceHeartbeat := now - p.lastHeartbeatAt
 	reachable := p.known && p.receivesHeartbeats && sinceHeartbeat < p.reachableTimeout() && p.unansweredProbes(now) < unreachableProbes
-	silent := p.known && sinceHeartbeat > p.silentTimeout() && p.unansweredProbes(now) >= maxProbes
+	silent := p.known && sinceHeartbeat > p.silentTimeout() && p.unansweredProbes(now) >= maxProbes && now-p.firstProbe >= minProbePeriod
 	if reachable == p.reachable && silent == p.silent {
 		return false
 	}
@@ -110,6 +126,9 @@
 	case !reachable && p.reachable:
 		r.notifyMember(p, "unreachable", now)
 	}
+	if !reachable && p.reachable && p.unansweredProbes(now) >= unreachableProbes {
+		r.shareSuspicion(p, now)
+	}
 	p.reachable, p.silent = reachable, silent
 	return true
 }
--- /dev/null
+++ b/process/roster/suspicion_test.go
@@ -0,0 +1,195 @@
+package roster
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/smartystreets/goconvey/convey"
+
+	"bergamotbank/connection/passthrough"
+	"bergamotbank/connection/steer"
+)
+
+// fleetOfLargeSite returns a settled cluster of 59 balancers and 136 agents.
+func fleetOfLargeSite() *testCluster {
+	c := newTestCluster(59, 136)
+	for _, p := range c.processes[1:] {
+		p.roster.Add(addressOf(0), Balancer)
+	}
+	c.advance(8 * time.Second)
+	return c
+}
+
+// place lets each balancer request the reports of four random agents, as it does for the
+// flows that it places in a quarter of a second, and then waits for as long.
+func (c *testCluster) place(balancers, agents int) {
+	for i := range balancers {
+		for range 4 {
+			c.processes[i].roster.RequestReport(addressOf(balancers+rand.IntN(agents)), c.now)
+		}
+	}
+	c.network.Run()
+	c.advance(250 * time.Millisecond)
+}
+
+// cutOff drops all datagrams from and to the given processes.
+func (c *testCluster) cutOff(processes ...int) {
+	cut := map[passthrough.Endpoint]bool{}
+	for _, i := range processes {
+		cut[addressOf(i)] = true
+	}
+	c.network.Drop = func(b []byte, to passthrough.Endpoint) bool { return cut[to] || cut[sender(b)] }
+}
+
+// TestFailedAgentIsKnownEverywhere guards against a detection time that grows with the
+// fleet: at 136 agents the regular heartbeats are 1.4 s apart, and balancers kept sending
+// new flows to failed agents for more than two seconds.
+func TestFailedAgentIsKnownEverywhere(t *testing.T) {
+	convey.Convey("Given the large fleet with balancers that place flows", t, func() {
+		c := fleetOfLargeSite()
+		for range 4 {
+			c.place(59, 136)
+		}
+		for _, i := range []int{59, 59 + 135} {
+			convey.So(c.status(0, i).Reachable, convey.ShouldBeTrue)
+		}
+		convey.Convey("every process knows within a second that an agent does not respond", func() {
+			c.cutOff(100)
+			for range 4 {
+				c.place(59, 136)
+			}
+			for i := range c.processes {
+				if i != 100 {
+					convey.So(c.status(i, 100).Reachable, convey.ShouldBeFalse)
+				}
+			}
+			convey.Convey("and presumes it failed after two, but not the others", func() {
+				for range 4 {
+					c.place(59, 136)
+				}
+				for i := range c.processes {
+					if i != 100 && i != 101 {
+						convey.So(c.status(i, 100).Silent, convey.ShouldBeTrue)
+						convey.So(c.status(i, 101).Reachable, convey.ShouldBeTrue)
+					}
+				}
+			})
+		})
+		convey.Convey("a lost failure domain is known everywhere within two seconds", func() {
+			lost := map[int]bool{}
+			var list []int
+			for i := range 40 {
+				lost[20+4*i] = true
+				list = append(list, 20+4*i)
+			}
+			c.cutOff(list...)
+			for range 8 {
+				c.place(59, 136)
+			}
+			for i := range c.processes {
+				for j := range list {
+					if !lost[i] && c.processes[list[j]].self.Role == Agent {
+						convey.So(c.status(i, list[j]).Reachable, convey.ShouldBeFalse)
+					}
+				}
+			}
+		})
+		convey.Convey("a process that restarts within 600 ms is not presumed failed", func() {
+			c.cutOff(100)
+			c.place(59, 136)
+			c.place(59, 136)
+			c.network.Drop = nil
+			c.processes[100].roster.Announce(c.now)
+			for range 8 {
+				c.place(59, 136)
+				for i := range c.processes {
+					if i != 100 {
+						convey.So(c.status(i, 100).Silent, convey.ShouldBeFalse)
+					}
+				}
+			}
+			convey.So(c.status(0, 100).Reachable, convey.ShouldBeTrue)
+		})
+	})
+}
+
+func TestSuspicion(t *testing.T) {
+	convey.Convey("Given a balancer and two agents", t, func() {
+		c := newTestCluster(2, 2)
+		for _, p := range c.processes[1:] {
+			p.roster.Add(addressOf(0), Balancer)
+		}
+		c.advance(2 * time.Second)
+		suspicions := 0
+		count := func(b []byte, _ passthrough.Endpoint) bool {
+			if passthrough.Kind(b[0]) == passthrough.Suspicion {
+				suspicions++
+			}
+			return false
+		}
+		suspect := c.processes[0].roster.peers[addressOf(2)]
+
+		convey.Convey("a suspicion of a member that has just been heard of is ignored", func() {
+			c.processes[2].roster.Announce(c.now)
+			c.network.Run()
+			c.processes[0].roster.HandleSuspicion(passthrough.AppendSuspicion(nil, addressOf(2), 1), c.now)
+			convey.So(suspect.probes, convey.ShouldEqual, 0)
+		})
+		convey.Convey("a suspected member that answers stays reachable, and the suspicion is not passed on", func() {
+			suspect.lastHeartbeatAt -= recentHeartbeat
+			c.network.Drop = count
+			c.processes[0].roster.HandleSuspicion(passthrough.AppendSuspicion(nil, addressOf(2), 1), c.now)
+			convey.So(suspect.probes, convey.ShouldEqual, 2)
+			c.network.Run()
+			convey.So(suspect.probes, convey.ShouldEqual, 0)
+			convey.So(c.status(0, 2).Reachable, convey.ShouldBeTrue)
+			convey.So(suspicions, convey.ShouldEqual, 0)
+		})
+		convey.Convey("a suspicion of a previous run is ignored", func() {
+			suspect.lastHeartbeatAt -= recentHeartbeat
+			c.processes[0].roster.HandleSuspicion(passthrough.AppendSuspicion(nil, addressOf(2), 7), c.now)
+			convey.So(suspect.probes, convey.ShouldEqual, 0)
+		})
+		convey.Convey("a process that receives nothing suspects itself and tells no one", func() {
+			c.network.Drop = func(b []byte, to passthrough.Endpoint) bool { return count(b, to) || to == addressOf(0) }
+			c.advance(3 * time.Second)
+			convey.So(c.status(0, 2).Reachable, convey.ShouldBeFalse)
+			convey.So(suspicions, convey.ShouldEqual, 0)
+		})
+		convey.Convey("malformed datagrams are counted", func() {
+			before := c.processes[0].roster.Malformed()
+			c.processes[0].roster.HandleSuspicion([]byte{byte(passthrough.Suspicion), 1}, c.now)
+			convey.So(c.processes[0].roster.Malformed(), convey.ShouldEqual, before+1)
+		})
+	})
+	convey.Convey("A process names a limited number of members in a short time", t, func() {
+		var b suspicionBudget
+		taken := 0
+		for range 100 {
+			if b.take(time.Second) {
+				taken++
+			}
+		}
+		convey.So(taken, convey.ShouldEqual, maxSuspicions)
+		convey.So(b.exhausted, convey.ShouldEqual, 100-maxSuspicions)
+		convey.So(b.take(time.Second+suspicionInterval), convey.ShouldBeTrue)
+		convey.So(b.take(time.Second+suspicionInterval), convey.ShouldBeFalse)
+	})
+}
+
+// TestRequestedReport guards that a requested report changes nothing but the load.
+func TestRequestedReport(t *testing.T) {
+	convey.Convey("A requested report arrives at once and notifies no change", t, func() {
+		c := newTestCluster(1, 1)
+		c.processes[1].roster.Add(addressOf(0), Balancer)
+		c.advance(2 * time.Second)
+		changes := c.processes[0].changes
+		c.processes[1].self.Report = Report{State: steer.Ready, Slots: 2, MeanOpenRequests: 1.5, Flows: 9}
+		c.processes[0].roster.RequestReport(addressOf(1), c.now)
+		c.network.Run()
+		convey.So(c.status(0, 1).Report.MeanOpenRequests, convey.ShouldEqual, 1.5)
+		convey.So(c.status(0, 1).LastHeartbeatAt, convey.ShouldEqual, c.now)
+		convey.So(c.processes[0].changes, convey.ShouldEqual, changes)
+	})
+}
