roster: agents are presumed failed after 1.1 s, but not by a process that is cut off

Cause: flows of a lost server were reset 1.8 s after its last heartbeat, which is longer than most callers wait: a status request cannot be repeated in time, and orders are sent on flows of dead servers meanwhile. An agent process that is restarted is back after 0.6 s, so 1.8 s protects nothing more. A balancer that was cut off itself presumed all agents failed and reset flows that other balancers could still carry, and stayed in rotation until all agents had become unreachable.

Change: 1.1 s, of which the agent was probed for at least 0.75 s. A process that receives no heartbeat for 0.4 s presumes no member failed; a balancer is then not ready. Regular heartbeats after an announcement start at a random time, so that processes that change together do not send all of theirs in the same moment.

--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -61,6 +61,7 @@
 		OnChange:       a.setAgents,
 		OnRemove:       func(m roster.Member) { a.gate.RemoveAgent(m.Peer) },
 		OnMemberChange: n.logMember,
+		OnIsolation:    n.logIsolation,
 	})
 	a.setSelf()
 	n.publishMetrics()
--- a/process/passthrough/balancer.go
+++ b/process/passthrough/balancer.go
@@ -60,6 +60,7 @@
 		OnChange:       b.setServers,
 		OnRemove:       func(m roster.Member) { b.steer.RemoveServer(m.Peer) },
 		OnMemberChange: n.logMember,
+		OnIsolation:    n.logIsolation,
 	})
 	n.publishMetrics()
 	metrics.Publish("steer", func() any { return b.counters() })
@@ -85,14 +86,15 @@
 	b.directory.removeEntry(ctx)
 }
 
-// ready reports whether the fabric may send callers' packets.
+// ready reports whether the fabric may send callers' packets. A balancer that receives no
+// heartbeats cannot reach the agents either.
 func (b *Balancer) ready() bool {
 	if b.stopping.Load() {
 		return false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.steer.Ready()
+	return b.steer.Ready() && !b.roster.Isolated(b.clock.now())
 }
 
 func (b *Balancer) setVersion(v *routes.Version) {
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -91,6 +91,8 @@
 	Malformed      uint64  `json:"datagrams_malformed"`
 	SendFailures   uint64  `json:"send_failures"`
 	Stalls         uint64  `json:"own_stalls"`
+	Isolated       bool    `json:"isolated"`
+	Unshared       uint64  `json:"suspicions_not_shared"`
 }
 
 // publishMetrics publishes the metrics that balancer and agent have in common.
@@ -108,6 +110,8 @@
 		Malformed:      n.roster.Malformed(),
 		SendFailures:   n.sender.failed,
 		Stalls:         n.roster.Stalls(),
+		Isolated:       n.roster.Isolated(n.clock.now()),
+		Unshared:       n.roster.UnsharedSuspicions(),
 	}
 	for status := range n.roster.Members() {
 		m.Members++
@@ -257,6 +261,15 @@
 		zap.Uint64("run", m.Run), zap.Duration("silence", sinceHeartbeat))
 }
 
+// logIsolation logs that no heartbeats of any member arrive, or that they do again.
+func (n *node) logIsolation(isolated bool) {
+	if isolated {
+		n.logger.Warn("no heartbeats arrive; this process is probably cut off")
+		return
+	}
+	n.logger.Info("heartbeats arrive again")
+}
+
 // tasks returns the tasks that balancer and agent have in common. handlePeers receives
 // datagrams of other processes, onTick is called at each tick, and ready is the result of
 // the readiness probe.
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -44,6 +44,8 @@
 	// OnMemberChange is called for each member that joins or restarts ("joined") or
 	// becomes "reachable", "unreachable" or "silent"; it may be nil.
 	OnMemberChange func(member Member, change string, sinceHeartbeat time.Duration)
+	// OnIsolation is called by Tick when Isolated has changed; it may be nil.
+	OnIsolation func(isolated bool)
 }
 
 // Status is a member and its status as seen by this process.
@@ -74,6 +76,8 @@
 	agents int
 	// lastReceived is the time of the last heartbeat of any member.
 	lastReceived time.Duration
+	// wasIsolated is the result of Isolated at the last tick.
+	wasIsolated bool
 	// suspicions limits the members of which this process tells others that they do not
 	// answer.
 	suspicions suspicionBudget
@@ -128,6 +132,10 @@
 // Stalls returns the number of stalls of this process.
 func (r *Roster) Stalls() uint64 { return r.stalls }
 
+// UnsharedSuspicions returns the number of members of which this process did not tell the
+// others that they do not answer, since there were too many in a short time.
+func (r *Roster) UnsharedSuspicions() uint64 { return r.suspicions.exhausted }
+
 // Malformed returns the number of datagrams that could not be parsed.
 func (r *Roster) Malformed() uint64 { return r.malformed }
 
@@ -199,6 +207,7 @@
 // members.
 func (r *Roster) Tick(now time.Duration) {
 	r.compensateStall(now)
+	r.updateIsolation(now)
 	r.sendDueHeartbeats(now)
 	for peer, p := range r.peers {
 		if p.probeDue(now) {
--- a/process/roster/send.go
+++ b/process/roster/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -63,6 +64,10 @@
 func (r *Roster) Announce(now time.Duration) {
 	r.nextReport, r.nextHeartbeat = 0, 0
 	r.sendDueHeartbeats(now)
+	// Processes that change at the same time, for example after a mass restart, should not
+	// send all their heartbeats at the same time from then on.
+	report, regular := r.intervals()
+	r.nextReport, r.nextHeartbeat = now+rand.N(report), now+rand.N(regular)
 }
 
 // sendDueHeartbeats sends the heartbeats that are due.
--- a/process/roster/status.go
+++ b/process/roster/status.go
@@ -24,11 +24,11 @@
 	// failed if it has also left maxProbes probes unanswered; flows of its server are
 	// then reset. silentBalancerTimeout applies to balancers; nothing waits for their
 	// failure to be detected.
-	silentAgentTimeout    = 1800 * time.Millisecond
+	silentAgentTimeout    = 1100 * time.Millisecond
 	silentBalancerTimeout = 6 * time.Second
 	// minProbePeriod is the time from the first unanswered probe until a member may be
 	// presumed failed: a process that is only restarted answers within it.
-	minProbePeriod = time.Second
+	minProbePeriod = 750 * time.Millisecond
 	// stallThreshold is the gap between two ticks above which this process is
 	// considered to have stalled.
 	stallThreshold = 500 * time.Millisecond
@@ -114,7 +114,8 @@
 func (r *Roster) updateStatus(p *peerState, now time.Duration) bool {
 	sinceHeartbeat := now - p.lastHeartbeatAt
 	reachable := p.known && p.receivesHeartbeats && sinceHeartbeat < p.reachableTimeout() && p.unansweredProbes(now) < unreachableProbes
-	silent := p.known && sinceHeartbeat > p.silentTimeout() && p.unansweredProbes(now) >= maxProbes && now-p.firstProbe >= minProbePeriod
+	silent := p.known && sinceHeartbeat > p.silentTimeout() && p.unansweredProbes(now) >= maxProbes && now-p.firstProbe >= minProbePeriod &&
+		(p.silent || !r.Isolated(now))
 	if reachable == p.reachable && silent == p.silent {
 		return false
 	}
--- a/process/roster/suspicion.go
+++ b/process/roster/suspicion.go
@@ -13,9 +13,11 @@
 	// and limit the traffic of a process whose own link is at fault.
 	maxSuspicions     = 20
 	suspicionInterval = 50 * time.Millisecond
-	// isolationThreshold is the time without any heartbeat after which a process assumes
-	// that it is cut off itself and shares no suspicion.
-	isolationThreshold = 250 * time.Millisecond
+	// isolationThreshold is the time without any heartbeat after which a process that knows
+	// at least minPeersToNoticeIsolation others assumes that it is cut off itself. It is
+	// longer than the shortest interval of reports.
+	isolationThreshold        = 400 * time.Millisecond
+	minPeersToNoticeIsolation = 4
 	// recentHeartbeat is the age of a heartbeat that refutes a suspicion, which is based on
 	// probes of the last unreachableProbes intervals.
 	recentHeartbeat = 150 * time.Millisecond
@@ -23,8 +25,9 @@
 
 // suspicionBudget is a token bucket.
 type suspicionBudget struct {
-	used      int
-	refilled  time.Duration
+	used     int
+	refilled time.Duration
+	// exhausted counts the calls of take that failed.
 	exhausted uint64
 }
 
@@ -42,6 +45,23 @@
 	return true
 }
 
+// Isolated reports whether this process has received no heartbeat of any member for so long
+// that it is probably cut off itself. It then presumes no member failed: their flows can
+// continue through other processes.
+func (r *Roster) Isolated(now time.Duration) bool {
+	return len(r.peers) >= minPeersToNoticeIsolation && now-r.lastReceived > isolationThreshold
+}
+
+// updateIsolation notifies of a change of Isolated.
+func (r *Roster) updateIsolation(now time.Duration) {
+	if isolated := r.Isolated(now); isolated != r.wasIsolated {
+		r.wasIsolated = isolated
+		if r.options.OnIsolation != nil {
+			r.options.OnIsolation(isolated)
+		}
+	}
+}
+
 // RequestReport requests a heartbeat of a member at once, which contains the load of its
 // backend server. A member that does not answer is probed like one whose heartbeat is
 // overdue.
@@ -54,7 +74,7 @@
 // shareSuspicion tells the other members that a member does not answer, so that they probe
 // it without waiting for its next heartbeat, unless the suspicion came from one of them.
 func (r *Roster) shareSuspicion(suspect *peerState, now time.Duration) {
-	if suspect.suspected || now-r.lastReceived > isolationThreshold || !r.suspicions.take(now) {
+	if suspect.suspected || r.Isolated(now) || !r.suspicions.take(now) {
 		return
 	}
 	datagram := passthrough.AppendSuspicion(nil, suspect.member.Peer, uint32(suspect.member.Run))
--- a/process/roster/suspicion_test.go
+++ b/process/roster/suspicion_test.go
@@ -178,6 +178,72 @@
 	})
 }
 
+// TestIsolatedProcess guards the flows of a process that is cut off: it used to presume that
+// all others had failed and reset the flows of servers that other balancers still reached.
+func TestIsolatedProcess(t *testing.T) {
+	convey.Convey("Given a balancer of a small deployment that is cut off", t, func() {
+		c := newTestCluster(2, 3)
+		for _, p := range c.processes[1:] {
+			p.roster.Add(addressOf(0), Balancer)
+		}
+		c.advance(2 * time.Second)
+		convey.So(c.processes[0].roster.Isolated(c.now), convey.ShouldBeFalse)
+		c.cutOff(0)
+		convey.Convey("it notices that before it finds the agents unreachable, and presumes no agent failed", func() {
+			c.advance(isolationThreshold + 50*time.Millisecond)
+			convey.So(c.processes[0].roster.Isolated(c.now), convey.ShouldBeTrue)
+			c.advance(3 * time.Second)
+			for i := 2; i < 5; i++ {
+				convey.So(c.status(0, i).Reachable, convey.ShouldBeFalse)
+				convey.So(c.status(0, i).Silent, convey.ShouldBeFalse)
+			}
+			convey.So(c.processes[1].roster.Isolated(c.now), convey.ShouldBeFalse)
+		})
+		convey.Convey("it recovers when it is connected again, and presumes an agent failed that is still cut off", func() {
+			c.advance(2 * time.Second)
+			c.cutOff(3)
+			c.advance(silentAgentTimeout)
+			convey.So(c.processes[0].roster.Isolated(c.now), convey.ShouldBeFalse)
+			convey.So(c.status(0, 2).Reachable, convey.ShouldBeTrue)
+			convey.So(c.status(0, 3).Silent, convey.ShouldBeTrue)
+		})
+	})
+	convey.Convey("A process that has presumed an agent failed does not change that when it is cut off", t, func() {
+		c := newTestCluster(2, 3)
+		for _, p := range c.processes[1:] {
+			p.roster.Add(addressOf(0), Balancer)
+		}
+		c.advance(2 * time.Second)
+		c.cutOff(3)
+		c.advance(2 * time.Second)
+		convey.So(c.status(0, 3).Silent, convey.ShouldBeTrue)
+		c.cutOff(0, 3)
+		c.advance(2 * time.Second)
+		convey.So(c.status(0, 3).Silent, convey.ShouldBeTrue)
+	})
+}
+
+// TestHeartbeatsAreSpread guards against heartbeats of all processes in the same moment,
+// seconds apart, after they have changed together.
+func TestHeartbeatsAreSpread(t *testing.T) {
+	convey.Convey("Agents whose servers become ready at the same time do not report in step afterwards", t, func() {
+		c := newTestCluster(1, 100)
+		for _, p := range c.processes[1:] {
+			p.roster.Add(addressOf(0), Balancer)
+		}
+		c.advance(3 * time.Second)
+		for _, p := range c.processes[1:] {
+			p.self.Report.State = steer.Cold
+			p.roster.Announce(c.now)
+		}
+		c.network.Run()
+		for range 20 {
+			c.advance(100 * time.Millisecond)
+			convey.So(c.processes[0].roster.Isolated(c.now), convey.ShouldBeFalse)
+		}
+	})
+}
+
 // TestRequestedReport guards that a requested report changes nothing but the load.
 func TestRequestedReport(t *testing.T) {
 	convey.Convey("A requested report arrives at once and notifies no change", t, func() {
