gate, agent: a crashed server is found by its packets and receives no more flows

Cause: a server that crashes beside its running agent returns opening packets or does not answer them. The agent took returned ones for a full queue and passed them on, and reported an idle server, which balancers prefer; the copies of a packet went to the same agent again.

Change: a returned opening packet, or one without an answer for 100 ms, makes the agent suspect its server. It passes opening packets on without asking the server, and opens a connection at the next tick; if that is refused, the server is down, which is announced, and its flows are reset. An accepted connection or a packet of the server ends the suspicion. Balancers send copies of an opening packet elsewhere once the server is known to be down.

Ruled out: late resets of open flows.

Tests: TestCrashedServer, TestSuspectedServerIsChecked.

--- a/connection/gate/admit.go
+++ b/connection/gate/admit.go
@@ -32,6 +32,9 @@
 	// is considered full. A longer queue delays responses after a restart of the
 	// whole deployment; a shorter one refuses flows of an ordinary burst.
 	maxQueuePerSlot = 1
+	// openingTimeLimit is the time within which a running server answers an opening packet,
+	// whatever its load.
+	openingTimeLimit = 100 * time.Millisecond
 	// coldBurst is the number of flows that a cold server may receive at once.
 	coldBurst = 2.0
 	// defaultSlots is used for a server that reports no number of slots.
@@ -77,6 +80,9 @@
 	default:
 		return errkind.BackendUnavailable, false
 	}
+	if g.Suspected(now) {
+		return errkind.BackendUnavailable, false
+	}
 	if g.version.OutDomains[g.options.Domain] || g.version.OutDomains[g.server.Domain] {
 		return errkind.DomainOut, false
 	}
@@ -93,6 +99,16 @@
 	return 0, true
 }
 
+// Suspected reports whether the server has probably terminated: it has not answered an opening
+// packet in time, or has returned one, which a running server does only at its limit of
+// connections, and has sent nothing since.
+func (g *Gate) Suspected(now time.Duration) bool {
+	return g.suspectedFrom > 0 && now >= g.suspectedFrom
+}
+
+// ClearSuspicion records that the server has accepted a connection.
+func (g *Gate) ClearSuspicion() { g.suspectedFrom = 0 }
+
 // checkRoute reports whether the route of the packet has the server's service as a
 // target. If the balancer has a newer version than the agent, its choice is
 // accepted.
@@ -125,6 +141,9 @@
 	if g.server.State == steer.Unknown && server.State != steer.Unknown {
 		g.ownersChanged = true
 	}
+	if server.Incarnation != g.server.Incarnation || server.State == steer.Down {
+		g.suspectedFrom = 0
+	}
 	g.server = server
 	g.bucket.rate = coldRate(g.version, server.Service)
 	g.resolveCheckpoint(now)
--- a/connection/gate/flows_test.go
+++ b/connection/gate/flows_test.go
@@ -774,3 +774,72 @@
 		convey.So(tc.nodes[0].server.OpenedFlows+tc.nodes[1].server.OpenedFlows, convey.ShouldEqual, 0)
 	})
 }
+
+// TestCrashedServer guards the flows placed at a server that has crashed beside its running
+// agent. Nothing but its packets shows this until its next heartbeat is overdue: it returns
+// opening packets or does not answer them, and as it has no load left, balancers prefer it.
+func TestCrashedServer(t *testing.T) {
+	convey.Convey("Given a server that has crashed", t, func() {
+		tc := newTestCluster(2)
+		crashed := tc.nodes[0]
+		openAtFirst := func(i int) *passthroughtest.Caller {
+			c := tc.caller(i)
+			tc.network.Send(framed(c.OpeningPacket(0), peerOf(1)), peerOf(0))
+			tc.network.Run()
+			return c
+		}
+		convey.Convey("and answers nothing, flows are passed on once an opening packet is unanswered for 100 ms", func() {
+			crashed.server.Unresponsive = true
+			convey.So(openAtFirst(0).Opened, convey.ShouldBeFalse)
+			convey.So(crashed.gate.Suspected(tc.now), convey.ShouldBeFalse)
+			tc.now += 100 * time.Millisecond
+			convey.So(crashed.gate.Suspected(tc.now), convey.ShouldBeTrue)
+			convey.So(openAtFirst(1).Opened, convey.ShouldBeTrue)
+			convey.So(tc.nodes[1].server.OpenedFlows, convey.ShouldEqual, 1)
+		})
+		convey.Convey("and returns opening packets, it is suspected at the first one and receives no more", func() {
+			crashed.server.Full = true
+			convey.So(openAtFirst(0).Opened, convey.ShouldBeTrue)
+			convey.So(crashed.gate.Suspected(tc.now), convey.ShouldBeTrue)
+			for i := range 5 {
+				convey.So(openAtFirst(1+i).Opened, convey.ShouldBeTrue)
+			}
+			convey.So(crashed.gate.Counters().Returned, convey.ShouldEqual, 1)
+		})
+		convey.Convey("a packet of the server, an accepted connection or another incarnation ends the suspicion", func() {
+			for i, sign := range []func(){
+				func() { tc.network.Send(framed(tc.caller(0).OpeningPacket(1), 0), peerOf(0)) },
+				func() { crashed.gate.ClearSuspicion() },
+				func() {
+					crashed.info.Incarnation++
+					crashed.gate.SetServer(crashed.info, tc.now)
+				},
+			} {
+				crashed.server.Unresponsive = true
+				openAtFirst(i)
+				tc.now += 100 * time.Millisecond
+				convey.So(crashed.gate.Suspected(tc.now), convey.ShouldBeTrue)
+				crashed.server.Unresponsive = false
+				sign()
+				tc.network.Run()
+				convey.So(crashed.gate.Suspected(tc.now), convey.ShouldBeFalse)
+			}
+		})
+	})
+	convey.Convey("A server that answers opening packets is not suspected, however long its requests take", t, func() {
+		tc := newTestCluster(1)
+		c := tc.caller(0)
+		tc.sendThrough(0, c.OpeningPacket(0))
+		tc.nodes[0].server.Unresponsive = true
+		tc.sendThrough(0, c.Request())
+		tc.now += 10 * time.Second
+		convey.So(tc.nodes[0].gate.Suspected(tc.now), convey.ShouldBeFalse)
+	})
+}
+
+// framed returns an opening packet in a frame that names an alternate agent.
+func framed(packet []byte, alternate passthrough.Endpoint) []byte {
+	frame := passthrough.Frame{Kind: passthrough.Deliver, Version: 1, Alternate: alternate}
+	frame.Put(packet)
+	return packet
+}
--- a/connection/gate/gate.go
+++ b/connection/gate/gate.go
@@ -76,13 +76,16 @@
 // Gate processes the packets of one backend server. It is not safe for
 // concurrent use.
 type Gate struct {
-	options           Options
-	version           *routes.Version
-	server            Server
-	bucket            bucket
-	flows             map[passthrough.Flow]*flow
-	openFlows         int
-	requests          requestMeter
+	options   Options
+	version   *routes.Version
+	server    Server
+	bucket    bucket
+	flows     map[passthrough.Flow]*flow
+	openFlows int
+	requests  requestMeter
+	// suspectedFrom is when the server is suspected to have terminated unless it sends a
+	// packet before, 0 for never.
+	suspectedFrom     time.Duration
 	health            healthMeter
 	agents            map[passthrough.Endpoint]Agent
 	discoveryComplete bool
@@ -202,6 +205,9 @@
 	delete(g.restored.flows, d.flow)
 	g.flows[d.flow] = &flow{phase: phaseOpening, openedAt: now, lastUsed: now, origin: d.frame.Origin, alternate: d.frame.Alternate, version: d.frame.Version, hops: d.frame.Hops}
 	g.options.Observer.Opened(d.flow, d.frame)
+	if g.suspectedFrom == 0 {
+		g.suspectedFrom = now + openingTimeLimit
+	}
 	g.sendToServer(d.packet)
 	if d.frame.Hops > 0 {
 		g.notifyBalancer(passthrough.Redirected, d.frame.Origin, d.flow)
--- a/connection/gate/unknown.go
+++ b/connection/gate/unknown.go
@@ -107,6 +107,7 @@
 		g.handleReturned(buffer, segment, now)
 		return
 	}
+	g.suspectedFrom = 0
 	key := segment.FromServer()
 	f := g.flows[key]
 	if f == nil && segment.Has(passthrough.Reset) {
@@ -151,6 +152,7 @@
 			return
 		}
 		delete(g.flows, d.flow)
+		g.suspectedFrom = now
 		d.frame = passthrough.Frame{Kind: passthrough.Deliver, Hops: f.hops, Version: f.version, Origin: f.origin, Alternate: f.alternate}
 		d.frame.Put(buffer)
 		g.refuse(&d, errkind.Overloaded)
--- a/connection/steer/packet.go
+++ b/connection/steer/packet.go
@@ -34,7 +34,7 @@
 }
 
 // handleOpening selects a server for an opening packet. A retransmission goes to
-// the same agent as long as that agent is reachable.
+// the same agent as long as that agent is reachable and its server runs.
 func (r *Router) handleOpening(buffer []byte, segment *passthrough.Segment) {
 	flow := segment.FromCaller()
 	route := r.version.Route(flow.Service.AddrPort())
@@ -44,7 +44,7 @@
 		return
 	}
 	if h, ok := r.holders.Get(flow); ok {
-		if e := r.byAgent[h.agent]; e != nil && e.Reachable {
+		if e := r.byAgent[h.agent]; e != nil && e.Reachable && e.State != Down {
 			r.send(buffer, passthrough.Deliver, h.agent, r.alternate(e))
 			return
 		}
--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -95,7 +95,7 @@
 	a.addSeeds(a.settings.Seeds)
 	return taskgroup.Run(ctx, a.stop, append(a.tasks(a.handlePeerDatagrams, a.onTick, func() bool { return true }),
 		func(ctx context.Context) error { return receive(ctx, a.outbound, a.handleServerPackets) },
-		a.backend.checkWhileOverdue,
+		a.backend.checkWhileSuspected,
 		a.backend.probeAtStart,
 		a.checkpointer.run,
 		a.serve(a.settings.Control, a.adapter.Heartbeats(a.backend)),
--- a/process/passthrough/backend.go
+++ b/process/passthrough/backend.go
@@ -250,26 +250,29 @@
 	b.setServer(gate.Server{Service: a.settings.Agent.Service, Domain: a.settings.Domain, State: state, PredatesAgent: state == steer.Ready}, now)
 }
 
-// checkWhileOverdue checks the server by opening connections while heartbeats are missing.
-func (b *backendMonitor) checkWhileOverdue(ctx context.Context) error {
-	for sleep(ctx, checkInterval) {
-		if b.needsCheck() {
+// checkWhileSuspected checks the server by opening connections while heartbeats are missing or
+// the server does not accept opening packets.
+func (b *backendMonitor) checkWhileSuspected(ctx context.Context) error {
+	var checkedAt time.Duration
+	for sleep(ctx, tickInterval) {
+		if now := b.agent.clock.now(); now-checkedAt >= checkInterval && b.needsCheck(now) {
+			checkedAt = now
 			b.check(ctx)
 		}
 	}
 	return nil
 }
 
-// needsCheck reports whether the next heartbeat is overdue or the server has announced
-// that it is about to stop.
-func (b *backendMonitor) needsCheck() bool {
+// needsCheck reports whether the next heartbeat is overdue, the server does not accept opening
+// packets, or it has announced that it is about to stop.
+func (b *backendMonitor) needsCheck(now time.Duration) bool {
 	b.agent.mu.Lock()
 	defer b.agent.mu.Unlock()
 	server := b.agent.gate.Server()
 	if server.State == steer.Unknown || server.State == steer.Down {
 		return false
 	}
-	return b.deregistered || b.sinceHeartbeat() > b.heartbeatTimeout()
+	return b.deregistered || b.sinceHeartbeat() > b.heartbeatTimeout() || b.agent.gate.Suspected(now)
 }
 
 // check opens a connection to the server. Only a refused connection proves that the
@@ -280,13 +283,16 @@
 	conn, err := dialer.DialContext(ctx, "tcp", a.settings.Passthrough.Backend.String())
 	if err == nil {
 		_ = conn.Close()
-		return
-	}
-	if !errors.Is(err, syscall.ECONNREFUSED) {
-		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	switch {
+	case err == nil:
+		a.gate.ClearSuspicion()
+		return
+	case !errors.Is(err, syscall.ECONNREFUSED):
+		return
+	}
 	server := a.gate.Server()
 	server.State = steer.Down
 	b.setServer(server, a.clock.now())
--- a/process/passthrough/backend_test.go
+++ b/process/passthrough/backend_test.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"net"
 	"net/http"
 	"net/netip"
 	"testing"
@@ -9,6 +10,7 @@
 	"github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 
+	"bergamotbank/connection/passthrough"
 	"bergamotbank/connection/passthrough/passthroughtest"
 	"bergamotbank/connection/steer"
 	"bergamotbank/process/settings"
@@ -118,3 +120,45 @@
 		convey.So(a.gate.Server().State, convey.ShouldEqual, steer.Ready)
 	})
 }
+
+// TestSuspectedServerIsChecked guards the time until a server is found that crashes right
+// after a heartbeat: only refused connections prove that it has terminated, and the agent
+// used to try one only when heartbeats were overdue.
+func TestSuspectedServerIsChecked(t *testing.T) {
+	convey.Convey("Given an agent whose server has just sent a heartbeat and does not answer an opening packet", t, func() {
+		a := newTestAgent(t)
+		now := openUnanswered(a)
+		convey.So(a.gate.Counters().Opened, convey.ShouldEqual, 1)
+		convey.So(a.backend.needsCheck(now), convey.ShouldBeFalse)
+		convey.So(a.backend.needsCheck(now+150*time.Millisecond), convey.ShouldBeTrue)
+
+		convey.Convey("a refused connection shows at once that it has terminated", func() {
+			a.backend.check(t.Context())
+			convey.So(a.gate.Server().State, convey.ShouldEqual, steer.Down)
+		})
+	})
+	convey.Convey("A server that accepts the connection is not suspected any more", t, func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		convey.So(err, convey.ShouldBeNil)
+		defer func() { _ = listener.Close() }()
+		a := newTestAgentFor(t, listener.Addr().(*net.TCPAddr).AddrPort())
+		now := openUnanswered(a)
+		a.backend.check(t.Context())
+		convey.So(a.gate.Server().State, convey.ShouldEqual, steer.Ready)
+		convey.So(a.backend.needsCheck(now+150*time.Millisecond), convey.ShouldBeFalse)
+	})
+}
+
+// openUnanswered lets an agent accept an opening packet right after a heartbeat of its server,
+// which does not answer the packet. It returns the time of the packet.
+func openUnanswered(a *Agent) time.Duration {
+	a.setVersion(&routes.Version{Revision: 1, Services: map[string]routes.Service{"orders": {}}})
+	a.heartbeatInterval = time.Hour
+	a.backend.Heartbeat(BackendHeartbeat{ID: "server-1", Service: "orders", State: BackendReady, Slots: 2, Sequence: 1, StartedAt: time.Now()})
+	now := a.clock.now()
+	frame := passthrough.Frame{Kind: passthrough.Deliver, Version: 2}
+	opening := passthroughtest.Framed(passthrough.Segment{Source: 1 << 20, Target: 2 << 20, Flags: passthrough.Open})
+	frame.Put(opening)
+	a.gate.HandleDatagram(opening, now)
+	return now
+}
