gate: a search is not concluded while the agent's own server may hold the flow

Cause: an agent that restarts beside its running server gets packets of flows that it does not know, and searches for their holder as long as it does not know the state of its server. When all other agents had responded that they do not hold the flow, it was reset, though its own server held it, unless a retransmission had reached the server before.

Test: TestRestartedAgentSearches.

--- a/connection/gate/flows_test.go
+++ b/connection/gate/flows_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/smartystreets/goconvey/convey"
 
+	"bergamotbank/connection/gate"
 	"bergamotbank/connection/passthrough"
 	"bergamotbank/connection/passthrough/passthroughtest"
 	"bergamotbank/connection/steer"
@@ -775,6 +776,58 @@
 	})
 }
 
+// TestRestartedAgentSearches guards the flows whose packets reach a restarted agent before it
+// knows the state of its server: it searched for their holder, and once all other agents had
+// responded that they do not hold them it reset flows that its own server held.
+func TestRestartedAgentSearches(t *testing.T) {
+	convey.Convey("Given an agent that restarts beside its running server and does not know its state yet", t, func() {
+		tc := newTestCluster(3)
+		var held *passthroughtest.Caller
+		for i := 0; held == nil; i++ {
+			c := tc.caller(i)
+			tc.sendThrough(0, c.OpeningPacket(0))
+			tc.sendThrough(0, c.Request())
+			if tc.holder(c.Flow) == 0 {
+				held = c
+			}
+		}
+		n := tc.nodes[0]
+		known := n.info
+		known.PredatesAgent = true
+		n.info = gate.Server{}
+		tc.runs[0]++
+		tc.discoveryComplete = false
+		tc.startAgent(0)
+		tc.publishAgents()
+		tc.sendThrough(0, held.Request())
+		convey.So(n.gate.Counters().Searched, convey.ShouldEqual, 1)
+
+		convey.Convey("a flow that no other agent holds is not reset when discovery is complete", func() {
+			n.gate.SetDiscoveryComplete(true)
+			tc.network.Run()
+			convey.So(held.Reset, convey.ShouldBeFalse)
+			convey.Convey("nor when the state of the server is known, and its packets reach the server", func() {
+				n.gate.SetServer(known, tc.now)
+				n.gate.SetDiscoveryComplete(false)
+				n.gate.SetDiscoveryComplete(true)
+				tc.network.Run()
+				convey.So(held.Reset, convey.ShouldBeFalse)
+				tc.sendThrough(0, held.RetransmitRequest())
+				convey.So(held.Responses, convey.ShouldHaveLength, 2)
+			})
+		})
+		convey.Convey("a flow that its server does not hold either is reset at its next packet", func() {
+			n.server.Restart()
+			n.gate.SetServer(known, tc.now)
+			n.gate.SetDiscoveryComplete(true)
+			tc.now += time.Second
+			tc.sendThrough(0, held.RetransmitRequest())
+			tc.network.Run()
+			convey.So(held.Reset, convey.ShouldBeTrue)
+		})
+	})
+}
+
 // TestCrashedServer guards the flows placed at a server that has crashed beside its running
 // agent. Nothing but its packets shows this until its next heartbeat is overdue: it returns
 // opening packets or does not answer them, and as it has no load left, balancers prefer it.
--- a/connection/gate/search.go
+++ b/connection/gate/search.go
@@ -73,9 +73,10 @@
 
 // concludeSearch resets a flow that no agent holds, including agents that joined
 // after the search began. While an agent may be missing from the view, its server
-// may hold the flow.
+// may hold the flow, and so may the server of this agent if it is the older one and
+// has not returned a packet of the flow.
 func (g *Gate) concludeSearch(key passthrough.Flow, query *search) {
-	if !g.discoveryComplete || g.flows[key] != nil {
+	if !g.discoveryComplete || g.flows[key] != nil || g.server.State == steer.Unknown || g.mayHold(key) {
 		return
 	}
 	for peer, agent := range g.agents {
