roster: flows of a failed VM are reset after 0.7 s

Cause: agents are presumed failed after 1.1 s since their process may only be restarting. Callers of a server whose whole VM is gone lose orders and, with limits around one second, status requests meanwhile.

Change: after two unanswered probes a process opens a connection to the member's VM. If nothing responds within 0.25 s, 0.7 s without an answer are enough; if the connection is accepted or refused, 1.1 s apply as before. Probes are sent every 100 instead of 150 ms.

Tests: TestSilenceByVM, TestVMCheck.

--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -62,6 +62,7 @@
 		OnRemove:       func(m roster.Member) { a.gate.RemoveAgent(m.Peer) },
 		OnMemberChange: n.logMember,
 		OnIsolation:    n.logIsolation,
+		CheckVM:        n.checkVM,
 	})
 	a.setSelf()
 	n.publishMetrics()
--- a/process/passthrough/backend_test.go
+++ b/process/passthrough/backend_test.go
@@ -162,3 +162,14 @@
 	a.gate.HandleDatagram(opening, now)
 	return now
 }
+
+func TestVMCheck(t *testing.T) {
+	convey.Convey("A VM that accepts or refuses connections is running", t, func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		convey.So(err, convey.ShouldBeNil)
+		addr := listener.Addr().(*net.TCPAddr).AddrPort()
+		convey.So(acceptsOrRefuses(addr), convey.ShouldBeTrue)
+		_ = listener.Close()
+		convey.So(acceptsOrRefuses(addr), convey.ShouldBeTrue)
+	})
+}
--- a/process/passthrough/balancer.go
+++ b/process/passthrough/balancer.go
@@ -61,6 +61,7 @@
 		OnRemove:       func(m roster.Member) { b.steer.RemoveServer(m.Peer) },
 		OnMemberChange: n.logMember,
 		OnIsolation:    n.logIsolation,
+		CheckVM:        n.checkVM,
 	})
 	n.publishMetrics()
 	metrics.Publish("steer", func() any { return b.counters() })
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -38,6 +40,11 @@
 	// headerTimeout and idleTimeout limit the connections of the HTTP servers.
 	headerTimeout = 2 * time.Second
 	idleTimeout   = 30 * time.Second
+	// vmCheckTimeout limits the check of a member's VM: connections are accepted or refused
+	// by its kernel within the round trip between failure domains.
+	vmCheckTimeout = 250 * time.Millisecond
+	// maxVMChecks limits the concurrent checks; it is enough for a lost failure domain.
+	maxVMChecks = 64
 )
 
 // node is the common part of balancer and agent: the peer socket, the members, the
@@ -55,6 +62,8 @@
 	peer      *datagram.Conn
 	config    *configSync
 	directory *directory
+	// vmChecks holds an element for each check of a VM in progress.
+	vmChecks chan struct{}
 
 	// mu guards the fields below and those that Balancer and Agent add.
 	mu      sync.Mutex
@@ -67,7 +76,7 @@
 
 // newNode opens the peer socket. The caller sets the configuration and the roster.
 func newNode(role roster.Role, s settings.Settings, logger *zap.Logger, adapter Adapter, reload Reload) (*node, error) {
-	n := &node{role: role, settings: s, reload: reload, logger: logger, clock: newClock(), runID: uint64(time.Now().UnixNano())}
+	n := &node{role: role, settings: s, reload: reload, logger: logger, clock: newClock(), runID: uint64(time.Now().UnixNano()), vmChecks: make(chan struct{}, maxVMChecks)}
 	n.backoff = newStoreBackoff(n.clock, n.storeRetryDelays)
 	n.store = newInstrumentedStore(adapter.Store, n.backoff)
 	adapter.Store = n.store
@@ -261,6 +270,33 @@
 		zap.Uint64("run", m.Run), zap.Duration("silence", sinceHeartbeat))
 }
 
+// checkVM finds out in the background whether the VM of a member that does not answer is
+// running: its kernel then accepts or refuses connections.
+func (n *node) checkVM(peer passthrough.Endpoint) {
+	select {
+	case n.vmChecks <- struct{}{}:
+	default:
+		return
+	}
+	go func() {
+		defer func() { <-n.vmChecks }()
+		running := acceptsOrRefuses(peer.AddrPort())
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.roster.HandleVMCheck(peer, running)
+	}()
+}
+
+// acceptsOrRefuses reports whether a connection to an address is accepted or refused in time.
+func acceptsOrRefuses(addr netip.AddrPort) bool {
+	conn, err := net.DialTimeout("tcp", addr.String(), vmCheckTimeout)
+	if err == nil {
+		_ = conn.Close()
+		return true
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // logIsolation logs that no heartbeats of any member arrive, or that they do again.
 func (n *node) logIsolation(isolated bool) {
 	if isolated {
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -44,6 +44,9 @@
 	// OnMemberChange is called for each member that joins or restarts ("joined") or
 	// becomes "reachable", "unreachable" or "silent"; it may be nil.
 	OnMemberChange func(member Member, change string, sinceHeartbeat time.Duration)
+	// CheckVM opens a connection to the address of a member that does not answer and calls
+	// HandleVMCheck with the result; nil for no checks.
+	CheckVM func(passthrough.Endpoint)
 	// OnIsolation is called by Tick when Isolated has changed; it may be nil.
 	OnIsolation func(isolated bool)
 }
@@ -168,7 +171,7 @@
 	changed := restarted || h.Service != p.member.Service || h.Name != p.member.Name || h.Domain != p.member.Domain ||
 		h.Report.State != p.member.Report.State
 	p.member, p.known, p.lastHeartbeatAt, p.receivesHeartbeats, p.interval = h.Member, true, now, h.receivesHeartbeats, h.interval
-	p.probes, p.suspected = 0, false
+	p.answered()
 	r.lastReceived = now
 	if h.Version > self.Version {
 		r.options.OnNewerVersion(h.Member)
@@ -213,6 +216,7 @@
 		if p.probeDue(now) {
 			r.probe(peer, p, now)
 		}
+		r.checkVM(peer, p, now)
 		if r.updateStatus(p, now) {
 			r.markChanged(p)
 		}
--- a/process/roster/status.go
+++ b/process/roster/status.go
@@ -14,26 +14,50 @@
 	// probeDelay is how late a heartbeat may be before the member is probed for one,
 	// probeInterval the time between probes, maxProbes the number of them. In a large
 	// deployment heartbeats are seconds apart, so probes detect a failure sooner.
-	probeDelay    = 200 * time.Millisecond
-	probeInterval = 150 * time.Millisecond
+	probeDelay    = 100 * time.Millisecond
+	probeInterval = 100 * time.Millisecond
 	maxProbes     = 4
 	// unreachableProbes is the number of unanswered probes after which a member is
-	// unreachable.
+	// unreachable, vmCheckProbes the number after which its VM is checked.
 	unreachableProbes = 3
-	// silentAgentTimeout is the time without a heartbeat after which an agent is presumed
-	// failed if it has also left maxProbes probes unanswered; flows of its server are
-	// then reset. silentBalancerTimeout applies to balancers; nothing waits for their
-	// failure to be detected.
-	silentAgentTimeout    = 1100 * time.Millisecond
+	vmCheckProbes     = 2
+	// silentBalancerTimeout is the time without a heartbeat after which a balancer is
+	// presumed failed; nothing waits for that.
 	silentBalancerTimeout = 6 * time.Second
-	// minProbePeriod is the time from the first unanswered probe until a member may be
-	// presumed failed: a process that is only restarted answers within it.
-	minProbePeriod = 750 * time.Millisecond
 	// stallThreshold is the gap between two ticks above which this process is
 	// considered to have stalled.
 	stallThreshold = 500 * time.Millisecond
 )
 
+// vmState is what the check of a member's VM has shown since its last heartbeat.
+type vmState uint8
+
+const (
+	// vmUnknown is a VM that has not been checked yet.
+	vmUnknown vmState = iota
+	// vmRunning is a VM that accepts or refuses connections, so that only the process is
+	// not running or stalled.
+	vmRunning
+	// vmUnreachable is a VM from which no response has arrived.
+	vmUnreachable
+)
+
+// silence defines when an agent is presumed failed: flows of its server are then reset.
+type silence struct {
+	// sinceHeartbeat and sinceProbe are the minimum times since the last heartbeat and since
+	// the first unanswered probe.
+	sinceHeartbeat, sinceProbe time.Duration
+}
+
+// agentSilence is the silence after which an agent is presumed failed. A process that is
+// restarted answers again after 0.6 to 0.8 s, so an agent on a running VM is given more time
+// than one on a VM that has failed.
+var agentSilence = [...]silence{
+	vmUnknown:     {1300 * time.Millisecond, 900 * time.Millisecond},
+	vmRunning:     {1100 * time.Millisecond, 750 * time.Millisecond},
+	vmUnreachable: {700 * time.Millisecond, 400 * time.Millisecond},
+}
+
 // peerState is the state kept for an address. known is true once a heartbeat has
 // arrived, receivesHeartbeats if the last one reported that the peer receives
 // heartbeats of this process; attemptsLeft is the number of heartbeats left to send to
@@ -51,6 +75,9 @@
 	// times of the first and the last one.
 	probes                int
 	firstProbe, lastProbe time.Duration
+	// vm is the state of the member's VM, vmChecked is true once a check has been started.
+	vm        vmState
+	vmChecked bool
 	// suspected is true if another process has reported since the last heartbeat that the
 	// member does not answer.
 	suspected bool
@@ -76,6 +103,32 @@
 	r.send(peer, p, r.options.Self(), now, true)
 }
 
+// answered resets what is known about the silence of a member.
+func (p *peerState) answered() {
+	p.probes, p.suspected, p.vm, p.vmChecked = 0, false, vmUnknown, false
+}
+
+// checkVM starts a check of a member's VM once enough probes are unanswered.
+func (r *Roster) checkVM(peer passthrough.Endpoint, p *peerState, now time.Duration) {
+	if !p.vmChecked && p.unansweredProbes(now) >= vmCheckProbes && r.options.CheckVM != nil {
+		p.vmChecked = true
+		r.options.CheckVM(peer)
+	}
+}
+
+// HandleVMCheck handles the result of a check that CheckVM started: whether the VM accepted or
+// refused a connection.
+func (r *Roster) HandleVMCheck(peer passthrough.Endpoint, running bool) {
+	p := r.peers[peer]
+	switch {
+	case p == nil || !p.vmChecked:
+	case running:
+		p.vm = vmRunning
+	default:
+		p.vm = vmUnreachable
+	}
+}
+
 // countProbe counts a probe that is sent now.
 func (p *peerState) countProbe(now time.Duration) {
 	if p.probes == 0 {
@@ -92,7 +145,7 @@
 		r.stalls++
 		for _, p := range r.peers {
 			p.lastHeartbeatAt += gap
-			p.probes, p.suspected = 0, false
+			p.answered()
 		}
 	}
 	r.lastTick = now
@@ -114,8 +167,7 @@
 func (r *Roster) updateStatus(p *peerState, now time.Duration) bool {
 	sinceHeartbeat := now - p.lastHeartbeatAt
 	reachable := p.known && p.receivesHeartbeats && sinceHeartbeat < p.reachableTimeout() && p.unansweredProbes(now) < unreachableProbes
-	silent := p.known && sinceHeartbeat > p.silentTimeout() && p.unansweredProbes(now) >= maxProbes && now-p.firstProbe >= minProbePeriod &&
-		(p.silent || !r.Isolated(now))
+	silent := p.known && p.unansweredProbes(now) >= unreachableProbes && p.exceedsSilence(now) && (p.silent || !r.Isolated(now))
 	if reachable == p.reachable && silent == p.silent {
 		return false
 	}
@@ -134,13 +186,14 @@
 	return true
 }
 
-// silentTimeout returns the time without a heartbeat after which a member may be
-// presumed failed.
-func (p *peerState) silentTimeout() time.Duration {
-	if p.member.Role == Agent {
-		return silentAgentTimeout
+// exceedsSilence reports whether a member has not answered for so long that it may be presumed
+// failed.
+func (p *peerState) exceedsSilence(now time.Duration) bool {
+	if p.member.Role == Balancer {
+		return now-p.lastHeartbeatAt > silentBalancerTimeout
 	}
-	return silentBalancerTimeout
+	limit := agentSilence[p.vm]
+	return now-p.lastHeartbeatAt > limit.sinceHeartbeat && now-p.firstProbe >= limit.sinceProbe
 }
 
 // unansweredProbes returns the number of unanswered probes, without one for which
--- a/process/roster/suspicion_test.go
+++ b/process/roster/suspicion_test.go
@@ -115,8 +115,8 @@
 }
 
 func TestSuspicion(t *testing.T) {
-	convey.Convey("Given a balancer and two agents", t, func() {
-		c := newTestCluster(2, 2)
+	convey.Convey("Given two balancers and three agents", t, func() {
+		c := newTestCluster(2, 3)
 		for _, p := range c.processes[1:] {
 			p.roster.Add(addressOf(0), Balancer)
 		}
@@ -202,7 +202,7 @@
 		convey.Convey("it recovers when it is connected again, and presumes an agent failed that is still cut off", func() {
 			c.advance(2 * time.Second)
 			c.cutOff(3)
-			c.advance(silentAgentTimeout)
+			c.advance(agentSilence[vmUnknown].sinceHeartbeat)
 			convey.So(c.processes[0].roster.Isolated(c.now), convey.ShouldBeFalse)
 			convey.So(c.status(0, 2).Reachable, convey.ShouldBeTrue)
 			convey.So(c.status(0, 3).Silent, convey.ShouldBeTrue)
@@ -223,6 +223,53 @@
 	})
 }
 
+// TestSilenceByVM guards the flows of servers whose VM has failed, which are reset as soon as
+// possible, and those of servers whose agent is only restarted, which are not.
+func TestSilenceByVM(t *testing.T) {
+	for _, row := range []struct {
+		name          string
+		running       bool
+		before, after time.Duration
+	}{
+		{"an agent whose VM responds is presumed failed only after 0.8 s", true, 800 * time.Millisecond, 1250 * time.Millisecond},
+		{"an agent whose VM does not respond is presumed failed within 0.85 s", false, 400 * time.Millisecond, 850 * time.Millisecond},
+	} {
+		convey.Convey("In a small deployment "+row.name, t, func() {
+			c := newTestCluster(2, 3)
+			for _, p := range c.processes[1:] {
+				p.roster.Add(addressOf(0), Balancer)
+			}
+			c.advance(2 * time.Second)
+			checks := 0
+			balancer := c.processes[0].roster
+			balancer.options.CheckVM = func(peer passthrough.Endpoint) {
+				checks++
+				convey.So(peer, convey.ShouldEqual, addressOf(4))
+			}
+			c.cutOff(4)
+			cutAt := c.now
+			for c.now < cutAt+row.before {
+				c.advance(50 * time.Millisecond)
+				if checks == 1 {
+					balancer.HandleVMCheck(addressOf(4), row.running)
+				}
+				convey.So(c.status(0, 4).Silent, convey.ShouldBeFalse)
+			}
+			c.advance(row.after - row.before)
+			convey.So(c.status(0, 4).Silent, convey.ShouldBeTrue)
+			convey.So(checks, convey.ShouldEqual, 1)
+		})
+	}
+	convey.Convey("The result of a check that arrives after the member has answered is ignored", t, func() {
+		c := newTestCluster(1, 1)
+		c.processes[0].roster.Add(addressOf(1), 0)
+		c.advance(time.Second)
+		c.processes[0].roster.HandleVMCheck(addressOf(1), false)
+		c.processes[0].roster.HandleVMCheck(addressOf(77), false)
+		convey.So(c.processes[0].roster.peers[addressOf(1)].vm, convey.ShouldEqual, vmUnknown)
+	})
+}
+
 // TestHeartbeatsAreSpread guards against heartbeats of all processes in the same moment,
 // seconds apart, after they have changed together.
 func TestHeartbeatsAreSpread(t *testing.T) {
