Tests: checks of VMs in the simulated large fleet, and findings of the linter

TestFailedAgentIsKnownEverywhere failed in 1 of 8 runs: in the simulation no check of a VM had a result, so agents were presumed failed after 1.3 s instead of 0.7 s, at times later than the two seconds that the test allows. VMs that are cut off now fail the check, as they do in a deployment; the bound stays. 0 of 12 runs fail.

--- a/connection/gate/flows_test.go
+++ b/connection/gate/flows_test.go
@@ -553,7 +553,7 @@
 			tc.sendThrough(0, c.Request())
 			holder := tc.holder(c.Flow)
 			tc.sendThrough(1, c.OpeningPacket(0))
-			tc.network.Drop = func(b []byte, to passthrough.Endpoint) bool { return to != c.Flow.Caller.WithPort(callerPort) }
+			tc.network.Drop = func(_ []byte, to passthrough.Endpoint) bool { return to != c.Flow.Caller.WithPort(callerPort) }
 			tc.sendThrough(1, c.Request())
 			tc.network.Drop = nil
 			servers := tc.servers()
--- a/process/passthrough/config_peer_test.go
+++ b/process/passthrough/config_peer_test.go
@@ -37,7 +37,7 @@
 		s.requests.Add(1)
 		c.ServeHTTP(w, r)
 	}))
-	t.Cleanup(s.Server.Close)
+	t.Cleanup(s.Close)
 	return s
 }
 
@@ -46,9 +46,9 @@
 	return roster.Member{Domain: domain, Version: s.revision(), Peer: endpointOf(s.Server)}
 }
 
-// runFetch runs fetchNewer for a time.
-func runFetch(t *testing.T, c *configSync, d time.Duration) {
-	ctx, stop := context.WithTimeout(t.Context(), d)
+// runFetch runs fetchNewer for a second.
+func runFetch(t *testing.T, c *configSync) {
+	ctx, stop := context.WithTimeout(t.Context(), time.Second)
 	defer stop()
 	if err := c.fetchNewer(ctx); err != nil {
 		t.Fatal(err)
@@ -69,20 +69,20 @@
 				time.Sleep(fetchDelay + otherDomainDelay/2)
 				c.announced.add(near.member("junin"))
 			}()
-			runFetch(t, c, time.Second)
+			runFetch(t, c)
 			convey.So(c.revision(), convey.ShouldEqual, near.revision())
 			convey.So(near.requests.Load(), convey.ShouldEqual, 1)
 			convey.So(far.requests.Load(), convey.ShouldEqual, 0)
 		})
 		convey.Convey("it is fetched from the other domain if no process of the own domain has it", func() {
-			runFetch(t, c, time.Second)
+			runFetch(t, c)
 			convey.So(c.revision(), convey.ShouldEqual, far.revision())
 			convey.So(*versions, convey.ShouldHaveLength, 1)
 		})
 		convey.Convey("it is fetched from the other domain if the process of the own domain does not respond", func() {
 			c.announced.add(near.member("junin"))
-			near.Server.Close()
-			runFetch(t, c, time.Second)
+			near.Close()
+			runFetch(t, c)
 			convey.So(c.revision(), convey.ShouldEqual, far.revision())
 		})
 	})
@@ -95,7 +95,7 @@
 			m.Version -= uint64(4 - i)
 			c.announced.add(m)
 		}
-		runFetch(t, c, time.Second)
+		runFetch(t, c)
 		convey.So(*versions, convey.ShouldHaveLength, 1)
 		convey.So(near.requests.Load(), convey.ShouldEqual, 1)
 	})
@@ -106,7 +106,7 @@
 		m := near.member("junin")
 		m.Version++
 		c.announced.add(m)
-		runFetch(t, c, time.Second)
+		runFetch(t, c)
 		convey.So(near.requests.Load(), convey.ShouldEqual, 1)
 	})
 	convey.Convey("Only a bounded number of announcements is kept", t, func() {
--- a/process/roster/suspicion_test.go
+++ b/process/roster/suspicion_test.go
@@ -11,11 +11,18 @@
 	"bergamotbank/connection/steer"
 )
 
-// fleetOfLargeSite returns a settled cluster of 59 balancers and 136 agents.
+// Sizes of the large fleet.
+const largeSiteBalancers, largeSiteAgents = 59, 136
+
+// fleetOfLargeSite returns a settled cluster of that size. VMs that are cut
+// off do not respond to checks.
 func fleetOfLargeSite() *testCluster {
-	c := newTestCluster(59, 136)
-	for _, p := range c.processes[1:] {
-		p.roster.Add(addressOf(0), Balancer)
+	c := newTestCluster(largeSiteBalancers, largeSiteAgents)
+	for i, p := range c.processes {
+		if i > 0 {
+			p.roster.Add(addressOf(0), Balancer)
+		}
+		p.roster.options.CheckVM = func(peer passthrough.Endpoint) { p.roster.HandleVMCheck(peer, false) }
 	}
 	c.advance(8 * time.Second)
 	return c
@@ -23,10 +30,10 @@
 
 // place lets each balancer request the reports of four random agents, as it does for the
 // flows that it places in a quarter of a second, and then waits for as long.
-func (c *testCluster) place(balancers, agents int) {
-	for i := range balancers {
+func (c *testCluster) place() {
+	for i := range largeSiteBalancers {
 		for range 4 {
-			c.processes[i].roster.RequestReport(addressOf(balancers+rand.IntN(agents)), c.now)
+			c.processes[i].roster.RequestReport(addressOf(largeSiteBalancers+rand.IntN(largeSiteAgents)), c.now)
 		}
 	}
 	c.network.Run()
@@ -49,15 +56,15 @@
 	convey.Convey("Given the large fleet with balancers that place flows", t, func() {
 		c := fleetOfLargeSite()
 		for range 4 {
-			c.place(59, 136)
+			c.place()
 		}
-		for _, i := range []int{59, 59 + 135} {
+		for _, i := range []int{largeSiteBalancers, largeSiteBalancers + largeSiteAgents - 1} {
 			convey.So(c.status(0, i).Reachable, convey.ShouldBeTrue)
 		}
 		convey.Convey("every process knows within a second that an agent does not respond", func() {
 			c.cutOff(100)
 			for range 4 {
-				c.place(59, 136)
+				c.place()
 			}
 			for i := range c.processes {
 				if i != 100 {
@@ -66,7 +73,7 @@
 			}
 			convey.Convey("and presumes it failed after two, but not the others", func() {
 				for range 4 {
-					c.place(59, 136)
+					c.place()
 				}
 				for i := range c.processes {
 					if i != 100 && i != 101 {
@@ -85,7 +92,7 @@
 			}
 			c.cutOff(list...)
 			for range 8 {
-				c.place(59, 136)
+				c.place()
 			}
 			for i := range c.processes {
 				for j := range list {
@@ -97,12 +104,12 @@
 		})
 		convey.Convey("a process that restarts within 600 ms is not presumed failed", func() {
 			c.cutOff(100)
-			c.place(59, 136)
-			c.place(59, 136)
+			c.place()
+			c.place()
 			c.network.Drop = nil
 			c.processes[100].roster.Announce(c.now)
 			for range 8 {
-				c.place(59, 136)
+				c.place()
 				for i := range c.processes {
 					if i != 100 {
 						convey.So(c.status(i, 100).Silent, convey.ShouldBeFalse)
