checkpoint: open flows are stored every second

Cause: after a power loss of everything, a caller finds out that its flow is gone with its next request if the flow was opened after the last checkpoint, and an order must not be repeated. Checkpoints were two seconds apart.

Change: one second; the limit of 50 writes a second for all groups stays.

--- a/process/passthrough/checkpoint.go
+++ b/process/passthrough/checkpoint.go
@@ -18,7 +18,7 @@
 	checkpointPrefix = "bergamotbank/flows/"
 	// checkpointInterval is the minimum time between two writes: each write is a billed
 	// call, and long flows last several times this interval on average.
-	checkpointInterval = 2 * time.Second
+	checkpointInterval = time.Second
 	// checkpointIntervalPerGroup lengthens the interval with the number of groups, so
 	// that all groups together write at most 50 times a second, an eighth of what a
 	// small store sustains.
