--- a/connection/gate/gate.go
+++ b/connection/gate/gate.go
@@ -76,16 +76,16 @@
 // Gate processes the packets of one backend server. It is not safe for
 // concurrent use.
 type Gate struct {
-	options   Options
-	version   *routes.Version
-	server    Server
-	bucket    bucket
-	flows     map[passthrough.Flow]*flow
-	openFlows int
-	requests  requestMeter
+	options Options
+	version *routes.Version
+	server  Server
+	bucket  bucket
 	// suspectedFrom is when the server is suspected to have terminated unless it sends a
 	// packet before, 0 for never.
 	suspectedFrom     time.Duration
+	flows             map[passthrough.Flow]*flow
+	openFlows         int
+	requests          requestMeter
 	health            healthMeter
 	agents            map[passthrough.Endpoint]Agent
 	discoveryComplete bool
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -2,13 +2,11 @@
 
 import (
 	"context"
-	"errors"
 	"expvar"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,11 +38,6 @@
 	// headerTimeout and idleTimeout limit the connections of the HTTP servers.
 	headerTimeout = 2 * time.Second
 	idleTimeout   = 30 * time.Second
-	// vmCheckTimeout limits the check of a member's VM: connections are accepted or refused
-	// by its kernel within the round trip between failure domains.
-	vmCheckTimeout = 250 * time.Millisecond
-	// maxVMChecks limits the concurrent checks; it is enough for a lost failure domain.
-	maxVMChecks = 64
 )
 
 // node is the common part of balancer and agent: the peer socket, the members, the
@@ -264,48 +257,6 @@
 	}
 }
 
-// logMember logs a change of the status of a member.
-func (n *node) logMember(m roster.Member, change string, sinceHeartbeat time.Duration) {
-	n.logger.Info("member "+change, zap.String("member", m.Name), zap.Stringer("peer", m.Peer), zap.String("domain", m.Domain),
-		zap.Uint64("run", m.Run), zap.Duration("silence", sinceHeartbeat))
-}
-
-// checkVM finds out in the background whether the VM of a member that does not answer is
-// running: its kernel then accepts or refuses connections.
-func (n *node) checkVM(peer passthrough.Endpoint) {
-	select {
-	case n.vmChecks <- struct{}{}:
-	default:
-		return
-	}
-	go func() {
-		defer func() { <-n.vmChecks }()
-		running := acceptsOrRefuses(peer.AddrPort())
-		n.mu.Lock()
-		defer n.mu.Unlock()
-		n.roster.HandleVMCheck(peer, running)
-	}()
-}
-
-// acceptsOrRefuses reports whether a connection to an address is accepted or refused in time.
-func acceptsOrRefuses(addr netip.AddrPort) bool {
-	conn, err := net.DialTimeout("tcp", addr.String(), vmCheckTimeout)
-	if err == nil {
-		_ = conn.Close()
-		return true
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
-}
-
-// logIsolation logs that no heartbeats of any member arrive, or that they do again.
-func (n *node) logIsolation(isolated bool) {
-	if isolated {
-		n.logger.Warn("no heartbeats arrive; this process is probably cut off")
-		return
-	}
-	n.logger.Info("heartbeats arrive again")
-}
-
 // tasks returns the tasks that balancer and agent have in common. handlePeers receives
 // datagrams of other processes, onTick is called at each tick, and ready is the result of
 // the readiness probe.
--- a/process/roster/status.go
+++ b/process/roster/status.go
@@ -103,6 +103,15 @@
 	r.send(peer, p, r.options.Self(), now, true)
 }
 
+// RequestReport requests a heartbeat of a member at once, which contains the load of its
+// backend server. A member that does not answer is probed like one whose heartbeat is
+// overdue.
+func (r *Roster) RequestReport(peer passthrough.Endpoint, now time.Duration) {
+	if p := r.peers[peer]; p != nil && p.known && p.probes == 0 {
+		r.probe(peer, p, now)
+	}
+}
+
 // answered resets what is known about the silence of a member.
 func (p *peerState) answered() {
 	p.probes, p.suspected, p.vm, p.vmChecked = 0, false, vmUnknown, false
--- a/process/roster/suspicion.go
+++ b/process/roster/suspicion.go
@@ -13,11 +13,6 @@
 	// and limit the traffic of a process whose own link is at fault.
 	maxSuspicions     = 20
 	suspicionInterval = 50 * time.Millisecond
-	// isolationThreshold is the time without any heartbeat after which a process that knows
-	// at least minPeersToNoticeIsolation others assumes that it is cut off itself. It is
-	// longer than the shortest interval of reports.
-	isolationThreshold        = 400 * time.Millisecond
-	minPeersToNoticeIsolation = 4
 	// recentHeartbeat is the age of a heartbeat that refutes a suspicion, which is based on
 	// probes of the last unreachableProbes intervals.
 	recentHeartbeat = 150 * time.Millisecond
@@ -45,32 +40,6 @@
 	return true
 }
 
-// Isolated reports whether this process has received no heartbeat of any member for so long
-// that it is probably cut off itself. It then presumes no member failed: their flows can
-// continue through other processes.
-func (r *Roster) Isolated(now time.Duration) bool {
-	return len(r.peers) >= minPeersToNoticeIsolation && now-r.lastReceived > isolationThreshold
-}
-
-// updateIsolation notifies of a change of Isolated.
-func (r *Roster) updateIsolation(now time.Duration) {
-	if isolated := r.Isolated(now); isolated != r.wasIsolated {
-		r.wasIsolated = isolated
-		if r.options.OnIsolation != nil {
-			r.options.OnIsolation(isolated)
-		}
-	}
-}
-
-// RequestReport requests a heartbeat of a member at once, which contains the load of its
-// backend server. A member that does not answer is probed like one whose heartbeat is
-// overdue.
-func (r *Roster) RequestReport(peer passthrough.Endpoint, now time.Duration) {
-	if p := r.peers[peer]; p != nil && p.known && p.probes == 0 {
-		r.probe(peer, p, now)
-	}
-}
-
 // shareSuspicion tells the other members that a member does not answer, so that they probe
 // it without waiting for its next heartbeat, unless the suspicion came from one of them.
 func (r *Roster) shareSuspicion(suspect *peerState, now time.Duration) {
