--- a/Makefile
+++ b/Makefile
@@ -13,7 +13,7 @@
 KNOWN_RED := $(shell sed -n 's/^test: \([A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|')
 SKIP_KNOWN_RED = $(if $(KNOWN_RED),-skip '^($(KNOWN_RED))$$')
 
-.PHONY: build test race lint fmt generate setup spin demo platform-demo soak bench bench-slow capacity regress clean
+.PHONY: build test race lint fmt generate setup spin demo platform-demo soak bench bench-slow capacity capacity-sweep regress clean
 
 build:
 	mkdir -p bin
@@ -61,6 +61,11 @@
 	go test -v -count=1 -run StreamMemory ./request/admission | $(LINES)) > out/capacity.txt
 	go run ./capacity < out/capacity.txt
 
+# capacity-sweep prints the tables of docs/CAPACITY.md from the output of the sweep of the
+# users' bench (SWEEP).
+capacity-sweep:
+	go run ./platform/sweep "$(SWEEP)"
+
 test: spin
 	go test $(SKIP_KNOWN_RED) ./...
 
