--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Builds the stand-ins that the scripts of the review start. Run it after the build of
+# the deploy file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -buildvcs=false -tags review -o target/review/rig ./review/rig
