--- a/review/2/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 # held, 2: the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/bergamotd ] && [ -x target/review/rig ] || { echo "run the build of the deploy file and review/build.sh first"; exit 2; }
-exec target/review/rig stray-heartbeat review/2
+exec target/review/rig stray-heartbeat review/3
