--- a/review/rig/case_stray.go
+++ b/review/rig/case_stray.go
@@ -45,7 +45,13 @@
 		}
 	}
 	time.Sleep(calm)
-	target := d.machines[0]
+	target, open := d.machines[0], d.openFlows()
+	for _, m := range d.machines {
+		if open[m.server.id] > open[target.server.id] {
+			target = m
+		}
+	}
+	rec.logf("open flows by server: %v", open)
 	if trouble {
 		body, _ := json.Marshal(map[string]any{
 			"service": "other5c1", "address": d.ip(1, 100).String() + ":8165", "zone": "elsewhere", "version": "v1", "slots": 2,
