agent: a heartbeat of another writer is refused

Callers saw all open flows of a running server reset at once, and the server got no new flow until it restarted. Callers with an unsafe request in progress could not know whether it had run.

Cause: nothing compared a heartbeat with the settings. One with an unknown id was taken for a new incarnation of the server, which means that the previous one has terminated: its flows were reset, and its own heartbeats were confirmed and ignored as late ones.

What is not applied is not confirmed, unless a later heartbeat of the same run has been. The settings are known from the start, so no order of events lets a foreign heartbeat through. The manifest is not asked: it does not name servers, and it may arrive after the first heartbeat.

Ruled out: heartbeats of real servers differ from the settings.

--- a/process/passthrough/adapter.go
+++ b/process/passthrough/adapter.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"bergamotbank/connection/passthrough"
@@ -67,6 +68,8 @@
 	ID string
 	// Service is the service of the server, Domain its failure domain.
 	Service, Domain string
+	// Address is the address at which the server receives packets.
+	Address netip.AddrPort
 	// State is the state that the server reports.
 	State BackendState
 	// Slots is the number of requests that the server processes concurrently.
@@ -80,10 +83,13 @@
 	StartedAt time.Time
 }
 
-// HeartbeatReceiver receives the heartbeats of an agent's backend server. When Heartbeat
-// returns, decisions on new flows use the heartbeat.
+// HeartbeatReceiver receives the heartbeats of an agent's backend server.
 type HeartbeatReceiver interface {
-	Heartbeat(heartbeat BackendHeartbeat)
+	// Heartbeat applies a heartbeat: when it returns nil, decisions on new flows use it, or
+	// a later one of the same server. Otherwise the heartbeat must not be confirmed. The
+	// error has kind WrongService if it is not from the agent's backend server, or Conflict
+	// if another server has replaced its sender.
+	Heartbeat(heartbeat BackendHeartbeat) error
 	// Deregister handles the announcement that the server is about to stop.
 	Deregister(id string)
 	// Malformed counts and logs a heartbeat that could not be parsed.
--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -241,6 +241,7 @@
 	Heartbeats   uint64  `json:"heartbeats"`
 	Outdated     uint64  `json:"heartbeats_outdated"`
 	Malformed    uint64  `json:"heartbeats_malformed"`
+	Foreign      uint64  `json:"heartbeats_foreign"`
 }
 
 func (a *Agent) counters() gateMetrics {
@@ -255,5 +256,6 @@
 		Heartbeats:   a.backend.heartbeats,
 		Outdated:     a.backend.outdated,
 		Malformed:    a.backend.malformed,
+		Foreign:      a.backend.foreign,
 	}
 }
--- a/process/passthrough/backend.go
+++ b/process/passthrough/backend.go
@@ -14,6 +14,7 @@
 
 	"bergamotbank/connection/gate"
 	"bergamotbank/connection/steer"
+	"bergamotbank/errkind"
 )
 
 const (
@@ -49,8 +50,8 @@
 	// stop.
 	deregistered  bool
 	agentStopping bool
-	// Counts of heartbeats.
-	heartbeats, outdated, malformed uint64
+	// Counts of heartbeats, the last three of those that were not applied.
+	heartbeats, outdated, malformed, foreign uint64
 }
 
 func newBackendMonitor(a *Agent) *backendMonitor {
@@ -73,17 +74,27 @@
 	return server.State
 }
 
-// Heartbeat handles a heartbeat of the backend server.
-func (b *backendMonitor) Heartbeat(heartbeat BackendHeartbeat) {
+// Heartbeat handles a heartbeat, of the backend server if its sender is.
+func (b *backendMonitor) Heartbeat(heartbeat BackendHeartbeat) error {
 	a := b.agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	b.heartbeats++
+	if !b.isOwn(heartbeat) {
+		b.foreign++
+		a.logger.Warn("heartbeat of another server refused", zap.String("server", heartbeat.ID), zap.String("service", heartbeat.Service),
+			zap.Stringer("address", heartbeat.Address), zap.String("domain", heartbeat.Domain))
+		return errkind.New(errkind.WrongService, "heartbeat of %q: not the backend server of this agent", heartbeat.ID)
+	}
 	if b.isOutdated(heartbeat) {
 		b.outdated++
 		a.logger.Info("outdated heartbeat ignored", zap.String("server", heartbeat.ID), zap.Uint64("sequence", heartbeat.Sequence),
 			zap.Time("born", heartbeat.StartedAt))
-		return
+		if b.isSameRun(heartbeat) {
+			// A later heartbeat of the server has been applied.
+			return nil
+		}
+		return errkind.New(errkind.Conflict, "heartbeat of %q: another server has replaced it", heartbeat.ID)
 	}
 	now := a.clock.now()
 	before := a.gate.Server()
@@ -109,6 +120,7 @@
 		server.State = steer.Draining
 	}
 	b.setServer(server, now)
+	return nil
 }
 
 // setServer passes the state of the server to the gate and announces it to the other
@@ -131,11 +143,24 @@
 	a.sender.flush()
 }
 
+// isOwn reports whether a heartbeat is of the backend server that the settings name. One of
+// another writer must not be taken for a new incarnation, which would reset all flows.
+func (b *backendMonitor) isOwn(heartbeat BackendHeartbeat) bool {
+	s := b.agent.settings
+	return heartbeat.Service == s.Agent.Service && heartbeat.Address == s.Passthrough.Backend && heartbeat.Domain == s.Domain
+}
+
+// isSameRun reports whether a heartbeat is of the same run of the same server as the last
+// one. The caller holds the agent's lock.
+func (b *backendMonitor) isSameRun(heartbeat BackendHeartbeat) bool {
+	return heartbeat.ID == b.lastHeartbeat.ID && heartbeat.StartedAt.Equal(b.lastHeartbeat.StartedAt)
+}
+
 // isOutdated reports whether a heartbeat is older than the last one. The caller holds the
 // agent's lock. Start times are compared only while heartbeats of the last server arrive,
 // since they are wall-clock times and a clock may have been set back.
 func (b *backendMonitor) isOutdated(heartbeat BackendHeartbeat) bool {
-	if heartbeat.ID == b.lastHeartbeat.ID && heartbeat.StartedAt.Equal(b.lastHeartbeat.StartedAt) {
+	if b.isSameRun(heartbeat) {
 		return heartbeat.Sequence <= b.lastHeartbeat.Sequence
 	}
 	if slices.Contains(b.previousIncarnations, incarnation(heartbeat)) {
--- a/process/passthrough/backend_test.go
+++ b/process/passthrough/backend_test.go
@@ -13,6 +13,7 @@
 	"bergamotbank/connection/passthrough"
 	"bergamotbank/connection/passthrough/passthroughtest"
 	"bergamotbank/connection/steer"
+	"bergamotbank/errkind"
 	"bergamotbank/process/settings"
 	"bergamotbank/version/routes"
 )
@@ -20,14 +21,17 @@
 // newTestAgent returns an agent on free loopback ports. It is not running.
 func newTestAgent(t *testing.T) *Agent {
 	t.Helper()
-	return newTestAgentFor(t, netip.MustParseAddrPort("127.0.0.1:9"))
+	return newTestAgentFor(t, testBackend)
 }
 
+// testBackend is the address of the backend server of a test agent.
+var testBackend = netip.MustParseAddrPort("127.0.0.1:9")
+
 // newTestAgentFor returns such an agent for a backend server.
 func newTestAgentFor(t testing.TB, server netip.AddrPort) *Agent {
 	t.Helper()
 	free := netip.MustParseAddrPort("127.0.0.1:0")
-	s := settings.Settings{Name: "agent-1", Domain: "junin", Packet: free, Control: free}
+	s := settings.Settings{Name: "agent-1", Domain: "junin", Packet: free, Control: free, Agent: settings.Agent{Service: "orders"}}
 	s.Passthrough = settings.Passthrough{
 		Peer: free, Outbound: free, Backend: server,
 		Heartbeat: settings.Duration(testHeartbeat), FlowLifetime: settings.Duration(time.Minute),
@@ -60,7 +64,7 @@
 
 func TestHeartbeatsOutOfOrder(t *testing.T) {
 	startedAt := time.UnixMilli(1_800_000_000_000)
-	first := BackendHeartbeat{ID: "server-1", Service: "orders", State: BackendReady, Slots: 2, Sequence: 7, StartedAt: startedAt}
+	first := BackendHeartbeat{ID: "server-1", Service: "orders", Domain: "junin", Address: testBackend, State: BackendReady, Slots: 2, Sequence: 7, StartedAt: startedAt}
 	// silence is longer than the heartbeat timeout.
 	silence := time.Duration(3 * suspectAfterIntervals * float64(testHeartbeat))
 	heartbeatWith := func(change func(h *BackendHeartbeat)) BackendHeartbeat {
@@ -69,58 +73,99 @@
 		return h
 	}
 	for _, row := range []struct {
-		name     string
-		wait     time.Duration
-		next     BackendHeartbeat
-		accepted bool
+		name string
+		wait time.Duration
+		next BackendHeartbeat
+		// accepted is true if the heartbeat is applied, confirmed if it is also confirmed
+		// because a later one of the same server has been applied.
+		accepted, confirmed bool
 	}{
-		{"a later one", 0, heartbeatWith(func(h *BackendHeartbeat) { h.Sequence = 8; h.State = BackendDraining }), true},
-		{"an earlier one that arrived late", 0, heartbeatWith(func(h *BackendHeartbeat) { h.Sequence = 6; h.State = BackendDraining }), false},
+		{"a later one", 0, heartbeatWith(func(h *BackendHeartbeat) { h.Sequence = 8; h.State = BackendDraining }), true, true},
+		{"an earlier one that arrived late", 0, heartbeatWith(func(h *BackendHeartbeat) { h.Sequence = 6; h.State = BackendDraining }), false, true},
 		{
 			"one of a previous server while heartbeats of this one arrive", 0,
 			heartbeatWith(func(h *BackendHeartbeat) {
 				h.ID = "server-0"
 				h.StartedAt = startedAt.Add(-time.Minute)
 				h.State = BackendDraining
-			}), false,
+			}), false, false,
 		},
 		{"one of the next server", 0, heartbeatWith(func(h *BackendHeartbeat) {
 			h.ID, h.StartedAt, h.Sequence, h.State = "server-2", startedAt.Add(time.Second), 1, BackendDraining
-		}), true},
+		}), true, true},
 		{"one of the same server after a restart", 0, heartbeatWith(func(h *BackendHeartbeat) {
 			h.StartedAt, h.Sequence, h.State = startedAt.Add(time.Second), 1, BackendDraining
-		}), true},
+		}), true, true},
 		{"one of the next server, whose clock was set back, after the heartbeats of this one stopped", silence, heartbeatWith(func(h *BackendHeartbeat) {
 			h.ID, h.StartedAt, h.Sequence, h.State = "server-2", startedAt.Add(-3*time.Second), 1, BackendDraining
-		}), true},
+		}), true, true},
 	} {
 		convey.Convey("A heartbeat is followed by "+row.name, t, func() {
 			a := newTestAgent(t)
-			a.backend.Heartbeat(first)
+			convey.So(a.backend.Heartbeat(first), convey.ShouldBeNil)
 			time.Sleep(row.wait)
-			a.backend.Heartbeat(row.next)
+			err := a.backend.Heartbeat(row.next)
+			convey.So(err == nil, convey.ShouldEqual, row.confirmed)
 			convey.So(a.gate.Server().State == steer.Draining, convey.ShouldEqual, row.accepted)
 		})
 	}
 	convey.Convey("A late heartbeat of a previous server is ignored even if the heartbeats of the current one have stopped", t, func() {
 		a := newTestAgent(t)
-		a.backend.Heartbeat(first)
-		a.backend.Heartbeat(heartbeatWith(func(h *BackendHeartbeat) { h.ID, h.StartedAt, h.Sequence = "server-2", startedAt.Add(time.Second), 1 }))
+		convey.So(a.backend.Heartbeat(first), convey.ShouldBeNil)
+		next := heartbeatWith(func(h *BackendHeartbeat) { h.ID, h.StartedAt, h.Sequence = "server-2", startedAt.Add(time.Second), 1 })
+		convey.So(a.backend.Heartbeat(next), convey.ShouldBeNil)
 		time.Sleep(silence)
-		a.backend.Heartbeat(heartbeatWith(func(h *BackendHeartbeat) { h.Sequence = 9; h.State = BackendDraining }))
+		late := heartbeatWith(func(h *BackendHeartbeat) { h.Sequence = 9; h.State = BackendDraining })
+		convey.So(errkind.Is(a.backend.Heartbeat(late), errkind.Conflict), convey.ShouldBeTrue)
 		convey.So(a.gate.Server().State, convey.ShouldEqual, steer.Ready)
 	})
 	convey.Convey("A heartbeat of a server whose clock was set back is accepted if the previous server is down", t, func() {
 		a := newTestAgent(t)
-		a.backend.Heartbeat(first)
+		convey.So(a.backend.Heartbeat(first), convey.ShouldBeNil)
 		server := a.gate.Server()
 		server.State = steer.Down
 		a.gate.SetServer(server, a.clock.now())
-		a.backend.Heartbeat(heartbeatWith(func(h *BackendHeartbeat) { h.ID, h.StartedAt, h.Sequence = "server-2", startedAt.Add(-time.Minute), 1 }))
+		next := heartbeatWith(func(h *BackendHeartbeat) { h.ID, h.StartedAt, h.Sequence = "server-2", startedAt.Add(-time.Minute), 1 })
+		convey.So(a.backend.Heartbeat(next), convey.ShouldBeNil)
 		convey.So(a.gate.Server().State, convey.ShouldEqual, steer.Ready)
 	})
 }
 
+// TestHeartbeatOfAnotherWriter guards against a heartbeat that is not of the agent's backend
+// server: it was taken for a new incarnation, so that all flows of the running server were reset
+// and its own heartbeats ignored.
+func TestHeartbeatOfAnotherWriter(t *testing.T) {
+	for name, change := range map[string]func(h *BackendHeartbeat){
+		"another service":        func(h *BackendHeartbeat) { h.Service = "other" },
+		"another address":        func(h *BackendHeartbeat) { h.Address = netip.MustParseAddrPort("127.0.0.2:9") },
+		"another port":           func(h *BackendHeartbeat) { h.Address = netip.MustParseAddrPort("127.0.0.1:10") },
+		"another failure domain": func(h *BackendHeartbeat) { h.Domain = "pasco" },
+	} {
+		convey.Convey("Given an agent whose server is ready and has an open flow, a heartbeat of "+name, t, func() {
+			a := newTestAgent(t)
+			openUnanswered(a)
+			incarnation := a.gate.Server().Incarnation
+			stray := BackendHeartbeat{
+				ID: "other-1", Service: "orders", Domain: "junin", Address: testBackend, State: BackendReady, Slots: 2, Sequence: 1, StartedAt: time.Now().Add(time.Minute),
+			}
+			change(&stray)
+			convey.So(errkind.Is(a.backend.Heartbeat(stray), errkind.WrongService), convey.ShouldBeTrue)
+
+			convey.Convey("resets no flow and leaves the server as it is", func() {
+				convey.So(a.gate.Counters().Resets, convey.ShouldEqual, 0)
+				convey.So(a.gate.Server().Incarnation, convey.ShouldEqual, incarnation)
+				convey.So(a.counters().Foreign, convey.ShouldEqual, 1)
+			})
+			convey.Convey("does not keep the server's next heartbeat from being applied", func() {
+				next := a.backend.lastHeartbeat
+				next.Sequence, next.State = next.Sequence+1, BackendDraining
+				convey.So(a.backend.Heartbeat(next), convey.ShouldBeNil)
+				convey.So(a.gate.Server().State, convey.ShouldEqual, steer.Draining)
+			})
+		})
+	}
+}
+
 // TestSuspectedServerIsChecked guards the time until a server is found that crashes right
 // after a heartbeat: only refused connections prove that it has terminated, and the agent
 // used to try one only when heartbeats were overdue.
@@ -154,7 +199,10 @@
 func openUnanswered(a *Agent) time.Duration {
 	a.setVersion(&routes.Version{Revision: 1, Services: map[string]routes.Service{"orders": {}}})
 	a.heartbeatInterval = time.Hour
-	a.backend.Heartbeat(BackendHeartbeat{ID: "server-1", Service: "orders", State: BackendReady, Slots: 2, Sequence: 1, StartedAt: time.Now()})
+	err := a.backend.Heartbeat(BackendHeartbeat{
+		ID: "server-1", Service: "orders", Domain: "junin", Address: a.settings.Passthrough.Backend, State: BackendReady, Slots: 2, Sequence: 1, StartedAt: time.Now(),
+	})
+	convey.So(err, convey.ShouldBeNil)
 	now := a.clock.now()
 	frame := passthrough.Frame{Kind: passthrough.Deliver, Version: 2}
 	opening := passthroughtest.Framed(passthrough.Segment{Source: 1 << 20, Target: 2 << 20, Flags: passthrough.Open})
