steer: reports of servers go through one function

Callers' flows ran at a server of another service after a balancer had woken while an address changed its service, and balancers ended by a panic.

Cause: UpdateLoad replaced the description of a server, also its service, without moving the server between the lists of candidates. Of two reports in one batch the first is queued for SetServer and the second goes to UpdateLoad before it. SetServer then removed another server from the list of the new service, or panicked.

Fix: one function writes the description and keeps the lists and the owners of registrations, whichever call brings a report. No order of calls can leave them apart, which the random test checks after each call.

Ruled out: calling SetServer before UpdateLoad in the roster. It cures this order of calls only. Moving only servers whose service changes: the failure domain, the state and the silence of a report had the same defect.

--- a/connection/steer/steer.go
+++ b/connection/steer/steer.go
@@ -197,11 +197,17 @@
 		e = &entry{position: -1}
 		r.byAgent[server.Agent] = e
 	}
-	before := e.Server
-	r.removeCandidate(e)
-	if before.Flows != server.Flows || before.MeanOpenRequests != server.MeanOpenRequests {
+	if e.Flows != server.Flows || e.MeanOpenRequests != server.MeanOpenRequests {
 		e.openedSinceReport = 0
 	}
+	r.update(e, server)
+}
+
+// update replaces the description of a server. Nothing else writes it: the candidates are
+// listed and the owners of registrations selected by its fields, which any report may change.
+func (r *Router) update(e *entry, server Server) {
+	before := e.Server
+	r.removeCandidate(e)
 	e.Server = server
 	r.updateCandidate(e)
 	switch {
@@ -222,11 +228,11 @@
 	}
 }
 
-// UpdateLoad applies a report that changes only the load of a server. It ignores agents
-// that were not passed to SetServer.
+// UpdateLoad applies a report with the current load of a server. It ignores agents that were
+// not passed to SetServer.
 func (r *Router) UpdateLoad(report Server) {
 	if e := r.byAgent[report.Agent]; e != nil {
-		e.Server = report
+		r.update(e, report)
 		e.openedSinceReport = 0
 	}
 }
