gate, steer: an opening packet names the service chosen for it

An agent with an older version than the balancer took every flow, also one of a service that is not its own.

Cause: the agent cannot check a route by a version that it lacks, and the packet did not say which service the balancer had chosen.

Fix: the frame has a 24-bit tag of that service in bytes that were zero. An agent with an older version takes the flow only if the tag is that of its own service; without a tag it refuses. So for every flow either the agent's or the balancer's version allows the agent's service.

Also: an agent no longer picks another one by its own version if that is older than the balancer's; it uses the balancer's alternate, which was chosen for the route's service and not for that of the first agent.

Ruled out: a larger frame for a longer tag; processes of two builds could not read each other's packets during an upgrade. A pair of services shares its tag by chance in one of 16 million cases.

--- a/connection/gate/admit.go
+++ b/connection/gate/admit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"bergamotbank/connection/passthrough"
 	"bergamotbank/connection/steer"
 	"bergamotbank/errkind"
 	"bergamotbank/version/routes"
@@ -110,11 +111,11 @@
 func (g *Gate) ClearSuspicion() { g.suspectedFrom = 0 }
 
 // checkRoute reports whether the route of the packet has the server's service as a
-// target. If the balancer has a newer version than the agent, its choice is
-// accepted.
+// target. If the balancer has a newer version than the agent, it must have selected that
+// service: its view of the agent may be out of date.
 func (g *Gate) checkRoute(d *delivery) (errkind.Kind, bool) {
 	if d.frame.Version > g.version.Revision {
-		return 0, true
+		return errkind.WrongService, d.frame.Service == passthrough.ServiceTagOf(g.server.Service)
 	}
 	route := g.version.Route(d.flow.Service.AddrPort())
 	if route == nil {
--- a/connection/gate/flow.go
+++ b/connection/gate/flow.go
@@ -58,6 +58,7 @@
 	callerNextSeq  uint32
 	callerSentData bool
 	version        uint64
+	service        passthrough.ServiceTag
 	// owners are the agents with which the flow was registered.
 	owners [2]passthrough.Endpoint
 	// informed is the balancer that was last told that this agent holds the flow.
--- a/connection/gate/flows_test.go
+++ b/connection/gate/flows_test.go
@@ -303,6 +303,37 @@
 	})
 }
 
+// TestBalancerWithStaleAgentView guards against a flow that a server of another service takes:
+// an agent with an older version accepted the choice of a balancer that believed its address
+// to be that of the agent that had it before.
+func TestBalancerWithStaleAgentView(t *testing.T) {
+	convey.Convey("Given a balancer with a newer version that takes an agent of another service for one of the route's", t, func() {
+		tc := newTestCluster(2)
+		tc.nodes[0].info.Service = "catalogue"
+		tc.nodes[0].gate.SetServer(tc.nodes[0].info, tc.now)
+		tc.publishAgents()
+		tc.balancers[0].SetVersion(versionOf(2, "orders"))
+
+		convey.Convey("the agent refuses its flows, and the right one takes them", func() {
+			for i := range flowCount {
+				c := tc.caller(i)
+				tc.sendThrough(0, c.OpeningPacket(0))
+				convey.So(c.Opened, convey.ShouldBeTrue)
+			}
+			convey.So(tc.nodes[0].server.OpenedFlows, convey.ShouldEqual, 0)
+			convey.So(tc.nodes[1].server.OpenedFlows, convey.ShouldEqual, flowCount)
+		})
+		convey.Convey("the agent refuses a flow for which no service is named", func() {
+			opening := tc.caller(0).OpeningPacket(0)
+			frame := passthrough.Frame{Kind: passthrough.Deliver, Version: 2}
+			frame.Put(opening)
+			tc.network.Send(opening, peerOf(0))
+			tc.network.Run()
+			convey.So(tc.nodes[0].server.OpenedFlows, convey.ShouldEqual, 0)
+		})
+	})
+}
+
 func TestRefusals(t *testing.T) {
 	cases := []struct {
 		name    string
--- a/connection/gate/gate.go
+++ b/connection/gate/gate.go
@@ -203,7 +203,7 @@
 	g.counters.Opened++
 	g.bucket.take()
 	delete(g.restored.flows, d.flow)
-	g.flows[d.flow] = &flow{phase: phaseOpening, openedAt: now, lastUsed: now, origin: d.frame.Origin, alternate: d.frame.Alternate, version: d.frame.Version, hops: d.frame.Hops}
+	g.flows[d.flow] = &flow{phase: phaseOpening, openedAt: now, lastUsed: now, origin: d.frame.Origin, alternate: d.frame.Alternate, version: d.frame.Version, service: d.frame.Service, hops: d.frame.Hops}
 	g.options.Observer.Opened(d.flow, d.frame)
 	if g.suspectedFrom == 0 {
 		g.suspectedFrom = now + openingTimeLimit
@@ -219,7 +219,7 @@
 func (g *Gate) refuse(d *delivery, kind errkind.Kind) {
 	g.counters.Refused++
 	alternate := d.frame.Alternate
-	if (kind == errkind.WrongService || kind == errkind.DomainOut) && d.frame.Hops == 0 {
+	if (kind == errkind.WrongService || kind == errkind.DomainOut) && d.frame.Hops == 0 && d.frame.Version <= g.version.Revision {
 		alternate = g.agentForRoute(d.flow)
 	}
 	g.options.Observer.Refused(d.flow, kind, d.frame, alternate)
--- a/connection/passthrough/frame.go
+++ b/connection/passthrough/frame.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bergamotbank/errkind"
 )
 
@@ -70,6 +72,19 @@
 	// Incarnation is the incarnation of the backend server in the flow's
 	// registration, for Registered.
 	Incarnation uint32
+	// Service is the tag of the service that was selected for an opening packet, 0 for
+	// other packets.
+	Service ServiceTag
+}
+
+// ServiceTag identifies a service by the lower 24 bits of a hash of its name; 0 is none.
+type ServiceTag uint32
+
+const serviceTagMask = 1<<24 - 1
+
+// ServiceTagOf returns the tag of a service.
+func ServiceTagOf(service string) ServiceTag {
+	return ServiceTag(max(1, xxhash.Sum64String(service)&serviceTagMask))
 }
 
 // errInvalidLength is the error for a datagram whose length is invalid for its
@@ -84,7 +99,7 @@
 	putEndpoint(b[10:], f.Origin)
 	putEndpoint(b[16:], f.Alternate)
 	binary.LittleEndian.PutUint32(b[22:], f.Incarnation)
-	b[26], b[27], b[28] = 0, 0, 0
+	b[26], b[27], b[28] = byte(f.Service), byte(f.Service>>8), byte(f.Service>>16)
 }
 
 // ParseFrame decodes the frame into f and returns the packet that follows it. The
@@ -99,6 +114,7 @@
 	f.Origin = endpointAt(b[10:])
 	f.Alternate = endpointAt(b[16:])
 	f.Incarnation = binary.LittleEndian.Uint32(b[22:])
+	f.Service = ServiceTag(b[26]) | ServiceTag(b[27])<<8 | ServiceTag(b[28])<<16
 	return b[FrameSize:], nil
 }
 
--- a/connection/steer/packet.go
+++ b/connection/steer/packet.go
@@ -43,13 +43,13 @@
 		r.reset(flow, segment.Ack, errkind.NotFound)
 		return
 	}
+	service := route.Pick(flow.Hash())
 	if h, ok := r.holders.Get(flow); ok {
 		if e := r.byAgent[h.agent]; e != nil && e.Reachable && e.State != Down {
-			r.send(buffer, passthrough.Deliver, h.agent, r.alternate(e))
+			r.sendOpening(buffer, service, e)
 			return
 		}
 	}
-	service := route.Pick(flow.Hash())
 	chosen := r.choose(service, nil)
 	if chosen == nil {
 		r.counters.NoServer++
@@ -65,17 +65,18 @@
 	if r.options.OnPlacement != nil {
 		r.options.OnPlacement(flow, &chosen.Server)
 	}
-	r.send(buffer, passthrough.Deliver, chosen.Agent, r.alternate(chosen))
+	r.sendOpening(buffer, service, chosen)
 	r.placed(service, chosen)
 }
 
-// alternate returns the agent to which the first one forwards a flow that it
-// refuses, 0 for none.
-func (r *Router) alternate(first *entry) passthrough.Endpoint {
-	if e := r.choose(first.Service, first); e != nil {
-		return e.Agent
-	}
-	return 0
+// sendOpening sends an opening packet to an agent, with the service that was selected for the
+// flow and the agent to which this one forwards the flow if it refuses it.
+func (r *Router) sendOpening(buffer []byte, service string, to *entry) {
+	frame := passthrough.Frame{Kind: passthrough.Deliver, Service: passthrough.ServiceTagOf(service)}
+	if e := r.choose(service, to); e != nil {
+		frame.Alternate = e.Agent
+	}
+	r.sendFramed(buffer, &frame, to.Agent)
 }
 
 // handleFlowPacket sends a packet of an open flow to its holder, or to an owner of
@@ -96,7 +97,7 @@
 			r.holders.Put(flow, h)
 		}
 		r.counters.Known++
-		r.send(buffer, passthrough.Deliver, h.agent, 0)
+		r.send(buffer, passthrough.Deliver, h.agent)
 		return
 	}
 	// The holder is not cached, or an unreachable agent is only supposed to be it.
@@ -105,7 +106,7 @@
 		if r.options.OnLookup != nil {
 			r.options.OnLookup(flow, owner)
 		}
-		r.send(buffer, passthrough.Lookup, owner, 0)
+		r.send(buffer, passthrough.Lookup, owner)
 	}
 }
 
@@ -137,7 +138,7 @@
 		return
 	}
 	r.holders.Delete(flow)
-	r.send(buffer, passthrough.Deliver, h.agent, 0)
+	r.send(buffer, passthrough.Deliver, h.agent)
 }
 
 // resetFlows resets the flows of an agent that is presumed to have failed, so that
@@ -153,13 +154,14 @@
 	}
 }
 
-func (r *Router) send(buffer []byte, kind passthrough.Kind, to, alternate passthrough.Endpoint) {
-	frame := passthrough.Frame{
-		Kind:      kind,
-		Version:   r.version.Revision,
-		Origin:    r.options.Self,
-		Alternate: alternate,
-	}
+// send sends a packet of an open flow.
+func (r *Router) send(buffer []byte, kind passthrough.Kind, to passthrough.Endpoint) {
+	r.sendFramed(buffer, &passthrough.Frame{Kind: kind}, to)
+}
+
+// sendFramed sends a packet with a frame to which it adds the version and the origin.
+func (r *Router) sendFramed(buffer []byte, frame *passthrough.Frame, to passthrough.Endpoint) {
+	frame.Version, frame.Origin = r.version.Revision, r.options.Self
 	frame.Put(buffer)
 	r.options.Sender.Send(buffer, to)
 }
--- a/process/passthrough/backend_test.go
+++ b/process/passthrough/backend_test.go
@@ -204,7 +204,7 @@
 	})
 	convey.So(err, convey.ShouldBeNil)
 	now := a.clock.now()
-	frame := passthrough.Frame{Kind: passthrough.Deliver, Version: 2}
+	frame := passthrough.Frame{Kind: passthrough.Deliver, Version: 2, Service: passthrough.ServiceTagOf("orders")}
 	opening := passthroughtest.Framed(passthrough.Segment{Source: 1 << 20, Target: 2 << 20, Flags: passthrough.Open})
 	frame.Put(opening)
 	a.gate.HandleDatagram(opening, now)
