roster: a process that the directory lists stays in the view

Callers' open flows were reset by agents, more than 4 s after a one-way cut of a failure domain had ended, while the servers of the flows ran.

Cause: an agent that started during the cut forgot the agents behind it after four unanswered heartbeats and took its view for complete. After the cut both sides ignored each other for up to 15 s; lookups led to agents without a registration, whose searches left out the agent of the flow's server and were concluded with a reset.

Fix: what the directory lists is contacted until it answers, every 1.5 s after the first attempts, and the view is incomplete until then; a silent member is not removed while it is listed. Entries of ended processes lapse with their lease of 30 s, so a search is held up no longer than by a silent member before. Seeds and introductions are not evidence of that kind and are given up as before.

Ruled out: reading the directory again after a cut (a process does not know that it was cut off from some); a read for each search (26,000 agents, 2,000 reads a second).

--- a/process/passthrough/directory.go
+++ b/process/passthrough/directory.go
@@ -37,7 +37,8 @@
 	logger  *zap.Logger
 	key     string
 	peer    passthrough.Endpoint
-	add     func(passthrough.Endpoint, roster.Role)
+	// apply passes the entries of other processes to the roster.
+	apply func([]roster.Entry)
 
 	// minLease is the shortest lease that the store grants.
 	minLease time.Duration
@@ -60,7 +61,7 @@
 		logger:       n.logger,
 		key:          directoryKey(n.role, n.settings.Name),
 		peer:         n.self(),
-		add:          n.addPeer,
+		apply:        n.updateDirectory,
 		minLease:     time.Duration(n.settings.Passthrough.LeaseMinimum),
 		entryWritten: make(chan struct{}),
 	}
@@ -146,23 +147,25 @@
 			d.backoff.wait(ctx)
 			continue
 		}
-		for _, item := range items {
-			d.addEntry(item)
-		}
+		d.apply(d.entries(items))
 		d.synced.Store(true)
 		sleep(ctx, listInterval)
 	}
 	return nil
 }
 
-// addEntry adds the process of an entry to the members.
-func (d *directory) addEntry(item Item) {
-	addr, err := netip.ParseAddrPort(string(item.Value))
-	if err != nil {
-		d.logger.Warn("malformed address in a directory entry", zap.String("key", item.Key), zap.Error(err))
-		return
+// entries decodes entries of the directory. Malformed ones, of another writer, are left out.
+func (d *directory) entries(items []Item) []roster.Entry {
+	entries := make([]roster.Entry, 0, len(items))
+	for _, item := range items {
+		addr, err := netip.ParseAddrPort(string(item.Value))
+		if err != nil {
+			d.logger.Warn("malformed address in a directory entry", zap.String("key", item.Key), zap.Error(err))
+			continue
+		}
+		entries = append(entries, roster.Entry{Peer: passthrough.EndpointOf(addr), Role: roleOf(item.Key)})
 	}
-	d.add(passthrough.EndpointOf(addr), roleOf(item.Key))
+	return entries
 }
 
 // removeEntry deletes this process's entry. Its lease is left to expire.
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -144,6 +144,13 @@
 	n.roster.Add(peer, role)
 }
 
+// updateDirectory passes a read of the directory to the roster.
+func (n *node) updateDirectory(entries []roster.Entry) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.roster.UpdateDirectory(entries, n.clock.now())
+}
+
 // addSeeds adds the peer addresses of the seeds. A seed is the control address of a
 // balancer; its peer address is the same IP address with the peer port of this process,
 // since all VMs use the same ports.
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -12,11 +12,14 @@
 )
 
 const (
-	// contactInterval is the interval between heartbeats to an address that has not
-	// answered yet, contactAttempts the number of these heartbeats.
-	contactInterval = 500 * time.Millisecond
-	contactAttempts = 4
-	// removeAfter is the time without a heartbeat after which a silent member is removed.
+	// contactInterval is the interval between the first contactAttempts heartbeats to an
+	// address that has not answered yet. Later ones are recontactIntervals times as far
+	// apart.
+	contactInterval    = 500 * time.Millisecond
+	contactAttempts    = 4
+	recontactIntervals = 3
+	// removeAfter is the time without a heartbeat after which a silent member is removed
+	// that the directory does not list.
 	removeAfter = 30 * time.Second
 )
 
@@ -75,6 +78,8 @@
 	// last sent; after a change all heartbeats are full ones until fullUntil.
 	lastStatic staticFields
 	fullUntil  time.Duration
+	// directoryReadAt is the time of the last read of the directory, 0 for none.
+	directoryReadAt time.Duration
 	// agents is the number of members that are agents.
 	agents int
 	// lastReceived is the time of the last heartbeat of any member.
@@ -108,15 +113,38 @@
 	}
 	if !p.known {
 		p.expectedRole = role
-		p.attemptsLeft = contactAttempts
+		p.attempts = 0
 		r.nextContact = 0
 	}
 }
 
+// Entry is an entry of the directory: the address of a process, with its role or 0 if that is
+// not known.
+type Entry struct {
+	Peer passthrough.Endpoint
+	Role Role
+}
+
+// UpdateDirectory applies a read of the directory. The processes that it lists are contacted
+// until they answer and kept as members even if they are silent: they may be cut off.
+func (r *Roster) UpdateDirectory(entries []Entry, now time.Duration) {
+	r.directoryReadAt = now
+	for _, entry := range entries {
+		if p := r.peers[entry.Peer]; p == nil {
+			r.Add(entry.Peer, entry.Role)
+		} else if !p.known {
+			p.expectedRole = entry.Role
+		}
+		if p := r.peers[entry.Peer]; p != nil {
+			p.listedAt = now
+		}
+	}
+}
+
 // DiscoveryComplete reports whether no agent is missing from the view: every address
-// that was added has answered or is no longer contacted. Of the balancers, one that
-// receives heartbeats of this process is enough, since it introduces all members it
-// knows.
+// that was added has answered or is no longer contacted, which one that the directory lists
+// always is. Of the balancers, one that receives heartbeats of this process is enough, since
+// it introduces all members it knows.
 func (r *Roster) DiscoveryComplete() bool {
 	awaitsBalancer, introduced := false, false
 	for _, p := range r.peers {
--- a/process/roster/send.go
+++ b/process/roster/send.go
@@ -93,8 +93,9 @@
 	for peer, p := range r.peers {
 		switch {
 		case !p.known && contact:
-			p.attemptsLeft--
-			r.sendHeartbeat(peer, p, self, now)
+			if p.contactDue() {
+				r.sendHeartbeat(peer, p, self, now)
+			}
 		case p.known && carriesReport(self, p) && report, p.known && !carriesReport(self, p) && regular:
 			r.sendHeartbeat(peer, p, self, now)
 		}
--- a/process/roster/status.go
+++ b/process/roster/status.go
@@ -60,15 +60,18 @@
 
 // peerState is the state kept for an address. known is true once a heartbeat has
 // arrived, receivesHeartbeats if the last one reported that the peer receives
-// heartbeats of this process; attemptsLeft is the number of heartbeats left to send to
-// an address that has not answered.
+// heartbeats of this process; attempts counts the contact intervals of an address that has
+// not answered.
 type peerState struct {
 	member             Member
 	known              bool
 	lastHeartbeatAt    time.Duration
 	receivesHeartbeats bool
 	interval           time.Duration
-	attemptsLeft       int
+	attempts           int
+	// listedAt is the time of the last read of the directory that lists the address, 0 for
+	// none.
+	listedAt time.Duration
 	// sent counts the heartbeats to the member.
 	sent uint
 	// probes counts the probes since the last heartbeat, firstProbe and lastProbe are the
@@ -160,11 +163,23 @@
 	r.lastTick = now
 }
 
+// expired reports whether a peer is to be removed: no heartbeat has arrived for long, and the
+// last read of the directory does not list it.
 func (r *Roster) expired(p *peerState, now time.Duration) bool {
-	if p.known {
+	switch {
+	case p.listedAt > 0 && p.listedAt == r.directoryReadAt:
+		return false
+	case p.known:
 		return p.silent && now-p.lastHeartbeatAt > removeAfter
 	}
-	return p.attemptsLeft <= 0
+	return p.attempts >= contactAttempts
+}
+
+// contactDue counts a contact interval of an address that has not answered, and reports
+// whether a heartbeat to it is due.
+func (p *peerState) contactDue() bool {
+	p.attempts++
+	return p.attempts <= contactAttempts || p.attempts%recontactIntervals == 0
 }
 
 func (p *peerState) reachableTimeout() time.Duration {
