roster: a process asks a balancer for an introduction until it gets one

Cause: an entry is missing from the directory while its lease has lapsed and is being renewed. A process that reads it then relies on introductions. It asked for one only if it knew fewer than five addresses; otherwise a hash of the addresses selects the members that send one, for one start in fifty none. DiscoveryComplete took the contact with a balancer for the introduction.

Evidence: TestIncompleteDirectory failed before (one of the first of 100 starts never heard of the missing agent within its window).

A mass restart costs one introduction a process more than before; the bound of TestIntroductionsAfterMassRestart holds unchanged.

--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -80,6 +80,10 @@
 	fullUntil  time.Duration
 	// directoryReadAt is the time of the last read of the directory, 0 for none.
 	directoryReadAt time.Duration
+	// introduced is true once an introduction has arrived; introductionAsked is the time of
+	// the last request for one.
+	introduced        bool
+	introductionAsked time.Duration
 	// agents is the number of members that are agents.
 	agents int
 	// lastReceived is the time of the last heartbeat of any member.
@@ -143,21 +147,23 @@
 
 // DiscoveryComplete reports whether no agent is missing from the view: every address
 // that was added has answered or is no longer contacted, which one that the directory lists
-// always is. Of the balancers, one that receives heartbeats of this process is enough, since
-// it introduces all members it knows.
+// always is. Of the balancers, one that has introduced all members it knows is enough.
 func (r *Roster) DiscoveryComplete() bool {
-	awaitsBalancer, introduced := false, false
+	awaitsBalancer, connected := false, false
 	for _, p := range r.peers {
 		switch {
 		case p.known:
-			introduced = introduced || (p.member.Role == Balancer && p.receivesHeartbeats)
+			connected = connected || (p.member.Role == Balancer && p.receivesHeartbeats)
 		case p.expectedRole == Balancer:
 			awaitsBalancer = true
 		default:
 			return false
 		}
 	}
-	return introduced || !awaitsBalancer
+	if connected {
+		return r.introduced
+	}
+	return !awaitsBalancer
 }
 
 // Stalls returns the number of stalls of this process.
@@ -209,12 +215,12 @@
 	if restarted {
 		r.notifyMember(p, "joined", now)
 		r.sendHeartbeat(h.Peer, p, self, now)
-		if h.wantsIntroduction || r.shouldIntroduce(h.Peer, self) {
-			r.sendIntroduction(h.Peer)
-		}
 	} else if h.wantsReply {
 		r.sendHeartbeat(h.Peer, p, self, now)
 	}
+	if h.wantsIntroduction || (restarted && r.shouldIntroduce(h.Peer, self)) {
+		r.sendIntroduction(h.Peer)
+	}
 	if r.updateStatus(p, now) || changed {
 		r.markChanged(p)
 	} else if h.Role == Agent && r.options.OnReport != nil {
@@ -229,6 +235,7 @@
 		r.malformed++
 		return
 	}
+	r.introduced = true
 	for _, peer := range peers {
 		r.Add(peer.address, peer.role)
 	}
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -464,6 +464,32 @@
 	})
 }
 
+// TestIncompleteDirectory guards against an agent that misses another one for up to 15 s after
+// its start: it is not listed while its entry has lapsed, and of all members a hash selects
+// those that send an introduction unrequested, for one start in fifty none.
+func TestIncompleteDirectory(t *testing.T) {
+	convey.Convey("Each of 100 processes that start with a directory that lacks an agent learns of it", t, func() {
+		const running, starting = 60, 100
+		c := newTestCluster(20, running-20+starting)
+		for _, p := range c.processes[1:running] {
+			p.roster.Add(addressOf(0), Balancer)
+		}
+		c.advance(3 * time.Second)
+		for i := running; i < running+starting; i++ {
+			missing := 20 + i%40
+			var listed []int
+			for j := range running {
+				if j != missing {
+					listed = append(listed, j)
+				}
+			}
+			c.listAll(i, listed...)
+			c.advance(200 * time.Millisecond)
+			convey.So(c.status(i, missing), convey.ShouldNotBeNil)
+		}
+	})
+}
+
 func TestNewerVersion(t *testing.T) {
 	convey.Convey("A heartbeat announces a newer version", t, func() {
 		c := newTestCluster(1, 1)
--- a/process/roster/send.go
+++ b/process/roster/send.go
@@ -23,11 +23,8 @@
 	// reports that they need sooner, and a failed member is detected by probes.
 	reportIntervalPerAgent    = 10 * time.Millisecond
 	heartbeatIntervalPerAgent = 40 * time.Millisecond
-	// introductionThreshold is the number of known addresses below which a process
-	// requests an introduction; a process that knows only its seeds is below it.
 	// introducers is the number of members that send an introduction unrequested.
-	introductionThreshold = 5
-	introducers           = 4
+	introducers = 4
 	// One in fullHeartbeatEvery heartbeats is a full one, even if the receiver should
 	// know its contents. After a change every heartbeat is a full one for
 	// fullHeartbeatIntervals intervals, since datagrams may be lost.
@@ -54,11 +51,25 @@
 			peers = append(peers, introductionEntry{other, p.member.Role})
 		}
 	}
+	if len(peers) == 0 {
+		r.options.Sender.Send(encodeIntroduction(nil), peer)
+	}
 	for part := range slices.Chunk(peers, maxIntroductionEntries) {
 		r.options.Sender.Send(encodeIntroduction(part), peer)
 	}
 }
 
+// wantsIntroduction reports whether a heartbeat to a peer requests an introduction: one
+// balancer at a time is asked until one has answered. The directory may lack a process whose
+// entry has lapsed.
+func (r *Roster) wantsIntroduction(p *peerState, now time.Duration) bool {
+	if r.introduced || p.role() != Balancer || (r.introductionAsked > 0 && now-r.introductionAsked < contactInterval) {
+		return false
+	}
+	r.introductionAsked = now
+	return true
+}
+
 // Announce sends a heartbeat to all members immediately, after a change of this
 // process.
 func (r *Roster) Announce(now time.Duration) {
@@ -121,12 +132,12 @@
 // send sends a heartbeat; wantsReply requests an immediate heartbeat in return.
 func (r *Roster) send(peer passthrough.Endpoint, p *peerState, self Member, now time.Duration, wantsReply bool) {
 	report, regular := r.intervals()
-	h := heartbeat{Member: self, wantsReply: wantsReply, interval: regular, wantsIntroduction: len(r.peers) < introductionThreshold, receivesHeartbeats: p.known && now-p.lastHeartbeatAt < p.reachableTimeout()}
+	h := heartbeat{Member: self, wantsReply: wantsReply, interval: regular, wantsIntroduction: r.wantsIntroduction(p, now), receivesHeartbeats: p.known && now-p.lastHeartbeatAt < p.reachableTimeout()}
 	if carriesReport(self, p) {
 		h.interval = report
 	}
 	p.sent++
-	if p.receivesHeartbeats && now >= r.fullUntil && p.sent%fullHeartbeatEvery != 0 {
+	if p.receivesHeartbeats && !h.wantsIntroduction && now >= r.fullUntil && p.sent%fullHeartbeatEvery != 0 {
 		b := compactHeartbeatOf(&h)
 		r.options.Sender.Send(b.encode(), peer)
 		return
--- a/process/roster/status.go
+++ b/process/roster/status.go
@@ -93,6 +93,14 @@
 	changed, removed bool
 }
 
+// role returns the role of a peer, or the expected one until it answers.
+func (p *peerState) role() Role {
+	if p.known {
+		return p.member.Role
+	}
+	return p.expectedRole
+}
+
 // probeDue reports whether a probe is due: the heartbeat is overdue, or a probe has not been
 // answered.
 func (p *peerState) probeDue(now time.Duration) bool {
