hangup: SIGHUP never ends a process

Processes ended by themselves when the settings of the deployment were reloaded: those that were just starting, and balancers in their grace period, whose callers' packets were lost.

Cause: the signal was received only while one task of the two platform roles ran. Before, and after that task had ended at a graceful stop, its default action applied.

Fix: a package receives the signal from its initialization, before the settings are read, until the process exits. What remains is the time from exec to that point, in which no Go program can receive a signal.

Ruled out: Notify at the start of main, since the handlers of the roles' dependencies are initialized before it.

--- a/process/passthrough/reload.go
+++ b/process/passthrough/reload.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
 	"reflect"
-	"syscall"
 	"time"
 
 	"go.uber.org/zap"
 
+	"bergamotbank/process/hangup"
 	"bergamotbank/process/settings"
 )
 
@@ -28,9 +26,6 @@
 // watchSettings reloads the settings on SIGHUP and when the file has changed, until ctx
 // is canceled.
 func (n *node) watchSettings(ctx context.Context) error {
-	hangup := make(chan os.Signal, 1)
-	signal.Notify(hangup, syscall.SIGHUP)
-	defer signal.Stop(hangup)
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	// An error is ignored: the file was readable at the start, and the next check logs it.
@@ -40,7 +35,7 @@
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-hangup:
+		case <-hangup.Received():
 			signaled = true
 		case <-ticker.C:
 		}
