roster: an agent that announced its stop is not presumed failed

Callers' open flows were reset while the server of the flow ran and its agent was restarted as planned.

Cause: an agent that has been silent for 1.1 s on a VM that answers is presumed to have failed with its server, and balancers and owners of registrations reset its flows. The agent announces its stop; nothing used that.

Fix: an agent whose last state is draining is presumed failed after 10 s only, unless its VM does not answer. The agent announces its stop twice, since one lost datagram would bring the old limit back. Nothing new is sent to such an agent in the meantime.

Ruled out: a longer limit for every agent on a VM that answers. A frozen or killed agent announces nothing, and its callers are better served by a reset.

--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -110,6 +110,8 @@
 	a.logger.Info("agent stopping")
 	a.backend.shutDown(ctx)
 	a.directory.removeEntry(ctx)
+	// A lost announcement would let other processes presume that the VM has failed.
+	a.announce()
 }
 
 func (a *Agent) setVersion(v *routes.Version) {
--- a/process/roster/status.go
+++ b/process/roster/status.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bergamotbank/connection/passthrough"
+	"bergamotbank/connection/steer"
 )
 
 const (
@@ -58,6 +59,11 @@
 	vmUnreachable: {700 * time.Millisecond, 400 * time.Millisecond},
 }
 
+// stoppingSilence applies to an agent that announced that its server takes no new flows, unless
+// its VM has failed: the agent is probably being restarted, and its server keeps its flows. It
+// is longer than the grace period of a stop and the start of the next process.
+var stoppingSilence = silence{10 * time.Second, 750 * time.Millisecond}
+
 // peerState is the state kept for an address. known is true once a heartbeat has
 // arrived, receivesHeartbeats if the last one reported that the peer receives
 // heartbeats of this process; attempts counts the contact intervals of an address that has
@@ -225,6 +231,9 @@
 		return now-p.lastHeartbeatAt > silentBalancerTimeout
 	}
 	limit := agentSilence[p.vm]
+	if p.member.Report.State == steer.Draining && p.vm != vmUnreachable {
+		limit = stoppingSilence
+	}
 	return now-p.lastHeartbeatAt > limit.sinceHeartbeat && now-p.firstProbe >= limit.sinceProbe
 }
 
