directory: entries of another writer are left out

Here no process ends and the list is still followed, but an entry with an address from which nobody answers made the view of each process incomplete, so that callers of flows without a server waited for their own time limits instead of being reset.

Cause: whatever could be parsed as an address was taken for a process.

Fix: an entry needs a role, a lease, the peer port of this process (all VMs use the same ports) and a unicast address. Our own entries always have them.

Evidence: 8 of the 13 cases of TestOddDirectoryEntries failed before; deep nesting, a port out of range, a number too large, no port and no value passed.

Ruled out: decoding each item of the store's response apart. The store encodes the values, so a value cannot make the response malformed.

--- a/process/passthrough/adapter.go
+++ b/process/passthrough/adapter.go
@@ -21,6 +21,8 @@
 	Value []byte
 	// Revision is the revision of the store at which the entry last changed.
 	Revision uint64
+	// Lease is the lease with which the entry ends, 0 for none.
+	Lease uint64
 	// Deleted is true in a watch event that reports a deletion.
 	Deleted bool
 }
--- a/process/passthrough/directory.go
+++ b/process/passthrough/directory.go
@@ -154,20 +154,44 @@
 	return nil
 }
 
-// entries decodes entries of the directory. Malformed ones, of another writer, are left out.
+// entries decodes the entries of other processes. Those of another writer are left out.
 func (d *directory) entries(items []Item) []roster.Entry {
 	entries := make([]roster.Entry, 0, len(items))
 	for _, item := range items {
-		addr, err := netip.ParseAddrPort(string(item.Value))
+		entry, err := d.entry(item)
 		if err != nil {
-			d.logger.Warn("malformed address in a directory entry", zap.String("key", item.Key), zap.Error(err))
+			d.logger.Info("malformed directory entry ignored", zap.String("key", item.Key), zap.Error(err))
 			continue
 		}
-		entries = append(entries, roster.Entry{Peer: passthrough.EndpointOf(addr), Role: roleOf(item.Key)})
+		if entry.Peer != d.peer {
+			entries = append(entries, entry)
+		}
 	}
 	return entries
 }
 
+// entry decodes an entry. Every process writes its own with a lease, and all have the same peer
+// port. The error has kind Malformed.
+func (d *directory) entry(item Item) (roster.Entry, error) {
+	entry := roster.Entry{Role: roleOf(item.Key)}
+	if entry.Role == 0 || item.Lease == 0 {
+		return entry, errkind.New(errkind.Malformed, "entry without a role or a lease")
+	}
+	addr, err := netip.ParseAddrPort(string(item.Value))
+	if err != nil {
+		return entry, errkind.Wrap(err, errkind.Malformed, "address")
+	}
+	entry.Peer = passthrough.EndpointOf(addr)
+	ip := entry.Peer.AddrPort().Addr()
+	if entry.Peer.Port() != d.peer.Port() || ip.IsUnspecified() || ip.IsMulticast() || ip == broadcast {
+		return entry, errkind.New(errkind.Malformed, "address %s cannot be that of a process", addr)
+	}
+	return entry, nil
+}
+
+// broadcast is the limited broadcast address.
+var broadcast = netip.AddrFrom4([4]byte{255, 255, 255, 255})
+
 // removeEntry deletes this process's entry. Its lease is left to expire.
 func (d *directory) removeEntry(ctx context.Context) {
 	if d.lease == 0 {
