agent: a server whose warm-up is not known is taken for cold

Cause: a successful liveness check was taken for a warm server.

Fix: ColdUntil has no end until the first heartbeat, so the gate limits new flows to the cold rate and balancers rank the server as a cold one. Services without a cold rate are not limited.

--- a/process/passthrough/backend.go
+++ b/process/passthrough/backend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"slices"
@@ -261,8 +262,12 @@
 	return path, a.gate.Server().State == steer.Unknown
 }
 
+// untilHeartbeat is the end of the warm-up of a server that has not said when it ends.
+const untilHeartbeat = time.Duration(math.MaxInt64)
+
 // setInitialState sets the state found by the liveness check, which applies until the
-// first heartbeat. It does nothing if a heartbeat has arrived meanwhile.
+// first heartbeat. It does nothing if a heartbeat has arrived meanwhile. The check does not
+// show whether the server is cold, so it is taken for cold.
 func (b *backendMonitor) setInitialState(state steer.State) {
 	a := b.agent
 	a.mu.Lock()
@@ -272,7 +277,7 @@
 	}
 	now := a.clock.now()
 	b.lastHeartbeatAt = now
-	b.setServer(gate.Server{Service: a.settings.Agent.Service, Domain: a.settings.Domain, State: state, PredatesAgent: state == steer.Ready}, now)
+	b.setServer(gate.Server{Service: a.settings.Agent.Service, Domain: a.settings.Domain, State: state, ColdUntil: untilHeartbeat, PredatesAgent: state == steer.Ready}, now)
 }
 
 // checkWhileSuspected checks the server by opening connections while heartbeats are missing or
--- a/process/passthrough/backend_test.go
+++ b/process/passthrough/backend_test.go
@@ -166,6 +166,35 @@
 	}
 }
 
+// TestAgentRestartsBesideColdServer guards a cold server whose agent restarts: a successful
+// liveness check was taken for a warm server, which takes new flows without a limit.
+func TestAgentRestartsBesideColdServer(t *testing.T) {
+	const rate = 4
+	convey.Convey("Given an agent that has started beside a running server", t, func() {
+		a := newTestAgent(t)
+		a.setVersion(&routes.Version{Revision: 1, Services: map[string]routes.Service{"orders": {ColdRate: rate}}})
+		a.backend.setInitialState(steer.Ready)
+		now := a.clock.now()
+		openFor := func(d time.Duration) uint64 {
+			before := a.gate.Counters().Opened
+			for end := now + d; now < end; now += 10 * time.Millisecond {
+				opening := passthroughtest.Framed(passthrough.Segment{Source: passthrough.Endpoint(now), Target: 2 << 20, Flags: passthrough.Open})
+				(&passthrough.Frame{Kind: passthrough.Deliver, Version: 2, Service: passthrough.ServiceTagOf("orders")}).Put(opening)
+				a.gate.HandleDatagram(opening, now)
+				a.gate.ClearSuspicion()
+			}
+			return a.gate.Counters().Opened - before
+		}
+		convey.Convey("new flows are limited as for a cold server until its first heartbeat", func() {
+			convey.So(openFor(time.Second), convey.ShouldBeLessThanOrEqualTo, rate+2)
+			convey.So(a.backend.state(now), convey.ShouldEqual, steer.Cold)
+			h := BackendHeartbeat{ID: "server-1", Service: "orders", Domain: "junin", Address: testBackend, State: BackendReady, Slots: 200, Sequence: 9, StartedAt: time.Now()}
+			convey.So(a.backend.Heartbeat(h), convey.ShouldBeNil)
+			convey.So(openFor(time.Second), convey.ShouldBeGreaterThan, 90)
+		})
+	})
+}
+
 // TestSuspectedServerIsChecked guards the time until a server is found that crashes right
 // after a heartbeat: only refused connections prove that it has terminated, and the agent
 // used to try one only when heartbeats were overdue.
