roster: the numbers of runs have no order

Cause: the number of a run is the time of day, and a lower one was taken for a late heartbeat of an earlier run.

Fix: the last four runs of a member are remembered; their heartbeats are late while those of the current run arrive, any other number is a new run.

Ruled out: a number from the steady clock (it starts anew with the VM), or from the store (unreachable at times).

--- a/process/roster/heartbeat.go
+++ b/process/roster/heartbeat.go
@@ -43,7 +43,8 @@
 	Role Role
 	// Peer is the address for datagrams and HTTP requests of other processes.
 	Peer passthrough.Endpoint
-	// Run identifies the run of the process; a later run has a larger number.
+	// Run identifies the run of the process. It is no order of runs: the time of day, of
+	// which it is made, may jump back.
 	Run uint64
 	// Version is the revision of the active configuration.
 	Version uint64
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -191,7 +191,7 @@
 		p = &peerState{}
 		r.peers[h.Peer] = p
 	}
-	if p.known && h.Run < p.member.Run {
+	if p.hasEnded(h.Run, now) {
 		return
 	}
 	r.applyHeartbeat(p, &h, now)
@@ -202,6 +202,9 @@
 	self := r.options.Self()
 	r.agents += isAgent(h.Role) - isAgent(p.member.Role)
 	restarted := !p.known || h.Run != p.member.Run
+	if restarted && p.known {
+		p.previousRuns = append(p.previousRuns[max(0, len(p.previousRuns)+1-maxPreviousRuns):], p.member.Run)
+	}
 	changed := restarted || h.Service != p.member.Service || h.Name != p.member.Name || h.Domain != p.member.Domain ||
 		h.Report.State != p.member.Report.State
 	p.member, p.known, p.lastHeartbeatAt, p.receivesHeartbeats, p.interval = h.Member, true, now, h.receivesHeartbeats, h.interval
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -332,6 +332,34 @@
 	})
 }
 
+// TestRunWithEarlierClock guards an agent that starts again after the time of day has jumped
+// back: its run had a lower number than the last one, and all processes ignored it for 30 s,
+// presumed it failed and reset the flows of its server.
+func TestRunWithEarlierClock(t *testing.T) {
+	convey.Convey("A process whose next run has a lower number is a member at once", t, func() {
+		c := newTestCluster(1, 2)
+		for _, p := range c.processes[1:] {
+			p.roster.Add(addressOf(0), Balancer)
+		}
+		c.processes[1].self.Run = 900
+		c.advance(time.Second)
+		c.cutOff(1)
+		c.advance(600 * time.Millisecond)
+		c.network.Drop = nil
+		old := heartbeat{Member: c.processes[1].self, interval: time.Second}
+		c.processes[1].self.Run = 800
+		c.start(1)
+		c.processes[1].roster.Add(addressOf(0), Balancer)
+		c.advance(200 * time.Millisecond)
+		convey.So(c.status(0, 1).Run, convey.ShouldEqual, 800)
+		convey.So(c.status(0, 1).Reachable, convey.ShouldBeTrue)
+		convey.Convey("and late heartbeats of the last run are ignored", func() {
+			c.processes[0].roster.HandleHeartbeat(old.encode(), c.now)
+			convey.So(c.status(0, 1).Run, convey.ShouldEqual, 800)
+		})
+	})
+}
+
 func TestBatchedChanges(t *testing.T) {
 	convey.Convey("Members that join in one batch of datagrams cause one change notification", t, func() {
 		c := newTestCluster(1, 0)
--- a/process/roster/status.go
+++ b/process/roster/status.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"slices"
 	"time"
 
 	"bergamotbank/connection/passthrough"
@@ -94,6 +95,8 @@
 	expectedRole Role
 	// reachable and silent are the last status, to detect changes.
 	reachable, silent bool
+	// previousRuns are the last runs before the current one.
+	previousRuns []uint64
 	// changed is true if the peer is to be passed to OnChange, removed if it has been
 	// removed since.
 	changed, removed bool
@@ -107,6 +110,16 @@
 	return p.expectedRole
 }
 
+// maxPreviousRuns is the number of previous runs of a member that are kept to detect their late
+// heartbeats.
+const maxPreviousRuns = 4
+
+// hasEnded reports whether a run is a previous one of the member. It is the current one after
+// all if the heartbeats of the other have stopped.
+func (p *peerState) hasEnded(run uint64, now time.Duration) bool {
+	return p.known && slices.Contains(p.previousRuns, run) && now-p.lastHeartbeatAt < p.reachableTimeout()
+}
+
 // probeDue reports whether a probe is due: the heartbeat is overdue, or a probe has not been
 // answered.
 func (p *peerState) probeDue(now time.Duration) bool {
