soak: disturbances are judged by VM, and planned work comes in series

The soak could not see what the users saw with real processes: its fault windows covered the whole deployment for four seconds after each fault, nearly all of a run, and a process that ended by itself was not noticed.

Now a reset is excused only if the VM of the server, of the sender of the reset or of a balancer of the flow was disturbed within four seconds, or the store was. Planned work excuses nothing. A process that ends without being told to is a violation, and is started again as the platform does.

New schedules have the shape of the two sites (6 or 7 balancers in 3 or 4 failure domains, 7 and 3 or 4 backend servers), up to five steps at a time, and new steps: restarts of agents, of all agents and of all balancers in turn, releases of a service with its VMs, an address that goes to another service, manifests in series, heartbeats of another writer, kills in series.

The schedules of past failures draw the same steps at the old size.

--- a/connection/steer/choose_test.go
+++ b/connection/steer/choose_test.go
@@ -20,9 +20,9 @@
 	return Server{Name: fmt.Sprintf("agent-%d", i), Agent: agentAddress(i), Service: "orders", Domain: domain, State: Ready, Slots: 2, Reachable: true}
 }
 
-func newTestRouter(out ...string) *Router {
+func newTestRouter() *Router {
 	r := New(Options{Domain: "junin"})
-	r.SetVersion(versionWithout(out...))
+	r.SetVersion(versionWithout())
 	return r
 }
 
--- a/connection/steer/update_test.go
+++ b/connection/steer/update_test.go
@@ -129,4 +129,3 @@
 	}
 	return fmt.Sprint(want)
 }
-
--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -201,7 +202,7 @@
 	ip := d.size.address(0, i)
 	domain, name := domainName(i%d.size.domains), fmt.Sprintf("balancer-%d", i)
 	text := fmt.Sprintf(d.commonSettings(name, domain, ip), "[balancer]\nstop_grace = \"1500ms\"\n")
-	p := &process{name: name, program: d.program, role: "passthrough-balancer", dir: d.dir}
+	p := &process{name: name, ip: ip, program: d.program, role: "passthrough-balancer", dir: d.dir, onUnexpectedEnd: d.processEnded}
 	if err := os.WriteFile(filepath.Join(d.dir, name+".toml"), []byte(text), 0o600); err != nil {
 		return err
 	}
@@ -213,10 +214,8 @@
 func (d *deployment) addVM(i int, service string) (*vm, error) {
 	ip := d.size.address(serverNetwork, i)
 	domain, name := domainName(i%d.size.domains), fmt.Sprintf("agent-%d", i)
-	text := fmt.Sprintf(d.commonSettings(name, domain, ip), fmt.Sprintf("[agent]\nservice = %q\n", service)) +
-		fmt.Sprintf("outbound = %q\nbackend = %q\n", addrPort(ip, outboundPort), addrPort(ip, backendPort))
-	v := &vm{service: service, domain: domain, ip: ip, process: &process{name: name, program: d.program, role: "passthrough-agent", dir: d.dir}}
-	if err := os.WriteFile(filepath.Join(d.dir, name+".toml"), []byte(text), 0o600); err != nil {
+	v := &vm{domain: domain, ip: ip, process: &process{name: name, ip: ip, program: d.program, role: "passthrough-agent", dir: d.dir, onUnexpectedEnd: d.processEnded}}
+	if err := d.setService(v, service); err != nil {
 		return nil, err
 	}
 	d.vms = append(d.vms, v)
@@ -226,17 +225,61 @@
 	return v, d.startServer(v)
 }
 
+// setService sets the service of a VM and writes the settings of its agent.
+func (d *deployment) setService(v *vm, service string) error {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.service = service
+	text := fmt.Sprintf(d.commonSettings(v.process.name, v.domain, v.ip), fmt.Sprintf("[agent]\nservice = %q\n", service)) +
+		fmt.Sprintf("outbound = %q\nbackend = %q\n", addrPort(v.ip, outboundPort), addrPort(v.ip, backendPort))
+	return os.WriteFile(filepath.Join(d.dir, v.process.name+".toml"), []byte(text), 0o600)
+}
+
+// servers returns the number of VMs of a service.
+func (d *deployment) servers(service string) int {
+	count := 0
+	for _, v := range d.vms {
+		if v.serves(service) {
+			count++
+		}
+	}
+	return count
+}
+
+// serves reports whether the VM is one of a service.
+func (v *vm) serves(service string) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.service == service
+}
+
+// putHeartbeat sends a heartbeat to the agent of a VM and reports whether it was confirmed.
+func (d *deployment) putHeartbeat(v *vm, id, body string) bool {
+	url := "http://" + addrPort(v.ip, controlPort).String() + "/-/instances/" + id
+	request, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
+	if err != nil {
+		return false
+	}
+	response, err := (&http.Client{Timeout: time.Second}).Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode < http.StatusMultipleChoices
+}
+
 // startServer starts a new backend server on a VM.
 func (d *deployment) startServer(v *vm) error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.draining = false
 	v.starts++
+	service := v.service
 	server, err := standin.StartServer(standin.ServerOptions{
-		ID: fmt.Sprintf("%s-%s-%d", v.service, v.ip, v.starts), Service: v.service, Domain: v.domain,
+		ID: fmt.Sprintf("%s-%s-%d", service, v.ip, v.starts), Service: service, Domain: v.domain,
 		Listen: addrPort(v.ip, backendPort), Outbound: addrPort(v.ip, outboundPort), Control: addrPort(v.ip, controlPort),
 		Slots: 4, Queue: 8, ServiceTime: 5 * time.Millisecond, ColdDuration: coldDuration, ClockError: v.clockError, HeartbeatInterval: heartbeatInterval, Checker: d.checker,
-		Routes:    func() map[passthrough.Endpoint]bool { return d.routesOf(v.service) },
+		Routes:    func() map[passthrough.Endpoint]bool { return d.routesOf(service) },
 		DomainOut: d.domainOut,
 	})
 	if err == nil {
@@ -276,14 +319,30 @@
 	return v.server != nil && v.server.Holds(flow)
 }
 
-// serverRunning reports whether the server that holds a flow is running.
-func (d *deployment) serverRunning(flow passthrough.Flow) bool {
+// holderVM returns the VM of the running server that holds a flow, and false if there is none.
+func (d *deployment) holderVM(flow passthrough.Flow) (netip.Addr, bool) {
 	for _, v := range d.vms {
 		if v.holds(flow) {
-			return true
+			return v.ip, true
 		}
 	}
-	return false
+	return netip.Addr{}, false
+}
+
+// processEnded records that a process has ended by itself and restarts it, as the platform does.
+func (d *deployment) processEnded(p *process, state string) {
+	d.checker.ReportViolation("%s ended by itself: %s", p.name, state)
+	time.Sleep(restartDelay)
+	restart(d, p)
+}
+
+// vmAddresses returns the addresses of all VMs of backend servers.
+func (d *deployment) vmAddresses() []netip.Addr {
+	var all []netip.Addr
+	for _, v := range d.vms {
+		all = append(all, v.ip)
+	}
+	return all
 }
 
 func (d *deployment) routesOf(service string) map[passthrough.Endpoint]bool {
--- a/soak/load.go
+++ b/soak/load.go
@@ -35,7 +35,7 @@
 	l := &load{d: d}
 	for i := range count {
 		at := netip.AddrPortFrom(d.size.address(callerNetwork, i), packetPort)
-		c, err := standin.NewCaller(domainName(i%d.size.domains), at, d.fabric, d.checker, d.serverRunning)
+		c, err := standin.NewCaller(domainName(i%d.size.domains), at, d.fabric, d.checker, d.holderVM)
 		if err != nil {
 			return nil, err
 		}
--- a/soak/main.go
+++ b/soak/main.go
@@ -29,7 +29,7 @@
 	Program   string        `arg:"--program" default:"bin/bergamotd" help:"path of the bergamotd binary"`
 	Output    string        `arg:"--output" default:"out/soak" help:"directory for settings and logs"`
 	Callers   int           `arg:"--callers" default:"24" help:"number of callers"`
-	Balancers int           `arg:"--balancers" default:"4" help:"number of balancers"`
+	Balancers int           `arg:"--balancers" help:"number of balancers; without it the size of the deployment depends on the seed"`
 	Orders    int           `arg:"--orders" default:"4" help:"number of backend servers of the service orders"`
 	Downloads int           `arg:"--downloads" default:"2" help:"number of backend servers of the service downloads"`
 	Network   byte          `arg:"--network" default:"71" help:"second byte of the loopback addresses; concurrent runs need networks at least four apart"`
@@ -63,16 +63,35 @@
 	if a.Regress {
 		for _, r := range regressions {
 			fmt.Printf("seed %d failed in the past: %s\n", r.seed, r.cause)
-			all = append(all, schedule{seed: r.seed, stepCount: r.stepCount})
+			all = append(all, schedule{seed: r.seed, stepCount: r.stepCount, concurrency: regressionConcurrency})
 		}
 		return all
 	}
 	for i := range a.Seeds {
-		all = append(all, schedule{seed: a.First + uint64(i), stepCount: len(allSteps), demo: a.Demo})
+		all = append(all, schedule{seed: a.First + uint64(i), stepCount: len(allSteps), demo: a.Demo, concurrency: defaultConcurrency})
 	}
 	return all
 }
 
+// sizes are the sizes of the deployments of new schedules, smallSize that of the others.
+var (
+	sizes     = []deploymentSize{{domains: 3, balancers: 6, orders: 7, downloads: 3}, {domains: 4, balancers: 7, orders: 7, downloads: 4}}
+	smallSize = deploymentSize{domains: 2, balancers: 4, orders: 4, downloads: 2}
+)
+
+// size returns the size of the deployment of a schedule.
+func (a arguments) size(plan schedule) deploymentSize {
+	size := sizes[plan.seed%uint64(len(sizes))]
+	switch {
+	case a.Balancers > 0:
+		size = deploymentSize{domains: a.Zones, balancers: a.Balancers, orders: a.Orders, downloads: a.Downloads}
+	case a.Regress || a.Demo:
+		size = smallSize
+	}
+	size.network = a.Network
+	return size
+}
+
 // run runs one schedule and returns the number of violated guarantees.
 func run(a arguments, plan schedule) (int, error) {
 	seed := plan.seed
@@ -83,7 +102,7 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return 0, err
 	}
-	d, err := newDeployment(dir, a.Program, deploymentSize{a.Network, a.Zones, a.Balancers, a.Orders, a.Downloads})
+	d, err := newDeployment(dir, a.Program, a.size(plan))
 	if d != nil {
 		defer d.close()
 	}
@@ -141,5 +160,5 @@
 	d.probes++
 	at := netip.AddrPortFrom(d.size.address(probeNetwork, d.probes), packetPort)
 	d.mu.Unlock()
-	return standin.NewCaller(domainName(0), at, d.fabric, d.checker, d.serverRunning)
+	return standin.NewCaller(domainName(0), at, d.fabric, d.checker, d.holderVM)
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,13 +14,21 @@
 // are signaled, by their process IDs.
 type process struct {
 	name    string
+	ip      netip.Addr
 	program string
 	role    string
 	dir     string
 
+	// onUnexpectedEnd is called when the process ends although it was not told to.
+	onUnexpectedEnd func(p *process, state string)
+
 	mu      sync.Mutex
 	command *exec.Cmd
 	done    chan struct{}
+	// ending is true once the process has been told to end.
+	ending bool
+	// held is true while the process may not be started: its VM is being replaced.
+	held bool
 }
 
 // start starts the program unless it is running: two steps may terminate the same
@@ -27,7 +36,7 @@
 func (p *process) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.running() {
+	if p.held || p.running() {
 		return nil
 	}
 	log, err := os.OpenFile(filepath.Join(p.dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -42,16 +51,29 @@
 		return err
 	}
 	done := make(chan struct{})
-	p.command, p.done = command, done
+	p.command, p.done, p.ending = command, done, false
 	go func() {
-		// Only the exit matters here; its cause is in the log.
+		// The state says how it ended; the cause is in the log.
 		_ = command.Wait()
 		_ = log.Close()
+		p.mu.Lock()
+		expected := p.ending
 		close(done)
+		p.mu.Unlock()
+		if !expected {
+			p.onUnexpectedEnd(p, command.ProcessState.String())
+		}
 	}()
 	return nil
 }
 
+// hold sets whether the process may not be started.
+func (p *process) hold(held bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held = held
+}
+
 // running reports whether the process is running. The calling function holds mu.
 func (p *process) running() bool {
 	if p.done == nil {
@@ -69,6 +91,9 @@
 func (p *process) signal(s os.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if s == syscall.SIGTERM || s == syscall.SIGKILL {
+		p.ending = true
+	}
 	if p.command != nil {
 		// The process may have exited.
 		_ = p.command.Process.Signal(s)
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -4,11 +4,14 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"bergamotbank/connection/passthrough"
 	"bergamotbank/platform/standin"
 )
 
@@ -35,13 +38,14 @@
 	run  func(d *deployment, r *rand.Rand)
 }
 
-// injectFault runs a fault during which guarantees with a time limit are not checked.
-func injectFault(d *deployment, name string, length time.Duration, begin, end func()) {
-	d.checker.AddFaultWindow(name, length+stabilizationTime)
+// injectFault runs a fault during which guarantees with a time limit are not checked for the
+// VMs that it concerns; none stands for the whole deployment.
+func injectFault(d *deployment, name string, length time.Duration, begin, end func(), vms ...netip.Addr) {
+	d.checker.Disturb(name, length+stabilizationTime, vms...)
 	begin()
 	time.Sleep(length)
 	end()
-	d.checker.AddFaultWindow(name, stabilizationTime)
+	d.checker.Disturb(name, stabilizationTime, vms...)
 }
 
 func randomBalancer(d *deployment, r *rand.Rand) *process {
@@ -58,6 +62,52 @@
 	}
 }
 
+// stopGracefully stops a process with SIGTERM.
+func stopGracefully(d *deployment, p *process) {
+	p.signal(syscall.SIGTERM)
+	if !p.wait(stopTimeout) {
+		d.checker.ReportViolation("%s did not stop in %s", p.name, stopTimeout)
+		p.kill()
+	}
+}
+
+func restartGracefully(d *deployment, p *process) {
+	stopGracefully(d, p)
+	time.Sleep(restartDelay)
+	restart(d, p)
+}
+
+// replaceServer drains a server, restarts the agent of its VM once the server has ended, and
+// starts the next server there, of the given service.
+func replaceServer(d *deployment, v *vm, service string, pause time.Duration) {
+	server := v.detachServer()
+	if server == nil {
+		return
+	}
+	server.Drain(serveAfterDrain)
+	v.process.hold(true)
+	stopGracefully(d, v.process)
+	time.Sleep(pause)
+	if err := d.setService(v, service); err != nil {
+		d.checker.ReportViolation("settings of %s: %v", v.process.name, err)
+	}
+	v.process.hold(false)
+	restart(d, v.process)
+	if err := d.startServer(v); err != nil {
+		d.checker.ReportViolation("server of %s: %v", v.process.name, err)
+	}
+}
+
+// inSeries calls work for each item after a gap, without waiting for the calls before.
+func inSeries[T any](items []T, gap time.Duration, work func(T)) {
+	var done sync.WaitGroup
+	for _, item := range items {
+		done.Go(func() { work(item) })
+		time.Sleep(gap)
+	}
+	done.Wait()
+}
+
 // storeFaultStep returns a step that injects a fault of the store.
 func storeFaultStep(name string, faults func(r *rand.Rand) standin.Faults) step {
 	return step{name, false, func(d *deployment, r *rand.Rand) {
@@ -68,16 +118,7 @@
 
 // initialSteps are the steps of the first version.
 var initialSteps = []step{
-	{"restart a balancer gracefully", true, func(d *deployment, r *rand.Rand) {
-		p := randomBalancer(d, r)
-		p.signal(syscall.SIGTERM)
-		if !p.wait(stopTimeout) {
-			d.checker.ReportViolation("%s did not stop in %s", p.name, stopTimeout)
-			p.kill()
-		}
-		time.Sleep(restartDelay)
-		restart(d, p)
-	}},
+	{"restart a balancer gracefully", true, func(d *deployment, r *rand.Rand) { restartGracefully(d, randomBalancer(d, r)) }},
 	{"drain a server and start a replacement", true, func(d *deployment, r *rand.Rand) {
 		v := randomVM(d, r)
 		server := v.detachServer()
@@ -90,7 +131,7 @@
 		}
 	}},
 	{"add a route", true, func(d *deployment, _ *rand.Rand) {
-		route, inFaultWindow := d.addRoute(), d.checker.InFaultWindow()
+		route, inTouch := d.addRoute(), d.checker.InTouch(d.vmAddresses()...)
 		time.Sleep(maxActivationTime)
 		c, err := d.newProbe()
 		if err != nil {
@@ -99,7 +140,8 @@
 		}
 		defer c.Close()
 		f := c.Open(route)
-		if f == nil && !inFaultWindow && !d.checker.InFaultWindow() {
+		taken := d.fabric.BalancersOf(passthrough.Flow{Caller: c.LastPort(), Service: route})
+		if f == nil && inTouch && d.checker.InTouch(append(taken, d.vmAddresses()...)...) {
 			d.checker.ReportViolation("a route is not active %s after it was written", maxActivationTime)
 		}
 	}},
@@ -114,23 +156,23 @@
 	}},
 	{"kill a balancer", false, func(d *deployment, r *rand.Rand) {
 		p := randomBalancer(d, r)
-		injectFault(d, "kill "+p.name, restartDelay, p.kill, func() { restart(d, p) })
+		injectFault(d, "kill "+p.name, restartDelay, p.kill, func() { restart(d, p) }, p.ip)
 	}},
 	{"pause a balancer", false, func(d *deployment, r *rand.Rand) {
 		p := randomBalancer(d, r)
-		injectFault(d, "pause "+p.name, randomDuration(r, time.Second, 4*time.Second), func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) })
+		injectFault(d, "pause "+p.name, randomDuration(r, time.Second, 4*time.Second), func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) }, p.ip)
 	}},
 	{"kill an agent while its server keeps running", false, func(d *deployment, r *rand.Rand) {
 		p := randomVM(d, r).process
-		injectFault(d, "kill "+p.name, restartDelay, p.kill, func() { restart(d, p) })
+		injectFault(d, "kill "+p.name, restartDelay, p.kill, func() { restart(d, p) }, p.ip)
 	}},
 	{"pause an agent", false, func(d *deployment, r *rand.Rand) {
 		p := randomVM(d, r).process
-		injectFault(d, "pause "+p.name, randomDuration(r, time.Second, 4*time.Second), func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) })
+		injectFault(d, "pause "+p.name, randomDuration(r, time.Second, 4*time.Second), func() { p.signal(syscall.SIGSTOP) }, func() { p.signal(syscall.SIGCONT) }, p.ip)
 	}},
 	{"crash a server and restart it", true, func(d *deployment, r *rand.Rand) {
 		v := randomVM(d, r)
-		injectFault(d, "crash "+v.process.name, randomDuration(r, 100*time.Millisecond, 3*time.Second), v.crash, func() { d.ensureServer(v) })
+		injectFault(d, "crash "+v.process.name, randomDuration(r, 100*time.Millisecond, 3*time.Second), v.crash, func() { d.ensureServer(v) }, v.ip)
 	}},
 	{"kill every process", false, func(d *deployment, _ *rand.Rand) {
 		injectFault(d, "kill all", restartDelay, func() { forEachConcurrently(d.processes(), (*process).kill) },
@@ -201,7 +243,7 @@
 		injectFault(d, "clock of "+v.process.name, restartDelay, v.crash, func() {
 			v.setClockError(clockError)
 			d.ensureServer(v)
-		})
+		}, v.ip)
 	}},
 	{"power loss of the whole deployment with revoked leases", false, func(d *deployment, _ *rand.Rand) {
 		injectFault(d, "power loss with revoked leases", time.Second, func() {
@@ -213,6 +255,85 @@
 			forEachConcurrently(d.vms, d.ensureServer)
 		})
 	}},
+	{"restart an agent gracefully", true, func(d *deployment, r *rand.Rand) { restartGracefully(d, randomVM(d, r).process) }},
+	{"restart all balancers in turn", true, func(d *deployment, r *rand.Rand) {
+		inSeries(d.balancers, randomDuration(r, seriesGap, 2*seriesGap), func(p *process) { restartGracefully(d, p) })
+	}},
+	{"restart all agents in turn", true, func(d *deployment, r *rand.Rand) {
+		gap := randomDuration(r, seriesGap/4, seriesGap)
+		for _, v := range d.vms {
+			restartGracefully(d, v.process)
+			time.Sleep(gap)
+		}
+	}},
+	{"release a service", true, func(d *deployment, r *rand.Rand) {
+		service := []string{"orders", "downloads"}[r.IntN(2)]
+		var released []*vm
+		for _, v := range d.vms {
+			if v.serves(service) {
+				released = append(released, v)
+			}
+		}
+		inSeries(released, randomDuration(r, seriesGap/2, seriesGap), func(v *vm) { replaceServer(d, v, service, restartDelay) })
+	}},
+	{"the address of a server goes to another service", true, func(d *deployment, r *rand.Rand) {
+		v := randomVM(d, r)
+		service := "orders"
+		if v.serves(service) && d.servers(service) > minServers {
+			service = "downloads"
+		} else if !v.serves(service) && d.servers("downloads") <= minServers {
+			return
+		}
+		replaceServer(d, v, service, addressReuseTime)
+	}},
+	{"manifests in quick succession", true, func(d *deployment, r *rand.Rand) {
+		for range 5 + r.IntN(10) {
+			d.addRoute()
+			time.Sleep(manifestGap)
+		}
+	}},
+	{"another writer sends heartbeats to an agent", true, func(d *deployment, r *rand.Rand) {
+		v := randomVM(d, r)
+		for i, body := range strayHeartbeats(d, v, r) {
+			if d.putHeartbeat(v, fmt.Sprintf("stray-%d", i), body) {
+				d.checker.ReportViolation("%s confirmed a heartbeat of another writer: %s", v.process.name, body)
+			}
+		}
+	}},
+	{"kill several agents, one after the other", false, func(d *deployment, r *rand.Rand) {
+		for range 2 + r.IntN(3) {
+			p := randomVM(d, r).process
+			injectFault(d, "kill "+p.name, randomDuration(r, restartDelay, 3*restartDelay), p.kill, func() { restart(d, p) }, p.ip)
+		}
+	}},
+}
+
+const (
+	// seriesGap is the time between two members of a series of planned changes.
+	seriesGap = 1300 * time.Millisecond
+	// manifestGap is the time between two manifests of a series.
+	manifestGap = 330 * time.Millisecond
+	// addressReuseTime is the time after which the address of a server may be used again.
+	addressReuseTime = 2 * time.Second
+	// minServers is the number of servers that a service keeps.
+	minServers = 2
+)
+
+// strayHeartbeats returns heartbeats of another writer for the agent of a VM.
+func strayHeartbeats(d *deployment, v *vm, r *rand.Rand) []string {
+	const format = `{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":4,"state":"ready","coldRemainingMs":0,"sequence":%s,"born":%d}`
+	address, born, service := addrPort(v.ip, backendPort), time.Now().UnixMilli(), "downloads"
+	if v.serves("orders") {
+		service = "orders"
+	}
+	all := []string{
+		fmt.Sprintf(format, "unknown", address, v.domain, "1", born),
+		fmt.Sprintf(format, service, addrPort(d.size.address(serverNetwork, 249), backendPort), v.domain, "1", born),
+		fmt.Sprintf(format, service, address, "elsewhere", "1", born),
+		fmt.Sprintf(format, service, address, v.domain, "1e400", born),
+		strings.Repeat("[", 4000),
+	}
+	return all[r.IntN(len(all)):]
 }
 
 // allSteps are all steps, in the order in which they were added.
@@ -247,14 +368,16 @@
 	stepCount int
 	// demo restricts the schedule to steps of the demo.
 	demo bool
+	// concurrency is the number of steps that may run at the same time.
+	concurrency int
 }
 
-// runSchedule runs steps selected by the seed until ctx is done, up to
-// maxConcurrentSteps at a time, and passes the name of each to logStep.
+// runSchedule runs steps selected by the seed until ctx is done, up to plan.concurrency at a
+// time, and passes the name of each to logStep.
 func runSchedule(ctx context.Context, d *deployment, plan schedule, logStep func(string)) {
 	r := rand.New(rand.NewPCG(plan.seed, 7))
 	var running sync.WaitGroup
-	semaphore := make(chan struct{}, maxConcurrentSteps)
+	semaphore := make(chan struct{}, plan.concurrency)
 	for ctx.Err() == nil {
 		s := allSteps[r.IntN(plan.stepCount)]
 		stepRand := rand.New(rand.NewPCG(r.Uint64(), 11))
@@ -282,8 +405,12 @@
 	}
 }
 
-// maxConcurrentSteps is the maximum number of steps that run concurrently.
-const maxConcurrentSteps = 3
+// defaultConcurrency and regressionConcurrency are the numbers of concurrent steps of new
+// schedules and of those that failed in the past.
+const (
+	defaultConcurrency    = 5
+	regressionConcurrency = 3
+)
 
 // checkRecovery checks that requests are served again after the last fault.
 func checkRecovery(d *deployment, l *load) {
