soak: a step waits for the process that it has stopped

Another step had started the next process meanwhile, and the wait was for that one. It was then killed without a disturbance on record.

The signal now returns the exit of the process that it was sent to.

--- a/soak/main.go
+++ b/soak/main.go
@@ -63,12 +63,16 @@
 	if a.Regress {
 		for _, r := range regressions {
 			fmt.Printf("seed %d failed in the past: %s\n", r.seed, r.cause)
-			all = append(all, schedule{seed: r.seed, stepCount: r.stepCount, concurrency: regressionConcurrency})
+			plan := schedule{seed: r.seed, stepCount: r.stepCount, small: !r.series, concurrency: regressionConcurrency}
+			if r.series {
+				plan.concurrency = defaultConcurrency
+			}
+			all = append(all, plan)
 		}
 		return all
 	}
 	for i := range a.Seeds {
-		all = append(all, schedule{seed: a.First + uint64(i), stepCount: len(allSteps), demo: a.Demo, concurrency: defaultConcurrency})
+		all = append(all, schedule{seed: a.First + uint64(i), stepCount: len(allSteps), demo: a.Demo, small: a.Demo, concurrency: defaultConcurrency})
 	}
 	return all
 }
@@ -85,7 +89,7 @@
 	switch {
 	case a.Balancers > 0:
 		size = deploymentSize{domains: a.Zones, balancers: a.Balancers, orders: a.Orders, downloads: a.Downloads}
-	case a.Regress || a.Demo:
+	case plan.small:
 		size = smallSize
 	}
 	size.network = a.Network
--- a/soak/process.go
+++ b/soak/process.go
@@ -87,8 +87,9 @@
 	}
 }
 
-// signal sends a signal to the process if it was started.
-func (p *process) signal(s os.Signal) {
+// signal sends a signal to the process if it was started. It returns a channel that is closed
+// when that process has exited, nil if none was started.
+func (p *process) signal(s os.Signal) <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if s == syscall.SIGTERM || s == syscall.SIGKILL {
@@ -98,18 +99,18 @@
 		// The process may have exited.
 		_ = p.command.Process.Signal(s)
 	}
+	return p.done
 }
 
-// wait waits up to limit for the process to exit and reports whether it has exited.
-func (p *process) wait(limit time.Duration) bool {
-	p.mu.Lock()
-	done := p.done
-	p.mu.Unlock()
-	if done == nil {
+// end sends a signal that ends the process and reports whether that process has exited within a
+// limit. Another step may have started the next one meanwhile.
+func (p *process) end(s os.Signal, limit time.Duration) bool {
+	exited := p.signal(s)
+	if exited == nil {
 		return true
 	}
 	select {
-	case <-done:
+	case <-exited:
 		return true
 	case <-time.After(limit):
 		return false
@@ -117,7 +118,4 @@
 }
 
 // kill terminates the process with SIGKILL.
-func (p *process) kill() {
-	p.signal(syscall.SIGKILL)
-	p.wait(time.Second)
-}
+func (p *process) kill() { p.end(syscall.SIGKILL, time.Second) }
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -64,8 +64,7 @@
 
 // stopGracefully stops a process with SIGTERM.
 func stopGracefully(d *deployment, p *process) {
-	p.signal(syscall.SIGTERM)
-	if !p.wait(stopTimeout) {
+	if !p.end(syscall.SIGTERM, stopTimeout) {
 		d.checker.ReportViolation("%s did not stop in %s", p.name, stopTimeout)
 		p.kill()
 	}
@@ -368,6 +367,8 @@
 	stepCount int
 	// demo restricts the schedule to steps of the demo.
 	demo bool
+	// small selects the size of the deployment of the first schedules.
+	small bool
 	// concurrency is the number of steps that may run at the same time.
 	concurrency int
 }
