--- a/process/passthrough/backend.go
+++ b/process/passthrough/backend.go
@@ -75,7 +75,7 @@
 	return server.State
 }
 
-// Heartbeat handles a heartbeat, of the backend server if its sender is.
+// Heartbeat implements HeartbeatReceiver.
 func (b *backendMonitor) Heartbeat(heartbeat BackendHeartbeat) error {
 	a := b.agent
 	a.mu.Lock()
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -146,8 +146,9 @@
 }
 
 // DiscoveryComplete reports whether no agent is missing from the view: every address
-// that was added has answered or is no longer contacted, which one that the directory lists
-// always is. Of the balancers, one that has introduced all members it knows is enough.
+// that was added has answered or is no longer contacted. Those that the directory lists are
+// contacted until they answer. Of the balancers, one that has introduced all members it
+// knows is enough.
 func (r *Roster) DiscoveryComplete() bool {
 	awaitsBalancer, connected := false, false
 	for _, p := range r.peers {
--- a/process/roster/status.go
+++ b/process/roster/status.go
@@ -114,8 +114,8 @@
 // heartbeats.
 const maxPreviousRuns = 4
 
-// hasEnded reports whether a run is a previous one of the member. It is the current one after
-// all if the heartbeats of the other have stopped.
+// hasEnded reports whether a run is a previous one of the member. If the heartbeats of the
+// current run have stopped, a heartbeat of a previous one is accepted.
 func (p *peerState) hasEnded(run uint64, now time.Duration) bool {
 	return p.known && slices.Contains(p.previousRuns, run) && now-p.lastHeartbeatAt < p.reachableTimeout()
 }
