soak: a second drain of a VM does not end the first

A step that wanted to drain a VM without a server cleared the mark that the previous one was still draining, so another step started the next server beside it.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -309,7 +309,9 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	server := v.server
-	v.server, v.draining = nil, server != nil
+	if server != nil {
+		v.server, v.draining = nil, true
+	}
 	return server
 }
 
--- a/soak/regressions.go
+++ b/soak/regressions.go
@@ -19,5 +19,6 @@
 	{115, 23, false, "the soak test started a process twice and lost track of the first, which kept serving with an outdated state"},
 	{100, 35, true, "SIGHUP ended a process that was starting, and flows were reset while an agent was restarted slowly"},
 	{105, 35, true, "SIGHUP ended a process before the Go runtime had started"},
+	{4103, 35, true, "the soak test forgot that a server was draining when a second step wanted to drain it, and started the next one"},
 	{3103, 35, true, "on a busy machine, the soak test waited for the exit of the next process instead of the one it had stopped"},
 }
