soak: no SIGHUP in the first 100 ms of a process

No instruction of the program has run by then, so it cannot prevent that, and it reads its settings later anyway.

The check itself stays: every process that ends by itself is a violation, now with its age. The 100 ms apply to this one signal only.

--- a/soak/process.go
+++ b/soak/process.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net/netip"
 	"os"
 	"os/exec"
@@ -22,9 +23,10 @@
 	// onUnexpectedEnd is called when the process ends although it was not told to.
 	onUnexpectedEnd func(p *process, state string)
 
-	mu      sync.Mutex
-	command *exec.Cmd
-	done    chan struct{}
+	mu        sync.Mutex
+	command   *exec.Cmd
+	done      chan struct{}
+	startedAt time.Time
 	// ending is true once the process has been told to end.
 	ending bool
 	// held is true while the process may not be started: its VM is being replaced.
@@ -51,22 +53,37 @@
 		return err
 	}
 	done := make(chan struct{})
-	p.command, p.done, p.ending = command, done, false
+	p.command, p.done, p.ending, p.startedAt = command, done, false, time.Now()
 	go func() {
 		// The state says how it ended; the cause is in the log.
 		_ = command.Wait()
 		_ = log.Close()
 		p.mu.Lock()
-		expected := p.ending
+		expected, age := p.ending, time.Since(p.startedAt)
 		close(done)
 		p.mu.Unlock()
 		if !expected {
-			p.onUnexpectedEnd(p, command.ProcessState.String())
+			p.onUnexpectedEnd(p, fmt.Sprintf("%s after %s", command.ProcessState, age))
 		}
 	}()
 	return nil
 }
 
+// loadTime is the time after its start in which a process may not have run any instruction of
+// its own, on a busy machine. No program can receive a signal before that.
+const loadTime = 100 * time.Millisecond
+
+// reload tells the process that its settings have changed, unless it may still be loading and
+// will read them anyway.
+func (p *process) reload() {
+	p.mu.Lock()
+	loading := time.Since(p.startedAt) < loadTime
+	p.mu.Unlock()
+	if !loading {
+		p.signal(syscall.SIGHUP)
+	}
+}
+
 // hold sets whether the process may not be started.
 func (p *process) hold(held bool) {
 	p.mu.Lock()
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -151,7 +151,7 @@
 		d.setDomainOut(domain, false)
 	}},
 	{"reload the settings of every process", true, func(d *deployment, _ *rand.Rand) {
-		forEachConcurrently(d.processes(), func(p *process) { p.signal(syscall.SIGHUP) })
+		forEachConcurrently(d.processes(), (*process).reload)
 	}},
 	{"kill a balancer", false, func(d *deployment, r *rand.Rand) {
 		p := randomBalancer(d, r)
