soak: series of at most twelve in large deployments

At the limits (40 balancers, 140 backend servers) the restart of all agents in turn took longer than the time of the run, which did not end. The schedules at the size of the sites are unchanged: they have fewer members.

--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -97,6 +97,19 @@
 	}
 }
 
+// maxSeries is the number of members of a series in a large deployment, so that a schedule ends
+// in time.
+const maxSeries = 12
+
+// series returns a random run of at most maxSeries items.
+func series[T any](items []T, r *rand.Rand) []T {
+	if len(items) <= maxSeries {
+		return items
+	}
+	first := r.IntN(len(items) - maxSeries + 1)
+	return items[first : first+maxSeries]
+}
+
 // inSeries calls work for each item after a gap, without waiting for the calls before.
 func inSeries[T any](items []T, gap time.Duration, work func(T)) {
 	var done sync.WaitGroup
@@ -256,11 +269,11 @@
 	}},
 	{"restart an agent gracefully", true, func(d *deployment, r *rand.Rand) { restartGracefully(d, randomVM(d, r).process) }},
 	{"restart all balancers in turn", true, func(d *deployment, r *rand.Rand) {
-		inSeries(d.balancers, randomDuration(r, seriesGap, 2*seriesGap), func(p *process) { restartGracefully(d, p) })
+		inSeries(series(d.balancers, r), randomDuration(r, seriesGap, 2*seriesGap), func(p *process) { restartGracefully(d, p) })
 	}},
 	{"restart all agents in turn", true, func(d *deployment, r *rand.Rand) {
 		gap := randomDuration(r, seriesGap/4, seriesGap)
-		for _, v := range d.vms {
+		for _, v := range series(d.vms, r) {
 			restartGracefully(d, v.process)
 			time.Sleep(gap)
 		}
@@ -273,7 +286,7 @@
 				released = append(released, v)
 			}
 		}
-		inSeries(released, randomDuration(r, seriesGap/2, seriesGap), func(v *vm) { replaceServer(d, v, service, restartDelay) })
+		inSeries(series(released, r), randomDuration(r, seriesGap/2, seriesGap), func(v *vm) { replaceServer(d, v, service, restartDelay) })
 	}},
 	{"the address of a server goes to another service", true, func(d *deployment, r *rand.Rand) {
 		v := randomVM(d, r)
