--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -7,7 +7,6 @@
 	"net/netip"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 	"time"
 
@@ -253,21 +252,6 @@
 	return v.service == service
 }
 
-// putHeartbeat sends a heartbeat to the agent of a VM and reports whether it was confirmed.
-func (d *deployment) putHeartbeat(v *vm, id, body string) bool {
-	url := "http://" + addrPort(v.ip, controlPort).String() + "/-/instances/" + id
-	request, err := http.NewRequest(http.MethodPut, url, strings.NewReader(body))
-	if err != nil {
-		return false
-	}
-	response, err := (&http.Client{Timeout: time.Second}).Do(request)
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode < http.StatusMultipleChoices
-}
-
 // startServer starts a new backend server on a VM.
 func (d *deployment) startServer(v *vm) error {
 	v.mu.Lock()
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -305,9 +304,14 @@
 		}
 	}},
 	{"another writer sends heartbeats to an agent", true, func(d *deployment, r *rand.Rand) {
-		v := randomVM(d, r)
-		for i, body := range strayHeartbeats(d, v, r) {
-			if d.putHeartbeat(v, fmt.Sprintf("stray-%d", i), body) {
+		v, service := randomVM(d, r), "downloads"
+		if v.serves("orders") {
+			service = "orders"
+		}
+		other := addrPort(d.size.address(serverNetwork, 249), backendPort)
+		bodies := standin.ForeignHeartbeats(service, v.domain, addrPort(v.ip, backendPort), other)
+		for i, body := range bodies[r.IntN(len(bodies)):] {
+			if standin.PutHeartbeat(addrPort(v.ip, controlPort), fmt.Sprintf("stray-%d", i), body) {
 				d.checker.ReportViolation("%s confirmed a heartbeat of another writer: %s", v.process.name, body)
 			}
 		}
@@ -331,23 +335,6 @@
 	minServers = 2
 )
 
-// strayHeartbeats returns heartbeats of another writer for the agent of a VM.
-func strayHeartbeats(d *deployment, v *vm, r *rand.Rand) []string {
-	const format = `{"service":%q,"address":%q,"zone":%q,"version":"v1","slots":4,"state":"ready","coldRemainingMs":0,"sequence":%s,"born":%d}`
-	address, born, service := addrPort(v.ip, backendPort), time.Now().UnixMilli(), "downloads"
-	if v.serves("orders") {
-		service = "orders"
-	}
-	all := []string{
-		fmt.Sprintf(format, "unknown", address, v.domain, "1", born),
-		fmt.Sprintf(format, service, addrPort(d.size.address(serverNetwork, 249), backendPort), v.domain, "1", born),
-		fmt.Sprintf(format, service, address, "elsewhere", "1", born),
-		fmt.Sprintf(format, service, address, v.domain, "1e400", born),
-		strings.Repeat("[", 4000),
-	}
-	return all[r.IntN(len(all)):]
-}
-
 // allSteps are all steps, in the order in which they were added.
 var allSteps = slices.Concat(initialSteps, addedSteps)
 
