gate, roster: no search is concluded while the balancer knows more agents

Cause: an agent that started behind the cut is in no directory yet. The balancers of its domain know it and send lookups of its flows to owners on the other side as soon as the cut ends; an owner that does not know the agent asked all others and reset the flow.

Change: packets of open flows carry a digest of the agents that the balancer knows, in the bytes that hold the service tag in opening packets. On a difference the searching agent requests the view of the balancer and concludes only when it has arrived and every agent in it has answered. Balancers of earlier builds send no digest and are treated as before.

Evidence: TestBalancerKnowsMoreAgents failed before (the flow was reset, no view requested).

Ruled out by reading: lapsed leases (30 s, the cut lasts 5.5 s), agents that the directory lists (they are contacted until they answer), differing owners (a search follows).

--- a/connection/gate/admit.go
+++ b/connection/gate/admit.go
@@ -115,7 +115,7 @@
 // service: its view of the agent may be out of date.
 func (g *Gate) checkRoute(d *delivery) (errkind.Kind, bool) {
 	if d.frame.Version > g.version.Revision {
-		return errkind.WrongService, d.frame.Service == passthrough.ServiceTagOf(g.server.Service)
+		return errkind.WrongService, d.frame.ServiceTag() == passthrough.ServiceTagOf(g.server.Service)
 	}
 	route := g.version.Route(d.flow.Service.AddrPort())
 	if route == nil {
--- a/connection/gate/cluster_test.go
+++ b/connection/gate/cluster_test.go
@@ -60,6 +60,8 @@
 	now               time.Duration
 	discoveryComplete bool
 	runs              []uint64
+	// viewRequests are the balancers whose views were requested by agents.
+	viewRequests []passthrough.Endpoint
 }
 
 // versionOf returns a version that routes serviceAddr to services with equal
@@ -106,6 +108,7 @@
 		Sender:       tc.network,
 		Observer:     &outcomeRecorder{node: n},
 		FlowLifetime: time.Minute,
+		RequestView:  func(b passthrough.Endpoint) { tc.viewRequests = append(tc.viewRequests, b) },
 	})
 	n.gate.SetVersion(tc.version)
 	n.gate.SetServer(n.info, tc.now)
--- a/connection/gate/gate.go
+++ b/connection/gate/gate.go
@@ -31,6 +31,9 @@
 	FlowLifetime time.Duration
 	// Observer is notified of decisions; nil for none.
 	Observer Observer
+	// RequestView requests the agents that a balancer knows; ViewReceived is called once they
+	// have been added. If it is nil, searches rely on the own view alone.
+	RequestView func(balancer passthrough.Endpoint)
 }
 
 // Agent is an agent in this agent's view of the deployment.
@@ -203,7 +206,7 @@
 	g.counters.Opened++
 	g.bucket.take()
 	delete(g.restored.flows, d.flow)
-	g.flows[d.flow] = &flow{phase: phaseOpening, openedAt: now, lastUsed: now, origin: d.frame.Origin, alternate: d.frame.Alternate, version: d.frame.Version, service: d.frame.Service, hops: d.frame.Hops}
+	g.flows[d.flow] = &flow{phase: phaseOpening, openedAt: now, lastUsed: now, origin: d.frame.Origin, alternate: d.frame.Alternate, version: d.frame.Version, service: d.frame.ServiceTag(), hops: d.frame.Hops}
 	g.options.Observer.Opened(d.flow, d.frame)
 	if g.suspectedFrom == 0 {
 		g.suspectedFrom = now + openingTimeLimit
--- a/connection/gate/unknown.go
+++ b/connection/gate/unknown.go
@@ -154,7 +154,7 @@
 		delete(g.flows, d.flow)
 		// The host of a crashed server returns all packets.
 		g.suspectedFrom = now
-		d.frame = passthrough.Frame{Kind: passthrough.Deliver, Hops: f.hops, Version: f.version, Service: f.service, Origin: f.origin, Alternate: f.alternate}
+		d.frame = passthrough.Frame{Kind: passthrough.Deliver, Hops: f.hops, Version: f.version, Tag: uint32(f.service), Origin: f.origin, Alternate: f.alternate}
 		d.frame.Put(buffer)
 		g.refuse(&d, errkind.Overloaded)
 		return
--- a/connection/passthrough/frame.go
+++ b/connection/passthrough/frame.go
@@ -41,11 +41,15 @@
 	Redirected
 	// Suspicion informs a process that a member does not answer the sender.
 	Suspicion
+	// ViewRequest requests the agents that the receiver knows.
+	ViewRequest
+	// View is the response to a ViewRequest.
+	View
 )
 
 // String returns the name of the kind in logs.
 func (k Kind) String() string {
-	names := [...]string{"deliver", "lookup", "registered", "search", "learned", "register", "hello", "introduction", "not_held", "beat", "redirected", "suspicion"}
+	names := [...]string{"deliver", "lookup", "registered", "search", "learned", "register", "hello", "introduction", "not_held", "beat", "redirected", "suspicion", "view_request", "view"}
 	if k < Deliver || int(k-Deliver) >= len(names) {
 		return "unknown"
 	}
@@ -72,19 +76,29 @@
 	// Incarnation is the incarnation of the backend server in the flow's
 	// registration, for Registered.
 	Incarnation uint32
-	// Service is the tag of the service that was selected for an opening packet, 0 for
-	// other packets.
-	Service ServiceTag
+	// Tag is a ServiceTag or a ViewDigest.
+	Tag uint32
 }
 
+// ServiceTag returns the tag of the service that was selected for an opening packet.
+func (f *Frame) ServiceTag() ServiceTag { return ServiceTag(f.Tag) }
+
+// ViewDigest returns the digest of the agents that the balancer knows, for a packet other than
+// an opening packet; 0 if the balancer sent none.
+func (f *Frame) ViewDigest() ViewDigest { return ViewDigest(f.Tag) }
+
+// ViewDigest is a digest of the set of agents that a process knows, in 24 bits; 0 is none.
+type ViewDigest uint32
+
 // ServiceTag identifies a service by the lower 24 bits of a hash of its name; 0 is none.
 type ServiceTag uint32
 
-const serviceTagMask = 1<<24 - 1
+// tagMask selects the bits of a hash that fit into a tag.
+const tagMask = 1<<24 - 1
 
 // ServiceTagOf returns the tag of a service.
 func ServiceTagOf(service string) ServiceTag {
-	return ServiceTag(max(1, xxhash.Sum64String(service)&serviceTagMask))
+	return ServiceTag(max(1, xxhash.Sum64String(service)&tagMask))
 }
 
 // errInvalidLength is the error for a datagram whose length is invalid for its
@@ -99,7 +113,7 @@
 	putEndpoint(b[10:], f.Origin)
 	putEndpoint(b[16:], f.Alternate)
 	binary.LittleEndian.PutUint32(b[22:], f.Incarnation)
-	b[26], b[27], b[28] = byte(f.Service), byte(f.Service>>8), byte(f.Service>>16)
+	b[26], b[27], b[28] = byte(f.Tag), byte(f.Tag>>8), byte(f.Tag>>16)
 }
 
 // ParseFrame decodes the frame into f and returns the packet that follows it. The
@@ -114,7 +128,7 @@
 	f.Origin = endpointAt(b[10:])
 	f.Alternate = endpointAt(b[16:])
 	f.Incarnation = binary.LittleEndian.Uint32(b[22:])
-	f.Service = ServiceTag(b[26]) | ServiceTag(b[27])<<8 | ServiceTag(b[28])<<16
+	f.Tag = uint32(b[26]) | uint32(b[27])<<8 | uint32(b[28])<<16
 	return b[FrameSize:], nil
 }
 
--- a/connection/passthrough/owners.go
+++ b/connection/passthrough/owners.go
@@ -12,6 +12,8 @@
 // owners of its own flows. It is not safe for concurrent use.
 type Owners struct {
 	agents []owner
+	// digest is the exclusive or of the mixed seeds of all agents.
+	digest uint64
 }
 
 // owner is an agent with the hash of its name.
@@ -24,7 +26,9 @@
 // address is replaced.
 func (o *Owners) Add(name string, peer Endpoint) {
 	added := owner{peer: peer, seed: xxhash.Sum64String(name)}
+	o.digest ^= mix(added.seed)
 	if i := o.index(peer); i >= 0 {
+		o.digest ^= mix(o.agents[i].seed)
 		o.agents[i] = added
 		return
 	}
@@ -34,10 +38,15 @@
 // Remove removes the agent at an address.
 func (o *Owners) Remove(peer Endpoint) {
 	if i := o.index(peer); i >= 0 {
+		o.digest ^= mix(o.agents[i].seed)
 		o.agents = slices.Delete(o.agents, i, i+1)
 	}
 }
 
+// Digest returns a digest of the set of agents. Two processes with the same agents have the
+// same digest.
+func (o *Owners) Digest() ViewDigest { return ViewDigest(max(1, o.digest&tagMask)) }
+
 func (o *Owners) index(peer Endpoint) int {
 	return slices.IndexFunc(o.agents, func(a owner) bool { return a.peer == peer })
 }
--- a/connection/steer/packet.go
+++ b/connection/steer/packet.go
@@ -72,7 +72,7 @@
 // sendOpening sends an opening packet to an agent, with the service that was selected for the
 // flow and the agent to which this one forwards the flow if it refuses it.
 func (r *Router) sendOpening(buffer []byte, service string, to *entry) {
-	frame := passthrough.Frame{Kind: passthrough.Deliver, Service: passthrough.ServiceTagOf(service)}
+	frame := passthrough.Frame{Kind: passthrough.Deliver, Tag: uint32(passthrough.ServiceTagOf(service))}
 	if e := r.choose(service, to); e != nil {
 		frame.Alternate = e.Agent
 	}
@@ -156,7 +156,7 @@
 
 // send sends a packet of an open flow.
 func (r *Router) send(buffer []byte, kind passthrough.Kind, to passthrough.Endpoint) {
-	r.sendFramed(buffer, &passthrough.Frame{Kind: kind}, to)
+	r.sendFramed(buffer, &passthrough.Frame{Kind: kind, Tag: uint32(r.owners.Digest())}, to)
 }
 
 // sendFramed sends a packet with a frame to which it adds the version and the origin.
--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -48,6 +48,7 @@
 		CallerPort:   s.Packet.Port(),
 		Sender:       n.sender,
 		Observer:     observer,
+		RequestView:  func(balancer passthrough.Endpoint) { n.roster.RequestView(balancer, n.clock.now()) },
 		FlowLifetime: time.Duration(s.Passthrough.FlowLifetime),
 	})
 	a.backend = newBackendMonitor(a)
@@ -63,6 +64,7 @@
 		OnMemberChange: n.logMember,
 		OnIsolation:    n.logIsolation,
 		CheckVM:        n.checkVM,
+		OnView:         a.viewReceived,
 	})
 	a.setSelf()
 	n.publishMetrics()
@@ -150,6 +152,13 @@
 // viewComplete reports whether no agent is missing from the view. The caller holds mu.
 func (a *Agent) viewComplete() bool { return a.directory.synced.Load() && a.roster.DiscoveryComplete() }
 
+// viewReceived records that the agents that a balancer knows have been added. The caller holds
+// mu.
+func (a *Agent) viewReceived(balancer passthrough.Endpoint) {
+	a.gate.SetDiscoveryComplete(a.viewComplete())
+	a.gate.ViewReceived(balancer)
+}
+
 // checkpoint returns the open flows of the backend server.
 func (a *Agent) checkpoint() passthrough.Checkpoint {
 	a.mu.Lock()
--- a/process/passthrough/backend_test.go
+++ b/process/passthrough/backend_test.go
@@ -179,7 +179,7 @@
 			before := a.gate.Counters().Opened
 			for end := now + d; now < end; now += 10 * time.Millisecond {
 				opening := passthroughtest.Framed(passthrough.Segment{Source: passthrough.Endpoint(now), Target: 2 << 20, Flags: passthrough.Open})
-				(&passthrough.Frame{Kind: passthrough.Deliver, Version: 2, Service: passthrough.ServiceTagOf("orders")}).Put(opening)
+				(&passthrough.Frame{Kind: passthrough.Deliver, Version: 2, Tag: uint32(passthrough.ServiceTagOf("orders"))}).Put(opening)
 				a.gate.HandleDatagram(opening, now)
 				a.gate.ClearSuspicion()
 			}
@@ -233,7 +233,7 @@
 	})
 	convey.So(err, convey.ShouldBeNil)
 	now := a.clock.now()
-	frame := passthrough.Frame{Kind: passthrough.Deliver, Version: 2, Service: passthrough.ServiceTagOf("orders")}
+	frame := passthrough.Frame{Kind: passthrough.Deliver, Version: 2, Tag: uint32(passthrough.ServiceTagOf("orders"))}
 	opening := passthroughtest.Framed(passthrough.Segment{Source: 1 << 20, Target: 2 << 20, Flags: passthrough.Open})
 	frame.Put(opening)
 	a.gate.HandleDatagram(opening, now)
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -260,6 +260,10 @@
 		n.roster.HandleIntroduction(b)
 	case passthrough.Suspicion:
 		n.roster.HandleSuspicion(b, now)
+	case passthrough.ViewRequest:
+		n.roster.HandleViewRequest(b)
+	case passthrough.View:
+		n.roster.HandleView(b)
 	default:
 	}
 }
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -47,6 +47,9 @@
 	// OnMemberChange is called for each member that joins or restarts ("joined") or
 	// becomes "reachable", "unreachable" or "silent"; it may be nil.
 	OnMemberChange func(member Member, change string, sinceHeartbeat time.Duration)
+	// OnView is called when all agents that a member listed at the request of RequestView have
+	// been added; it may be nil.
+	OnView func(member passthrough.Endpoint)
 	// CheckVM opens a connection to the address of a member that does not answer and calls
 	// HandleVMCheck with the result; nil for no checks.
 	CheckVM func(passthrough.Endpoint)
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -68,6 +68,10 @@
 			p.roster.HandleCompactHeartbeat(b, c.now)
 		case passthrough.Suspicion:
 			p.roster.HandleSuspicion(b, c.now)
+		case passthrough.ViewRequest:
+			p.roster.HandleViewRequest(b)
+		case passthrough.View:
+			p.roster.HandleView(b)
 		default:
 			p.roster.HandleHeartbeat(b, c.now)
 		}
--- a/process/roster/status.go
+++ b/process/roster/status.go
@@ -97,6 +97,8 @@
 	reachable, silent bool
 	// previousRuns are the last runs before the current one.
 	previousRuns []uint64
+	// view is the last request for the agents that the member knows.
+	view viewRequest
 	// changed is true if the peer is to be passed to OnChange, removed if it has been
 	// removed since.
 	changed, removed bool
