routes, gate: latency targets, priorities and service times

The adapter dropped the priority, the latency target, the time limit and the kind of a route; the decisions under load need them. The gate estimates the mean service time of its server as busy slot time divided by completed requests, which does not grow with the queue. Nothing uses either yet.

--- a/connection/gate/admit.go
+++ b/connection/gate/admit.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"bergamotbank/connection/passthrough"
+	"bergamotbank/connection/servicetime"
 	"bergamotbank/connection/steer"
 	"bergamotbank/errkind"
 	"bergamotbank/version/routes"
@@ -135,6 +136,7 @@
 		g.abortFlows(errkind.BackendUnavailable, now)
 		server.PredatesAgent = false
 		g.health = healthMeter{decayedAt: now}
+		g.serviceTime = servicetime.Estimator{}
 	}
 	if server.State == steer.Down && g.server.State != steer.Down {
 		g.abortFlows(errkind.BackendUnavailable, now)
--- a/connection/gate/flow.go
+++ b/connection/gate/flow.go
@@ -103,6 +103,7 @@
 	if f.phase == phaseOpen && f.hasNewData(segment) && !f.requestOpen {
 		f.requestOpen = true
 		g.requests.open++
+		g.observeBusySlots(now)
 		g.counters.Requests++
 		f.requestedAt = now
 		f.request.set(g.options.Format.RequestID(segment.Payload))
@@ -140,7 +141,8 @@
 	}
 	if len(segment.Payload) > 0 && f.requestOpen {
 		g.options.Observer.Answered(key, g.exchange(f, now))
-		g.endRequest(f)
+		g.serviceTime.Complete(now)
+		g.endRequest(f, now)
 	}
 	if segment.Has(passthrough.Reset) {
 		g.close(key, f, now)
@@ -184,19 +186,29 @@
 	}
 }
 
-func (g *Gate) endRequest(f *flow) {
+func (g *Gate) endRequest(f *flow, now time.Duration) {
 	if f.requestOpen {
 		f.requestOpen = false
 		g.requests.open--
+		g.observeBusySlots(now)
 	}
 }
 
+// observeBusySlots passes the number of busy slots to the estimate of the service time.
+func (g *Gate) observeBusySlots(now time.Duration) {
+	g.serviceTime.Observe(min(g.requests.open, max(g.server.Slots, defaultSlots)), now)
+}
+
+// ServiceTime returns the mean time that the server works on a request, and false if it is not
+// known.
+func (g *Gate) ServiceTime() (time.Duration, bool) { return g.serviceTime.Mean() }
+
 // close ends a flow. A request that is still open is reported as unanswered.
 func (g *Gate) close(key passthrough.Flow, f *flow, now time.Duration) {
 	if f.requestOpen {
 		g.options.Observer.Unanswered(key, g.exchange(f, now))
 	}
-	g.endRequest(f)
+	g.endRequest(f, now)
 	if f.phase == phaseOpen {
 		g.openFlows--
 	}
--- a/connection/gate/gate.go
+++ b/connection/gate/gate.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"bergamotbank/connection/passthrough"
+	"bergamotbank/connection/servicetime"
 	"bergamotbank/errkind"
 	"bergamotbank/version/routes"
 )
@@ -89,6 +90,7 @@
 	flows             map[passthrough.Flow]*flow
 	openFlows         int
 	requests          requestMeter
+	serviceTime       servicetime.Estimator
 	health            healthMeter
 	agents            map[passthrough.Endpoint]Agent
 	discoveryComplete bool
--- a/version/routes/routes.go
+++ b/version/routes/routes.go
@@ -13,6 +13,14 @@
 	Name string
 	// Targets are the services that receive new flows, with weights above 0.
 	Targets []Target
+	// Idempotent is true if callers may repeat the requests of the route.
+	Idempotent bool
+	// Priority is the rank of the route when there is too little room; 0 is the highest.
+	Priority uint8
+	// LatencyTarget is the time within which a response has its full value, 0 if none is set.
+	LatencyTarget time.Duration
+	// Timeout is the limit of a request, 0 for none.
+	Timeout time.Duration
 }
 
 // Target is a service with its relative share of the new flows of a route.
