queue: the bounded queue is a top-level package with any key and rank

The admission queue at the agent needs the queue of request/queue with other keys, and the number of entries ahead of a rank for each arrival. Two copies would drift apart.

Change: request/queue moves to queue; key and rank are type parameters. ID moves to request/lifecycle. layers_test.go lets request and connection import queue.

Evidence: TestQueueMatchesSortedSlice also compares Ahead with the model.

--- a/layers_test.go
+++ b/layers_test.go
@@ -22,9 +22,10 @@
 var allowedImports = map[string][]string{
 	"errkind":    {"errkind"},
 	"event":      {"event"},
+	"queue":      {"queue"},
 	"version":    {"version", "errkind", "event"},
-	"request":    {"request", "version", "errkind", "event"},
-	"connection": {"connection", "version", "errkind", "event"},
+	"request":    {"request", "version", "errkind", "event", "queue"},
+	"connection": {"connection", "version", "errkind", "event", "queue"},
 	"process":    {"process", "connection", "request", "version", "errkind", "event"},
 	"standin":    {"standin", "errkind"},
 	// Only commands import the adapter to the users' platform.
--- a/request/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -22,28 +22,28 @@
 // referenceQueue is a reference model of Queue that keeps a sorted slice.
 type referenceQueue struct {
 	capacity int
-	entries  []Entry
+	entries  []Entry[int, time.Time]
 }
 
-func (r *referenceQueue) push(id ID, deadline time.Time) bool {
+func (r *referenceQueue) push(id int, deadline time.Time) bool {
 	for _, e := range r.entries {
-		if e.ID == id {
+		if e.Key == id {
 			return false
 		}
 	}
 	if len(r.entries) >= r.capacity {
 		return false
 	}
-	r.entries = append(r.entries, Entry{ID: id, Deadline: deadline})
+	r.entries = append(r.entries, Entry[int, time.Time]{Key: id, Rank: deadline})
 	sort.SliceStable(r.entries, func(i, j int) bool {
-		return r.entries[i].Deadline.Before(r.entries[j].Deadline)
+		return r.entries[i].Rank.Before(r.entries[j].Rank)
 	})
 	return true
 }
 
-func (r *referenceQueue) remove(id ID) bool {
+func (r *referenceQueue) remove(id int) bool {
 	for i, e := range r.entries {
-		if e.ID == id {
+		if e.Key == id {
 			r.entries = append(r.entries[:i], r.entries[i+1:]...)
 			return true
 		}
@@ -56,9 +56,9 @@
 		start := time.Unix(0, 0)
 		rapid.Check(t, func(rt *rapid.T) {
 			capacity := rapid.IntRange(1, 8).Draw(rt, "capacity")
-			q, reference := New(capacity), &referenceQueue{capacity: capacity}
+			q, reference := New[int](capacity, time.Time.Compare), &referenceQueue{capacity: capacity}
 			for range rapid.IntRange(1, 40).Draw(rt, "steps") {
-				id := ID(rapid.IntRange(1, 12).Draw(rt, "id"))
+				id := rapid.IntRange(1, 12).Draw(rt, "id")
 				deadline := start.Add(time.Duration(rapid.IntRange(0, 5).Draw(rt, "deadline")))
 				switch rapid.IntRange(0, 2).Draw(rt, "step") {
 				case 0:
@@ -74,13 +74,22 @@
 					if ok != (len(reference.entries) > 0) {
 						rt.Fatal("pop differs")
 					}
-					if ok && e.ID != reference.entries[0].ID {
-						rt.Fatalf("popped %d, want %d", e.ID, reference.entries[0].ID)
+					if ok && e.Key != reference.entries[0].Key {
+						rt.Fatalf("popped %d, want %d", e.Key, reference.entries[0].Key)
 					}
 					if ok {
-						reference.remove(e.ID)
+						reference.remove(e.Key)
 					}
 				}
+				ahead := 0
+				for _, e := range reference.entries {
+					if !e.Rank.After(deadline) {
+						ahead++
+					}
+				}
+				if q.Ahead(deadline) != ahead {
+					rt.Fatalf("%d ahead, want %d", q.Ahead(deadline), ahead)
+				}
 				if q.Len() != len(reference.entries) {
 					rt.Fatalf("length %d, want %d", q.Len(), len(reference.entries))
 				}
--- a/request/admission/engine.go
+++ b/request/admission/engine.go
@@ -8,7 +8,6 @@
 	"bergamotbank/event"
 	"bergamotbank/request/lifecycle"
 	"bergamotbank/request/limit"
-	"bergamotbank/request/queue"
 )
 
 const (
@@ -36,7 +35,7 @@
 // engineEvent is an event for the engine to handle.
 type engineEvent struct {
 	kind        eventKind
-	id          queue.ID
+	id          lifecycle.ID
 	deadline    time.Time
 	decided     chan decision
 	sample      limit.Sample
@@ -71,7 +70,7 @@
 	events     chan engineEvent
 	done       chan struct{}
 	controller *lifecycle.Controller
-	waiters    map[queue.ID]chan decision
+	waiters    map[lifecycle.ID]chan decision
 	publish    func(snapshot)
 }
 
@@ -81,7 +80,7 @@
 		events:     make(chan engineEvent, eventBuffer),
 		done:       make(chan struct{}),
 		controller: lifecycle.NewController(defaultSlots, defaultConnections, time.Now()),
-		waiters:    make(map[queue.ID]chan decision),
+		waiters:    make(map[lifecycle.ID]chan decision),
 		publish:    publish,
 	}
 }
@@ -176,7 +175,7 @@
 	}
 }
 
-func (e *engine) notify(id queue.ID, d decision) {
+func (e *engine) notify(id lifecycle.ID, d decision) {
 	decided := e.waiters[id]
 	delete(e.waiters, id)
 	if decided != nil {
--- a/request/admission/gate.go
+++ b/request/admission/gate.go
@@ -19,8 +19,8 @@
 	"bergamotbank/event"
 	"bergamotbank/request/backend"
 	"bergamotbank/request/ledgerrpc"
+	"bergamotbank/request/lifecycle"
 	"bergamotbank/request/limit"
-	"bergamotbank/request/queue"
 )
 
 const (
@@ -252,6 +252,6 @@
 	return int(g.counters.open.Load() + g.relays.Load())
 }
 
-func (g *Gate) nextID() queue.ID {
-	return queue.ID(g.requests.Add(1))
+func (g *Gate) nextID() lifecycle.ID {
+	return lifecycle.ID(g.requests.Add(1))
 }
--- a/request/admission/serve.go
+++ b/request/admission/serve.go
@@ -15,7 +15,6 @@
 	"bergamotbank/request/ledgerrpc"
 	"bergamotbank/request/lifecycle"
 	"bergamotbank/request/limit"
-	"bergamotbank/request/queue"
 )
 
 // origin describes how a request reached the gate. The zero value is a request sent
@@ -33,7 +32,7 @@
 	w        http.ResponseWriter
 	r        *http.Request
 	origin   origin
-	id       queue.ID
+	id       lifecycle.ID
 	deadline time.Time
 	mu       sync.Mutex // guards state, streaming and finished
 	state    lifecycle.Request
@@ -310,7 +309,7 @@
 	_, _ = x.w.Write([]byte(failure.Run.String() + ": " + err.Error() + "\n"))
 }
 
-func (g *Gate) countFailure(failure lifecycle.Failure, id queue.ID) {
+func (g *Gate) countFailure(failure lifecycle.Failure, id lifecycle.ID) {
 	kind := event.RequestUnknown
 	switch {
 	case failure.Abort && failure.Kind == errkind.Canceled:
@@ -327,7 +326,7 @@
 	g.record(kind, id, "", failure.Kind.String())
 }
 
-func (g *Gate) record(kind event.Kind, id queue.ID, peer, detail string) {
+func (g *Gate) record(kind event.Kind, id lifecycle.ID, peer, detail string) {
 	g.options.Recorder.Record(event.Event{
 		Kind:    kind,
 		Service: g.options.Service,
--- a/request/lifecycle/controller.go
+++ b/request/lifecycle/controller.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"bergamotbank/errkind"
+	"bergamotbank/queue"
 	"bergamotbank/request/limit"
-	"bergamotbank/request/queue"
 )
 
 const (
@@ -20,6 +20,9 @@
 	drainGrace = 2 * time.Second
 )
 
+// ID identifies a request.
+type ID uint64
+
 // ActionKind is the kind of an action.
 type ActionKind uint8
 
@@ -38,7 +41,7 @@
 	// Kind determines which of the other fields apply.
 	Kind ActionKind
 	// ID is the request to start or refuse.
-	ID queue.ID
+	ID ID
 	// Reason is the error kind of a refusal.
 	Reason errkind.Kind
 	// State is the state to announce.
@@ -51,7 +54,7 @@
 // concurrent use.
 type Controller struct {
 	limiter     *limit.Limiter
-	waiting     *queue.Queue
+	waiting     *queue.Queue[ID, time.Time]
 	connections int
 	open        int
 	draining    bool
@@ -65,7 +68,7 @@
 func NewController(slots, connections int, now time.Time) *Controller {
 	c := &Controller{
 		limiter:     limit.New(slots, now),
-		waiting:     queue.New(queuePerSlot * slots),
+		waiting:     queue.New[ID](queuePerSlot*slots, time.Time.Compare),
 		connections: connections,
 	}
 	c.announcedState = c.limiter.State()
@@ -102,7 +105,7 @@
 }
 
 // Arrive handles a new request, which starts, is queued, or is refused.
-func (c *Controller) Arrive(id queue.ID, deadline time.Time, now time.Time) []Action {
+func (c *Controller) Arrive(id ID, deadline time.Time, now time.Time) []Action {
 	reason, ok := c.admit(deadline, now)
 	if !ok {
 		return []Action{{Kind: ActionRefuse, ID: id, Reason: reason}}
@@ -114,7 +117,7 @@
 
 // ArriveWithoutQueueing handles a request that a sibling has handed off, which starts
 // immediately or is refused.
-func (c *Controller) ArriveWithoutQueueing(id queue.ID, deadline time.Time, now time.Time) []Action {
+func (c *Controller) ArriveWithoutQueueing(id ID, deadline time.Time, now time.Time) []Action {
 	if c.FreeSlots(now) == 0 {
 		return []Action{{Kind: ActionRefuse, ID: id, Reason: errkind.Overloaded}}
 	}
@@ -177,7 +180,7 @@
 }
 
 // Cancel removes a request from the queue and reports whether it was queued.
-func (c *Controller) Cancel(id queue.ID, now time.Time) (bool, []Action) {
+func (c *Controller) Cancel(id ID, now time.Time) (bool, []Action) {
 	if !c.waiting.Remove(id) {
 		return false, nil
 	}
@@ -227,24 +230,24 @@
 		if reason, refuse := c.refusalReason(entry, now); refuse {
 			c.waiting.Pop()
 			c.open--
-			actions = append(actions, Action{Kind: ActionRefuse, ID: entry.ID, Reason: reason})
+			actions = append(actions, Action{Kind: ActionRefuse, ID: entry.Key, Reason: reason})
 			continue
 		}
 		if !c.limiter.TryStart(now) {
 			break
 		}
 		c.waiting.Pop()
-		actions = append(actions, Action{Kind: ActionStart, ID: entry.ID})
+		actions = append(actions, Action{Kind: ActionStart, ID: entry.Key})
 	}
 	return c.announce(actions)
 }
 
 // refusalReason reports whether a queued request has to be refused, and why.
-func (c *Controller) refusalReason(entry queue.Entry, now time.Time) (errkind.Kind, bool) {
+func (c *Controller) refusalReason(entry queue.Entry[ID, time.Time], now time.Time) (errkind.Kind, bool) {
 	if c.draining && now.After(c.drainUntil) {
 		return errkind.Draining, true
 	}
-	if now.Add(c.limiter.LatencyBound()).After(entry.Deadline) {
+	if now.Add(c.limiter.LatencyBound()).After(entry.Rank) {
 		return errkind.DeadlineTooClose, true
 	}
 	return 0, false
--- a/request/lifecycle/controller_test.go
+++ b/request/lifecycle/controller_test.go
@@ -8,7 +8,6 @@
 
 	"bergamotbank/errkind"
 	"bergamotbank/request/limit"
-	"bergamotbank/request/queue"
 )
 
 var start = time.Unix(1_000_000, 0)
@@ -26,7 +25,7 @@
 	convey.Convey("Requests start within the limit, are queued by deadline, and are refused if the queue is full", t, func() {
 		c := NewController(1, 100, start)
 		convey.So(kinds(c.Arrive(1, deadline, start)), convey.ShouldResemble, []ActionKind{ActionStart})
-		for id := queue.ID(2); id < 2+queuePerSlot; id++ {
+		for id := ID(2); id < 2+queuePerSlot; id++ {
 			convey.So(c.Arrive(id, deadline.Add(-time.Duration(id)*time.Millisecond), start), convey.ShouldBeEmpty)
 		}
 		refused := c.Arrive(99, deadline, start)
--- a/request/limit/overload_test.go
+++ b/request/limit/overload_test.go
@@ -12,7 +12,6 @@
 
 	"bergamotbank/request/lifecycle"
 	"bergamotbank/request/limit"
-	"bergamotbank/request/queue"
 )
 
 const (
@@ -26,15 +25,15 @@
 
 // admitter starts and refuses the requests to a server.
 type admitter interface {
-	arrive(id queue.ID, deadline, now time.Time) (started, refused []queue.ID)
-	finish(sample limit.Sample, now time.Time) (started, refused []queue.ID)
-	tick(now time.Time) (started, refused []queue.ID)
+	arrive(id lifecycle.ID, deadline, now time.Time) (started, refused []lifecycle.ID)
+	finish(sample limit.Sample, now time.Time) (started, refused []lifecycle.ID)
+	tick(now time.Time) (started, refused []lifecycle.ID)
 }
 
 // adaptiveAdmitter is the controller under test.
 type adaptiveAdmitter struct{ controller *lifecycle.Controller }
 
-func split(actions []lifecycle.Action) (started, refused []queue.ID) {
+func split(actions []lifecycle.Action) (started, refused []lifecycle.ID) {
 	for _, a := range actions {
 		switch a.Kind {
 		case lifecycle.ActionStart:
@@ -47,25 +46,25 @@
 	return started, refused
 }
 
-func (a adaptiveAdmitter) arrive(id queue.ID, deadline, now time.Time) (started, refused []queue.ID) {
+func (a adaptiveAdmitter) arrive(id lifecycle.ID, deadline, now time.Time) (started, refused []lifecycle.ID) {
 	return split(a.controller.Arrive(id, deadline, now))
 }
 
-func (a adaptiveAdmitter) finish(s limit.Sample, now time.Time) (started, refused []queue.ID) {
+func (a adaptiveAdmitter) finish(s limit.Sample, now time.Time) (started, refused []lifecycle.ID) {
 	return split(a.controller.Finish(s, now))
 }
 
-func (a adaptiveAdmitter) tick(now time.Time) (started, refused []queue.ID) {
+func (a adaptiveAdmitter) tick(now time.Time) (started, refused []lifecycle.ID) {
 	return split(a.controller.Tick(now))
 }
 
 // fixedAdmitter is the baseline: a fixed limit and a FIFO queue.
 type fixedAdmitter struct {
 	running, limit int
-	waiting        []queue.ID
+	waiting        []lifecycle.ID
 }
 
-func (f *fixedAdmitter) startWaiting() (started, refused []queue.ID) {
+func (f *fixedAdmitter) startWaiting() (started, refused []lifecycle.ID) {
 	for f.running < f.limit && len(f.waiting) > 0 {
 		started = append(started, f.waiting[0])
 		f.waiting = f.waiting[1:]
@@ -74,17 +73,17 @@
 	return started, nil
 }
 
-func (f *fixedAdmitter) arrive(id queue.ID, _, _ time.Time) (started, refused []queue.ID) {
+func (f *fixedAdmitter) arrive(id lifecycle.ID, _, _ time.Time) (started, refused []lifecycle.ID) {
 	f.waiting = append(f.waiting, id)
 	return f.startWaiting()
 }
 
-func (f *fixedAdmitter) finish(limit.Sample, time.Time) (started, refused []queue.ID) {
+func (f *fixedAdmitter) finish(limit.Sample, time.Time) (started, refused []lifecycle.ID) {
 	f.running--
 	return f.startWaiting()
 }
 
-func (f *fixedAdmitter) tick(time.Time) (started, refused []queue.ID) { return f.startWaiting() }
+func (f *fixedAdmitter) tick(time.Time) (started, refused []lifecycle.ID) { return f.startWaiting() }
 
 type simRequest struct {
 	arrived, started, deadline time.Time
@@ -93,7 +92,7 @@
 }
 
 type simInFlight struct {
-	id      queue.ID
+	id      lifecycle.ID
 	end     time.Time
 	outcome limit.Outcome
 	crashes int
@@ -104,7 +103,7 @@
 	admitter    admitter
 	server      *limit.SimServer
 	random      *rand.Rand
-	requests    map[queue.ID]*simRequest
+	requests    map[lifecycle.ID]*simRequest
 	inFlight    []simInFlight
 	retries     map[int64][]int // by time in ms: attempts made before
 	measureFrom time.Time
@@ -119,7 +118,7 @@
 		admitter: a,
 		server:   limit.NewSimServer(simSlots, seed),
 		random:   rand.New(rand.NewPCG(seed, 99)),
-		requests: make(map[queue.ID]*simRequest),
+		requests: make(map[lifecycle.ID]*simRequest),
 		retries:  make(map[int64][]int),
 	}
 }
@@ -158,7 +157,7 @@
 func (s *simulation) measured(r *simRequest) bool { return !r.arrived.Before(s.measureFrom) }
 
 func (s *simulation) offer(attempt int, now time.Time) {
-	id := queue.ID(len(s.requests) + 1)
+	id := lifecycle.ID(len(s.requests) + 1)
 	r := &simRequest{arrived: now, deadline: now.Add(simDeadline), attempt: attempt}
 	s.requests[id] = r
 	if s.measured(r) {
@@ -170,8 +169,8 @@
 	s.apply(now)(s.admitter.arrive(id, r.deadline, now))
 }
 
-func (s *simulation) apply(now time.Time) func(started, refused []queue.ID) {
-	return func(started, refused []queue.ID) {
+func (s *simulation) apply(now time.Time) func(started, refused []lifecycle.ID) {
+	return func(started, refused []lifecycle.ID) {
 		for _, id := range started {
 			s.begin(id, now)
 		}
@@ -181,7 +180,7 @@
 	}
 }
 
-func (s *simulation) begin(id queue.ID, now time.Time) {
+func (s *simulation) begin(id lifecycle.ID, now time.Time) {
 	r := s.requests[id]
 	if r.refused {
 		s.ranRefused++
@@ -192,7 +191,7 @@
 	s.inFlight = append(s.inFlight, simInFlight{id, end, outcome, s.server.Crashes()})
 }
 
-func (s *simulation) refuse(id queue.ID, now time.Time) {
+func (s *simulation) refuse(id lifecycle.ID, now time.Time) {
 	r := s.requests[id]
 	r.refused = true
 	if r.ran {
@@ -324,8 +323,8 @@
 	limiter      *limit.Limiter
 	server       *limit.SimServer
 	inFlight     []simInFlight
-	started      map[queue.ID]time.Time
-	next         queue.ID
+	started      map[lifecycle.ID]time.Time
+	next         lifecycle.ID
 	slots        int
 	warmAt       time.Time
 	fullLoadAt   time.Time
@@ -337,7 +336,7 @@
 	return &rampRun{
 		limiter: limit.New(slots, time.Unix(1_000_000, 0)),
 		server:  limit.NewSimServer(slots, 3),
-		started: make(map[queue.ID]time.Time),
+		started: make(map[lifecycle.ID]time.Time),
 		slots:   slots,
 	}
 }
