gate: opening packets of routes with a latency target wait for room

What callers saw: a full server refused, the alternate refused too, and the caller waited for its next copy, 200 or 400 ms later.

Change: the gate keeps such packets in a backlog and forwards the next one when a request or a flow ends. What it checks on arrival is checked again then. On a drain, a failure, a suspicion, a new version or the end of the agent, the entries are passed on or refused at once. A reset is sent only while the caller cannot have sent a later copy, which may have opened elsewhere. Routes without a latency target are served as before. Gate.Pending counts requests in progress, flows being opened and waiting entries. Log message "admission queue", counters by outcome, metric queue_wait.

--- a/connection/gate/admit.go
+++ b/connection/gate/admit.go
@@ -66,9 +66,9 @@
 	return v.Services[service].ColdRate
 }
 
-// admit reports whether the server may take a new flow. If not, the error kind
-// is the reason.
-func (g *Gate) admit(d *delivery, now time.Duration) (errkind.Kind, bool) {
+// check reports whether the server may take a new flow when it has room. If not, the error
+// kind is the reason.
+func (g *Gate) check(d *delivery, now time.Duration) (errkind.Kind, bool) {
 	if g.version == nil {
 		return errkind.NotInForce, false
 	}
@@ -91,16 +91,21 @@
 	if limit := g.version.Services[g.server.Service].MaxConnections; limit > 0 && len(g.flows) >= limit {
 		return errkind.Overloaded, false
 	}
-	if g.requests.open >= (1+maxQueuePerSlot)*max(g.server.Slots, defaultSlots) {
-		return errkind.Overloaded, false
-	}
-	g.bucket.refill(now)
-	if g.bucket.rate > 0 && now < g.server.ColdUntil && g.bucket.tokens < 1 {
-		return errkind.Overloaded, false
-	}
 	return 0, true
 }
 
+// hasRoom reports whether the server has room for a new flow of a route without a latency
+// target.
+func (g *Gate) hasRoom(now time.Duration) bool {
+	return g.requests.open < (1+maxQueuePerSlot)*max(g.server.Slots, defaultSlots) && !g.coldLimited(now)
+}
+
+// coldLimited reports whether the server is cold and has received its share of new flows.
+func (g *Gate) coldLimited(now time.Duration) bool {
+	g.bucket.refill(now)
+	return g.bucket.rate > 0 && now < g.server.ColdUntil && g.bucket.tokens < 1
+}
+
 // Suspected reports whether the server has probably terminated: it has not answered an opening
 // packet in time, or has returned one, which a running server does only at its limit of
 // connections, and has sent nothing since.
@@ -147,9 +152,14 @@
 	if server.Incarnation != g.server.Incarnation || server.State == steer.Down {
 		g.suspectedFrom = 0
 	}
+	changed := server.State != g.server.State || server.Service != g.server.Service || server.Domain != g.server.Domain
 	g.server = server
 	g.bucket.rate = coldRate(g.version, server.Service)
 	g.resolveCheckpoint(now)
+	g.lastEvent = now
+	if changed {
+		g.reviewQueue(now)
+	}
 }
 
 // Server returns the last reported state of the backend server.
--- a/connection/gate/flow.go
+++ b/connection/gate/flow.go
@@ -46,10 +46,12 @@
 
 // flow is the state of a flow that the agent's server holds.
 type flow struct {
-	phase          phase
-	finished       uint8
-	hops           uint8
-	requestOpen    bool
+	phase       phase
+	finished    uint8
+	hops        uint8
+	requestOpen bool
+	// reserved is true if a slot is reserved for the first request.
+	reserved       bool
 	registered     bool
 	serverISN      uint32
 	serverNextSeq  uint32
@@ -101,6 +103,10 @@
 		g.finish(key, f, callerFinished, now)
 	}
 	if f.phase == phaseOpen && f.hasNewData(segment) && !f.requestOpen {
+		if f.reserved {
+			f.reserved = false
+			g.backlog.Started(key, f.openedAt, now)
+		}
 		f.requestOpen = true
 		g.requests.open++
 		g.observeBusySlots(now)
@@ -209,6 +215,7 @@
 		g.options.Observer.Unanswered(key, g.exchange(f, now))
 	}
 	g.endRequest(f, now)
+	g.release(key, f)
 	if f.phase == phaseOpen {
 		g.openFlows--
 	}
--- a/connection/gate/gate.go
+++ b/connection/gate/gate.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"time"
 
+	"bergamotbank/connection/backlog"
 	"bergamotbank/connection/passthrough"
 	"bergamotbank/connection/servicetime"
 	"bergamotbank/errkind"
@@ -75,6 +76,11 @@
 	Offered uint64
 	// Requests counts the requests seen, Failures those that the server failed.
 	Requests, Failures uint64
+	// Queued counts opening packets that had to wait. The others count those that left the
+	// queue, or were not let in: sent to the server, forwarded to another agent, refused,
+	// those whose callers gave up, and those whose callers reset the flow or opened it
+	// elsewhere.
+	Queued, QueueForwarded, QueuePassedOn, QueueRefused, QueueExpired, QueueWithdrawn uint64
 }
 
 // Gate processes the packets of one backend server. It is not safe for
@@ -86,12 +92,15 @@
 	bucket  bucket
 	// suspectedFrom is when the server is suspected to have terminated unless it sends a
 	// packet before, 0 for never.
-	suspectedFrom     time.Duration
-	flows             map[passthrough.Flow]*flow
-	openFlows         int
-	requests          requestMeter
-	serviceTime       servicetime.Estimator
-	health            healthMeter
+	suspectedFrom time.Duration
+	flows         map[passthrough.Flow]*flow
+	openFlows     int
+	requests      requestMeter
+	serviceTime   servicetime.Estimator
+	health        healthMeter
+	backlog       *backlog.Backlog
+	// lastEvent is the time of the last event.
+	lastEvent         time.Duration
 	agents            map[passthrough.Endpoint]Agent
 	discoveryComplete bool
 	owners            *passthrough.Owners
@@ -143,6 +152,7 @@
 	return &Gate{
 		options:              options,
 		flows:                map[passthrough.Flow]*flow{},
+		backlog:              backlog.New(),
 		agents:               map[passthrough.Endpoint]Agent{},
 		owners:               &passthrough.Owners{},
 		restartedOwners:      map[passthrough.Endpoint]struct{}{},
@@ -157,6 +167,7 @@
 func (g *Gate) SetVersion(v *routes.Version) {
 	g.version = v
 	g.bucket.rate = coldRate(v, g.server.Service)
+	g.reviewQueue(g.lastEvent)
 }
 
 // Counters returns the current counters.
@@ -177,11 +188,15 @@
 		return
 	}
 	d := delivery{frame: frame, datagram: datagram, packet: packet, segment: segment, flow: segment.FromCaller()}
+	g.lastEvent = now
 	if segment.IsOpening() {
 		g.handleOpening(&d, now)
-		return
+	} else {
+		// A caller that sends another packet has reset the flow or opened it elsewhere.
+		g.withdraw(d.flow, now)
+		g.handleFlowPacket(&d, now)
 	}
-	g.handleFlowPacket(&d, now)
+	g.forwardQueued(now)
 }
 
 // delivery is a packet on its way from a balancer to a backend server.
@@ -191,24 +206,45 @@
 	packet   []byte
 	segment  *passthrough.Segment
 	flow     passthrough.Flow
+	// opensElsewhere is true if the caller may have sent a later copy of an opening packet,
+	// so that another server may hold the flow.
+	opensElsewhere bool
 }
 
 // handleOpening accepts an opening packet or refuses it.
 func (g *Gate) handleOpening(d *delivery, now time.Duration) {
 	if f := g.flows[d.flow]; f != nil && f.phase != phaseAborted {
 		f.lastUsed = now
+		if f.phase == phaseOpening {
+			g.reserve(d.flow, f, now)
+		}
 		g.sendToServer(d.packet)
 		return
 	}
-	kind, ok := g.admit(d, now)
-	if !ok {
+	if kind, ok := g.check(d, now); !ok {
+		g.withdraw(d.flow, now)
 		g.refuse(d, kind)
 		return
 	}
+	if route := g.version.Route(d.flow.Service.AddrPort()); route != nil && route.LatencyTarget > 0 {
+		g.openOrQueue(d, route, now)
+		return
+	}
+	if !g.hasRoom(now) {
+		g.refuse(d, errkind.Overloaded)
+		return
+	}
+	g.open(d, now)
+}
+
+// open sends an opening packet to the server.
+func (g *Gate) open(d *delivery, now time.Duration) {
 	g.counters.Opened++
 	g.bucket.take()
 	delete(g.restored.flows, d.flow)
-	g.flows[d.flow] = &flow{phase: phaseOpening, openedAt: now, lastUsed: now, origin: d.frame.Origin, alternate: d.frame.Alternate, version: d.frame.Version, service: d.frame.ServiceTag(), hops: d.frame.Hops}
+	f := &flow{phase: phaseOpening, openedAt: now, lastUsed: now, origin: d.frame.Origin, alternate: d.frame.Alternate, version: d.frame.Version, service: d.frame.ServiceTag(), hops: d.frame.Hops}
+	g.flows[d.flow] = f
+	g.reserve(d.flow, f, now)
 	g.options.Observer.Opened(d.flow, d.frame)
 	if g.suspectedFrom == 0 {
 		g.suspectedFrom = now + openingTimeLimit
@@ -219,9 +255,9 @@
 	}
 }
 
-// refuse forwards a refused opening packet to the alternate agent. If there is
-// none, it resets the flow at the caller or waits for the next retransmission.
-func (g *Gate) refuse(d *delivery, kind errkind.Kind) {
+// refuse forwards a refused opening packet to the alternate agent and reports whether it did.
+// If there is none, it resets the flow at the caller or waits for the next retransmission.
+func (g *Gate) refuse(d *delivery, kind errkind.Kind) (passedOn bool) {
 	g.counters.Refused++
 	alternate := d.frame.Alternate
 	if (kind == errkind.WrongService || kind == errkind.DomainOut) && d.frame.Hops == 0 && d.frame.Version <= g.version.Revision {
@@ -229,12 +265,12 @@
 	}
 	g.options.Observer.Refused(d.flow, kind, d.frame, alternate)
 	if alternate == 0 || alternate == g.options.Self {
-		if !isTransient(kind) || d.segment.IsLastRetransmission() {
+		if (!isTransient(kind) || d.segment.IsLastRetransmission()) && !d.opensElsewhere {
 			g.reset(d.flow, d.segment.Ack, kind)
 		}
 		// Otherwise the next retransmission, 200 or 400 ms later, is the retry. A
 		// reset would use up one of the caller's few attempts for a transient reason.
-		return
+		return false
 	}
 	if r, ok := g.registry.Get(d.flow); !ok || r.candidate {
 		g.registry.Put(d.flow, registration{holder: alternate, candidate: true})
@@ -245,6 +281,7 @@
 	frame.Put(d.datagram)
 	g.counters.PassedOn++
 	g.options.Sender.Send(d.datagram, alternate)
+	return true
 }
 
 // isTransient reports whether the reason for a refusal is likely to pass within
@@ -291,6 +328,7 @@
 	if f.phase == phaseOpening && !f.confirms(d.segment) {
 		// The caller took the response of another server, which received a duplicate
 		// of the opening packet.
+		g.release(d.flow, f)
 		delete(g.flows, d.flow)
 		g.handleUnknown(d, now)
 		return
--- a/connection/gate/observer.go
+++ b/connection/gate/observer.go
@@ -19,6 +19,45 @@
 	OpenRequests int
 }
 
+// QueueOutcome is what happened to an opening packet of a route with a latency target.
+type QueueOutcome uint8
+
+// The outcomes.
+const (
+	// Waiting is an opening packet that waits for room at the server.
+	Waiting QueueOutcome = iota
+	// Forwarded is one that was sent to the server after it had waited.
+	Forwarded
+	// PassedOn is one that was forwarded to another agent.
+	PassedOn
+	// Refused is one that cannot be forwarded before its caller gives up, or may no longer be
+	// sent to the server.
+	Refused
+	// Expired is one whose caller has given up.
+	Expired
+	// Withdrawn is one whose caller has reset the flow or opened it elsewhere.
+	Withdrawn
+)
+
+// String returns the name of the outcome in logs.
+func (o QueueOutcome) String() string {
+	return [...]string{"waiting", "forwarded", "passed_on", "refused", "expired", "withdrawn"}[o]
+}
+
+// QueueEvent is a decision of the admission queue.
+type QueueEvent struct {
+	Outcome QueueOutcome
+	// Waited is the time in the queue.
+	Waited time.Duration
+	// Expected is the expected wait and Ahead the number of entries ahead, on arrival.
+	Expected time.Duration
+	Ahead    int
+	// Priority is the priority of the route.
+	Priority uint8
+	// Late is true if the response is not expected within the latency target.
+	Late bool
+}
+
 // Observer is notified of decisions and outcomes. Its methods must not block.
 type Observer interface {
 	// Opened reports an opening packet that was sent to the server.
@@ -28,6 +67,9 @@
 	// Refused reports a refused opening packet. passedTo is the agent to which it is
 	// forwarded, 0 for none.
 	Refused(flow passthrough.Flow, kind errkind.Kind, frame passthrough.Frame, passedTo passthrough.Endpoint)
+	// Queued reports a decision of the admission queue. Decisions to send a packet to the
+	// server without a wait are reported by Opened alone.
+	Queued(flow passthrough.Flow, event QueueEvent)
 	// Reset reports a flow that was reset at its caller.
 	Reset(flow passthrough.Flow, kind errkind.Kind)
 	// PassedOn reports a packet of an unknown flow that was forwarded to another
@@ -59,6 +101,9 @@
 // Refused does nothing.
 func (NopObserver) Refused(passthrough.Flow, errkind.Kind, passthrough.Frame, passthrough.Endpoint) {}
 
+// Queued does nothing.
+func (NopObserver) Queued(passthrough.Flow, QueueEvent) {}
+
 // Reset does nothing.
 func (NopObserver) Reset(passthrough.Flow, errkind.Kind) {}
 
--- a/connection/gate/registry.go
+++ b/connection/gate/registry.go
@@ -86,6 +86,7 @@
 func (g *Gate) HandleRegister(datagram []byte) {
 	err := passthrough.ParseRegister(datagram, func(holder passthrough.Endpoint, incarnation uint32, key passthrough.Flow) {
 		g.registry.Put(key, registration{holder: holder, incarnation: incarnation})
+		g.withdraw(key, g.lastEvent)
 	})
 	if err != nil {
 		g.counters.Malformed++
@@ -94,6 +95,9 @@
 
 // Tick updates averages, expires entries and sends registrations that are due.
 func (g *Gate) Tick(now time.Duration) {
+	g.lastEvent = now
+	g.expireQueued(now)
+	g.forwardQueued(now)
 	g.requests.update(now)
 	g.health.update(now)
 	g.registry.Tick(now)
--- a/connection/gate/unknown.go
+++ b/connection/gate/unknown.go
@@ -95,6 +95,13 @@
 // HandleServerPacket processes a packet from the backend server, in a buffer with
 // FrameSize free bytes in front of it.
 func (g *Gate) HandleServerPacket(buffer []byte, now time.Duration) {
+	g.lastEvent = now
+	g.handleServerPacket(buffer, now)
+	// The packet may have ended a request or a flow.
+	g.forwardQueued(now)
+}
+
+func (g *Gate) handleServerPacket(buffer []byte, now time.Duration) {
 	packet := buffer[passthrough.FrameSize:]
 	segment := &g.segment
 	if err := g.options.Format.Decode(packet, segment); err != nil {
@@ -151,6 +158,7 @@
 		if f == nil || f.phase != phaseOpening {
 			return
 		}
+		g.release(d.flow, f)
 		delete(g.flows, d.flow)
 		// The host of a crashed server returns all packets.
 		g.suspectedFrom = now
@@ -161,6 +169,7 @@
 	}
 	if f != nil && f.phase == phaseOpening {
 		// The caller uses another server, or it would have confirmed the opening here.
+		g.release(d.flow, f)
 		delete(g.flows, d.flow)
 		f = nil
 	}
--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -72,6 +72,7 @@
 	metrics.Publish("refusals", func() any { return observer.refusals.counts() })
 	metrics.Publish("resets", func() any { return observer.resets.counts() })
 	metrics.Publish("opening_latency", func() any { return observer.openingLatency.Summary() })
+	metrics.Publish("queue_wait", func() any { return observer.queueWait.Summary() })
 	metrics.Publish("answer_latency", func() any { return observer.answerLatency.Summary() })
 	return a, nil
 }
@@ -121,6 +122,8 @@
 	defer a.mu.Unlock()
 	a.version = v
 	a.gate.SetVersion(v)
+	// Waiting opening packets may have been forwarded.
+	a.sender.flush()
 }
 
 // setAgents passes changed agents to the gate. The caller holds mu.
@@ -247,6 +250,8 @@
 	gate.Counters
 	Flows        int     `json:"flows"`
 	OpenRequests int     `json:"open_requests"`
+	Waiting      int     `json:"waiting"`
+	Pending      int     `json:"pending"`
 	Work         float64 `json:"work"`
 	State        string  `json:"state"`
 	Heartbeats   uint64  `json:"heartbeats"`
@@ -262,6 +267,8 @@
 		Counters:     a.gate.Counters(),
 		Flows:        a.gate.Flows(),
 		OpenRequests: a.gate.OpenRequests(),
+		Waiting:      a.gate.Waiting(),
+		Pending:      a.gate.Pending(),
 		Work:         a.gate.MeanOpenRequests(),
 		State:        a.backend.state(a.clock.now()).String(),
 		Heartbeats:   a.backend.heartbeats,
--- a/process/passthrough/backend.go
+++ b/process/passthrough/backend.go
@@ -328,14 +328,15 @@
 	b.setServer(server, a.clock.now())
 }
 
-// shutDown announces that the agent accepts no new flows and resets the flows of a server
-// that has terminated.
+// shutDown announces that the agent accepts no new flows, passes waiting ones on and resets the
+// flows of a server that has terminated.
 func (b *backendMonitor) shutDown(ctx context.Context) {
 	b.check(ctx)
 	a := b.agent
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	b.agentStopping = true
+	a.gate.ReleaseQueue(a.clock.now())
 	a.roster.Announce(a.clock.now())
 	a.sender.flush()
 }
--- a/process/passthrough/observe.go
+++ b/process/passthrough/observe.go
@@ -47,12 +47,14 @@
 	// openingLatency is the time from an opening packet to the server's response to it,
 	// answerLatency that from a request to the first packet of its response.
 	openingLatency, answerLatency *metrics.Latency
+	// queueWait is the time that opening packets spent in the admission queue.
+	queueWait *metrics.Latency
 	// refusals and resets count flows by error kind.
 	refusals, resets kindCounter
 }
 
 func newAgentObserver(a *Agent) *agentObserver {
-	return &agentObserver{agent: a, openingLatency: metrics.NewLatency(), answerLatency: metrics.NewLatency()}
+	return &agentObserver{agent: a, openingLatency: metrics.NewLatency(), answerLatency: metrics.NewLatency(), queueWait: metrics.NewLatency()}
 }
 
 // log logs a message about a flow. It builds the fields only if the rate limit of the
@@ -83,6 +85,18 @@
 		zap.Int("open_requests", o.agent.gate.OpenRequests()), zap.Duration("heartbeat_age", o.agent.clock.now()-o.agent.backend.lastHeartbeatAt))
 }
 
+// Queued logs a decision of the admission queue and records the time in the queue.
+func (o *agentObserver) Queued(flow passthrough.Flow, e gate.QueueEvent) {
+	if e.Outcome != gate.Waiting {
+		o.queueWait.Record(e.Waited)
+	}
+	g := o.agent.gate
+	serviceTime, _ := g.ServiceTime()
+	o.log("admission queue", flow, zap.Stringer("outcome", e.Outcome), zap.Duration("waited", e.Waited), zap.Duration("expected_wait", e.Expected),
+		zap.Int("ahead", e.Ahead), zap.Uint8("priority", e.Priority), zap.Bool("late", e.Late), zap.Int("waiting", g.Waiting()),
+		zap.Int("pending", g.Pending()), zap.Duration("service_time", serviceTime))
+}
+
 // Reset counts and logs a flow that was reset at its caller.
 func (o *agentObserver) Reset(flow passthrough.Flow, kind errkind.Kind) {
 	o.resets.add(kind)
