backlog: late orders do not hold back timely queries

Cause: late entries may use only idle slots while timely ones take the capacity. A late order at the head was chosen by its priority and then not forwarded, so that timely queries behind it waited too. Entries of a long-lived route, late because requests on open flows take all slots, got no room beyond the slots although no timely entry needed it.

Change: a priority whose first entry is late and may not be forwarded is skipped, and the rule applies only while timely entries of the same and higher priorities take over half of the capacity.

--- a/connection/backlog/backlog.go
+++ b/connection/backlog/backlog.go
@@ -39,6 +39,9 @@
 	// next attempt may be in time elsewhere; after a long wait, the next attempt looks like a
 	// new one and takes capacity although it is late.
 	lateWaitMargin = 2
+	// timelyLoad is the share of the capacity taken by timely entries of a priority and of
+	// higher ones above which late entries of that priority get only slots that would be idle.
+	timelyLoad = 1.0 / 2
 	// minShare is the least share of the capacity that is assumed to remain for an entry when
 	// its wait is estimated. Without it the estimate has no bound under overload.
 	minShare = 1.0 / 32
@@ -102,6 +105,9 @@
 	ArrivedAt, RefreshedAt time.Duration
 	// Late is true if the entry is not expected to meet its target.
 	Late bool
+	// Expected is the expected wait on arrival, Ahead the number of entries ahead.
+	Expected time.Duration
+	Ahead    int
 }
 
 // deadline returns the time at which the response loses its full value.
@@ -236,6 +242,7 @@
 		return v
 	}
 	e.Datagram = slices.Clone(o.Datagram)
+	e.Expected, e.Ahead = v.Expected, v.Ahead
 	b.insert(e)
 	return v
 }
@@ -321,11 +328,10 @@
 		return nil, false
 	}
 	l := b.pick(&load, now)
-	flow, late := l.head()
-	if late && b.inUse(&load, now) >= max(load.Slots, 1) {
-		// The room beyond the slots is for the timely entries that arrive next.
+	if l == nil {
 		return nil, false
 	}
+	flow, _ := l.head()
 	e = b.entries[flow]
 	b.unlink(e)
 	if now > b.latestUseful(e) {
@@ -340,17 +346,25 @@
 }
 
 // pick returns the level whose first entry is to be forwarded: the highest priority, except
-// for the share of the lower ones.
+// for the share of the lower ones. It returns nil if the room is kept for timely entries.
 func (b *Backlog) pick(load *Load, now time.Duration) *level {
 	var first, chosen *level
 	firstLate := false
+	idleSlot := b.inUse(load, now) < max(load.Slots, 1)
+	taken := 0.0
 	for _, l := range b.levels {
 		b.demote(l, load, now)
+		taken += l.timelyRate.perSecond(now)
+		lateAllowed := idleSlot || taken*load.perEntry().Seconds() < timelyLoad
+		taken += l.lateRate.perSecond(now)
 		if l.len() == 0 {
 			l.credit = 0
 			continue
 		}
 		_, late := l.head()
+		if late && !lateAllowed {
+			continue
+		}
 		if first == nil {
 			first, chosen, firstLate = l, l, late
 			l.credit = 0
--- a/connection/gate/queue.go
+++ b/connection/gate/queue.go
@@ -166,7 +166,7 @@
 }
 
 func (g *Gate) observeLeaving(e *backlog.Entry, outcome QueueOutcome, now time.Duration) {
-	g.observeQueue(e.Flow, outcome, QueueEvent{Waited: now - e.ArrivedAt, Priority: e.Priority, Late: e.Late})
+	g.observeQueue(e.Flow, outcome, QueueEvent{Waited: now - e.ArrivedAt, Expected: e.Expected, Ahead: e.Ahead, Priority: e.Priority, Late: e.Late})
 }
 
 // observeQueue counts and reports a decision of the admission queue.
