explain, logs, docs: the admission queue

One line per opening packet that waited or was not let in, with the wait, the expected wait, the entries ahead and the service time; explain shows it as a finding. The line has the rate limit of refusals.

Evidence: TestOrderOfLines (explain), TestOperationsPageNamesEveryMessageAndField.

--- a/process/explain/explain.go
+++ b/process/explain/explain.go
@@ -189,6 +189,10 @@
 	case "flow refused":
 		return fmt.Sprintf("%s: refused the flow (%s), forwarded to %s; versions of agent and balancer %s and %s, server %s",
 			line.Process, line.field("kind"), line.field("passed_to"), line.field("revision"), line.field("balancer_revision"), line.field("server_state"))
+	case "admission queue":
+		return fmt.Sprintf("%s: %s after %s ms in the admission queue, expected %s ms with %s ahead at priority %s; %s pending",
+			line.Process, line.field("outcome"), line.milliseconds("waited"), line.milliseconds("expected_wait"), line.field("ahead"),
+			line.field("priority"), line.field("pending"))
 	case "flow reset":
 		return fmt.Sprintf("%s: reset the flow (%s) at version %s", line.Process, line.field("kind"), line.field("revision"))
 	case "flow searched":
--- a/process/logging/ratelimit.go
+++ b/process/logging/ratelimit.go
@@ -26,8 +26,8 @@
 	summaryInterval = 5 * time.Second
 )
 
-// failureMessages are the messages about refused or failed flows.
-var failureMessages = map[string]bool{"flow refused": true, "flow reset": true, "request unanswered": true}
+// failureMessages are the messages about refused or failed flows, and about those that waited.
+var failureMessages = map[string]bool{"flow refused": true, "flow reset": true, "request unanswered": true, "admission queue": true}
 
 // rateLimitOf returns the rate limit of a message.
 func rateLimitOf(message string) (rate, burst float64) {
--- a/process/passthrough/observe.go
+++ b/process/passthrough/observe.go
@@ -85,11 +85,14 @@
 		zap.Int("open_requests", o.agent.gate.OpenRequests()), zap.Duration("heartbeat_age", o.agent.clock.now()-o.agent.backend.lastHeartbeatAt))
 }
 
-// Queued logs a decision of the admission queue and records the time in the queue.
+// Queued logs the decision of the admission queue with which an opening packet leaves, and
+// records the time in the queue.
 func (o *agentObserver) Queued(flow passthrough.Flow, e gate.QueueEvent) {
-	if e.Outcome != gate.Waiting {
-		o.queueWait.Record(e.Waited)
+	if e.Outcome == gate.Waiting {
+		// The line for its outcome holds the data of its arrival.
+		return
 	}
+	o.queueWait.Record(e.Waited)
 	g := o.agent.gate
 	serviceTime, _ := g.ServiceTime()
 	o.log("admission queue", flow, zap.Stringer("outcome", e.Outcome), zap.Duration("waited", e.Waited), zap.Duration("expected_wait", e.Expected),
