roster, agent: heartbeats carry the service time and the pending requests

Balancers know only the mean of the open requests over 1.5 s, which tells neither a fast server from a slow one nor an idle one from one whose queue has just grown.

The heartbeats of agents to balancers carry both values in four bytes: after the strings of a full heartbeat, where earlier builds read nothing, and in the last three plus one unused byte of a compact one. Earlier builds reject the long compact form, so members announce in a flag of their heartbeats that they accept it. Until Gate.Pending exists, the pending requests are the open ones. Nothing uses the values yet.

A long compact heartbeat has 38 bytes, 66 with headers, against 63 (4.8% more).

--- a/connection/steer/steer.go
+++ b/connection/steer/steer.go
@@ -76,6 +76,13 @@
 	MeanOpenRequests float64
 	// Flows is the number of open flows.
 	Flows int
+	// HasLoad is true if the report contains Pending and ServiceTime.
+	HasLoad bool
+	// Pending is the number of requests in progress, flows being opened and opening packets
+	// that wait at the agent.
+	Pending int
+	// ServiceTime is the mean time that the server works on a request, 0 if it is not known.
+	ServiceTime time.Duration
 	// ReportedAt is the time of the agent's last report.
 	ReportedAt time.Duration
 	// Reachable is true if heartbeats arrive in both directions between the agent
--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -81,6 +81,7 @@
 func (a *Agent) self() roster.Member {
 	m := a.member()
 	server := a.gate.Server()
+	serviceTime, _ := a.gate.ServiceTime()
 	m.Service = server.Service
 	m.Report = roster.Report{
 		State:            a.backend.state(a.clock.now()),
@@ -88,10 +89,17 @@
 		MeanOpenRequests: a.gate.MeanOpenRequests(),
 		Flows:            a.gate.Flows(),
 		Incarnation:      server.Incarnation,
+		HasLoad:          true,
+		Pending:          a.pending(),
+		ServiceTime:      serviceTime,
 	}
 	return m
 }
 
+// pending returns the number of requests that the server has still to process. The caller
+// holds mu.
+func (a *Agent) pending() int { return a.gate.OpenRequests() }
+
 // Run runs the agent until ctx is canceled and then shuts it down gracefully.
 func (a *Agent) Run(ctx context.Context) error {
 	a.logger.Info("agent started", zap.Stringer("backend", a.settings.Passthrough.Backend), zap.Stringer("peer", a.settings.Passthrough.Peer))
--- a/process/roster/compact.go
+++ b/process/roster/compact.go
@@ -26,6 +26,11 @@
 	meanOpenRequests float64
 	flows            int
 	incarnation      uint32
+	// acceptsLoad is true if the sender understands the long form, hasLoad if this is the long
+	// form, which contains pending and serviceTime.
+	acceptsLoad, hasLoad bool
+	pending              int
+	serviceTime          time.Duration
 }
 
 // staticFields are the fields that a compact heartbeat omits.
@@ -38,8 +43,12 @@
 	return staticFields{m.Name, m.Domain, m.Service, m.Report.Slots}
 }
 
-// compactHeartbeatSize is the size of a compact heartbeat, in bytes.
-const compactHeartbeatSize = 35
+// compactHeartbeatSize is the size of the short form of a compact heartbeat, in bytes, of which
+// the last one is 0. longCompactHeartbeatSize is that of the long form.
+const (
+	compactHeartbeatSize     = 35
+	longCompactHeartbeatSize = compactHeartbeatSize - 1 + loadSize
+)
 
 // compactOpenRequestsScale is the factor by which a compact heartbeat multiplies the
 // mean number of open requests.
@@ -50,6 +59,7 @@
 	return compactHeartbeat{
 		state: h.Report.State, receivesHeartbeats: h.receivesHeartbeats, wantsReply: h.wantsReply, run: uint32(h.Run), peer: h.Peer, version: h.Version, interval: h.interval,
 		confirmedAge: h.ConfirmedAge, meanOpenRequests: h.Report.MeanOpenRequests, flows: h.Report.Flows, incarnation: h.Report.Incarnation,
+		acceptsLoad: h.acceptsLoad, hasLoad: h.Report.HasLoad, pending: h.Report.Pending, serviceTime: h.Report.ServiceTime,
 	}
 }
 
@@ -62,7 +72,10 @@
 	if b.wantsReply {
 		flags |= wantsReplyFlag
 	}
-	w := make([]byte, 0, compactHeartbeatSize)
+	if b.acceptsLoad {
+		flags |= acceptsLoadFlag
+	}
+	w := make([]byte, 0, longCompactHeartbeatSize)
 	w = append(w, byte(passthrough.CompactHeartbeat), heartbeatVersion, byte(b.state), flags)
 	w = binary.LittleEndian.AppendUint32(w, b.run)
 	w = binary.LittleEndian.AppendUint64(w, b.version)
@@ -73,18 +86,23 @@
 	w = binary.LittleEndian.AppendUint32(w, b.incarnation)
 	w = binary.LittleEndian.AppendUint32(w, b.peer.IP())
 	w = binary.LittleEndian.AppendUint16(w, b.peer.Port())
+	if b.hasLoad {
+		return appendLoad(w, b.pending, b.serviceTime)
+	}
 	return append(w, 0)
 }
 
 // parseCompactHeartbeat parses a compact heartbeat. The error has kind Malformed.
 func parseCompactHeartbeat(w []byte) (compactHeartbeat, error) {
-	if len(w) != compactHeartbeatSize || w[1] != heartbeatVersion {
+	if (len(w) != compactHeartbeatSize && len(w) != longCompactHeartbeatSize) || w[1] != heartbeatVersion {
 		return compactHeartbeat{}, errkind.New(errkind.Malformed, "compact heartbeat has %d bytes or an unsupported protocol version", len(w))
 	}
 	b := compactHeartbeat{
 		state:              steer.State(w[2]),
 		receivesHeartbeats: w[3]&receivesHeartbeatsFlag != 0,
 		wantsReply:         w[3]&wantsReplyFlag != 0,
+		acceptsLoad:        w[3]&acceptsLoadFlag != 0,
+		hasLoad:            len(w) == longCompactHeartbeatSize,
 		run:                binary.LittleEndian.Uint32(w[4:]),
 		version:            binary.LittleEndian.Uint64(w[8:]),
 		interval:           time.Duration(binary.LittleEndian.Uint16(w[16:])) * time.Millisecond,
@@ -94,6 +112,9 @@
 		incarnation:        binary.LittleEndian.Uint32(w[24:]),
 		peer:               passthrough.MakeEndpoint(binary.LittleEndian.Uint32(w[28:]), binary.LittleEndian.Uint16(w[32:])),
 	}
+	if b.hasLoad {
+		b.pending, b.serviceTime = parseLoad(w[compactHeartbeatSize-1:])
+	}
 	if b.peer == 0 || b.interval <= 0 {
 		return compactHeartbeat{}, errkind.New(errkind.Malformed, "compact heartbeat without address or interval")
 	}
@@ -118,8 +139,9 @@
 		p.lastHeartbeatAt = min(p.lastHeartbeatAt, now-p.reachableTimeout())
 		return
 	}
-	h := heartbeat{Member: p.member, interval: b.interval, receivesHeartbeats: b.receivesHeartbeats, wantsReply: b.wantsReply}
+	h := heartbeat{Member: p.member, interval: b.interval, receivesHeartbeats: b.receivesHeartbeats, wantsReply: b.wantsReply, acceptsLoad: b.acceptsLoad}
 	h.Version, h.ConfirmedAge = b.version, b.confirmedAge
 	h.Report.State, h.Report.MeanOpenRequests, h.Report.Flows, h.Report.Incarnation = b.state, b.meanOpenRequests, b.flows, b.incarnation
+	h.Report.HasLoad, h.Report.Pending, h.Report.ServiceTime = b.hasLoad, b.pending, b.serviceTime
 	r.applyHeartbeat(p, &h, now)
 }
--- a/process/roster/heartbeat.go
+++ b/process/roster/heartbeat.go
@@ -31,6 +31,14 @@
 	Flows int
 	// Incarnation identifies the run of the server.
 	Incarnation uint32
+	// HasLoad is true if the report contains Pending and ServiceTime, which members of
+	// earlier builds do not send.
+	HasLoad bool
+	// Pending is the number of requests in progress, flows being opened and opening packets
+	// that wait at the agent.
+	Pending int
+	// ServiceTime is the mean time that the server works on a request, 0 if it is not known.
+	ServiceTime time.Duration
 }
 
 // Member is a process as it describes itself in its heartbeats.
@@ -68,6 +76,8 @@
 	wantsIntroduction bool
 	// wantsReply is true if the sender requests an immediate heartbeat.
 	wantsReply bool
+	// acceptsLoad is true if the sender understands the long form of a compact heartbeat.
+	acceptsLoad bool
 }
 
 // heartbeatVersion is the version of the wire format of heartbeats.
@@ -77,6 +87,7 @@
 	receivesHeartbeatsFlag = 1
 	wantsIntroductionFlag  = 2
 	wantsReplyFlag         = 4
+	acceptsLoadFlag        = 8
 )
 
 // fixedHeartbeatSize is the size of a full heartbeat without its strings, in bytes.
@@ -102,7 +113,10 @@
 	if h.wantsReply {
 		flags |= wantsReplyFlag
 	}
-	b := make([]byte, 0, fixedHeartbeatSize+len(h.Name)+len(h.Domain)+len(h.Service)+stringFields)
+	if h.acceptsLoad {
+		flags |= acceptsLoadFlag
+	}
+	b := make([]byte, 0, fixedHeartbeatSize+len(h.Name)+len(h.Domain)+len(h.Service)+stringFields+loadSize)
 	b = append(b, byte(passthrough.Hello), heartbeatVersion, byte(h.Role), byte(h.Report.State), flags)
 	b = binary.LittleEndian.AppendUint64(b, h.Run)
 	b = binary.LittleEndian.AppendUint64(b, h.Version)
@@ -117,6 +131,9 @@
 		value = value[:min(len(value), math.MaxUint8)]
 		b = append(append(b, byte(len(value))), value...)
 	}
+	if h.Report.HasLoad {
+		b = appendLoad(b, h.Report.Pending, h.Report.ServiceTime)
+	}
 	return b
 }
 
@@ -131,7 +148,7 @@
 	if len(b) < fixedHeartbeatSize || b[1] != heartbeatVersion {
 		return heartbeat{}, errkind.New(errkind.Malformed, "heartbeat has %d bytes or an unsupported protocol version", len(b))
 	}
-	h := heartbeat{receivesHeartbeats: b[4]&receivesHeartbeatsFlag != 0, wantsIntroduction: b[4]&wantsIntroductionFlag != 0, wantsReply: b[4]&wantsReplyFlag != 0}
+	h := heartbeat{receivesHeartbeats: b[4]&receivesHeartbeatsFlag != 0, wantsIntroduction: b[4]&wantsIntroductionFlag != 0, wantsReply: b[4]&wantsReplyFlag != 0, acceptsLoad: b[4]&acceptsLoadFlag != 0}
 	h.Role = Role(b[2])
 	h.Report.State = steer.State(b[3])
 	h.Run = binary.LittleEndian.Uint64(b[5:])
@@ -151,6 +168,10 @@
 		*value = string(rest[1 : 1+rest[0]])
 		rest = rest[1+rest[0]:]
 	}
+	if len(rest) >= loadSize {
+		h.Report.HasLoad = true
+		h.Report.Pending, h.Report.ServiceTime = parseLoad(rest)
+	}
 	if h.Peer == 0 || (h.Role != Balancer && h.Role != Agent) || h.interval <= 0 {
 		return heartbeat{}, errkind.New(errkind.Malformed, "heartbeat without address, role or interval")
 	}
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -212,6 +212,7 @@
 	changed := restarted || h.Service != p.member.Service || h.Name != p.member.Name || h.Domain != p.member.Domain ||
 		h.Report.State != p.member.Report.State
 	p.member, p.known, p.lastHeartbeatAt, p.receivesHeartbeats, p.interval = h.Member, true, now, h.receivesHeartbeats, h.interval
+	p.acceptsLoad = h.acceptsLoad
 	p.answered()
 	r.lastReceived = now
 	if h.Version > self.Version {
