steer: flows of routes with a latency target are placed by expected completion

What callers saw: with servers of three speeds at 70% load and reports 50 to 500 ms old, more than a quarter of the responses came after the latency target.

Cause: the score compares open requests per slot, as a mean of 1.5 s. It fills slow servers like fast ones, and it does not show a queue that has just grown.

Change: for routes with a latency target, the drawn servers are compared by pending requests per slot times the service time, plus the service time, with the penalties of the score. The weight of a report falls with its age, own placements count until a report can contain them, and a server that is busier than the others is penalised. Without reported service times, and for other routes, the score is used as before. Placements log these inputs. A router has its own random numbers, so that tests can seed them, and reads the clock once for each opening packet.

--- a/connection/steer/bench_test.go
+++ b/connection/steer/bench_test.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"runtime"
 	"testing"
+	"time"
 
 	"bergamotbank/connection/passthrough"
 	"bergamotbank/connection/passthrough/passthroughtest"
@@ -84,3 +85,31 @@
 		_ = s.CachedFlows()
 	}
 }
+
+// BenchmarkChoice measures an opening packet with a choice of the server and of the alternate
+// among drawn servers, by the score and by the expected completion.
+func BenchmarkChoice(b *testing.B) {
+	for name, target := range map[string]time.Duration{"score": 0, "completion": 400 * time.Millisecond} {
+		b.Run(name, func(b *testing.B) {
+			started := time.Now()
+			s := steer.New(steer.Options{
+				Format: passthroughtest.Format{}, Domain: "a", Sender: discard{}, RequestReport: func(passthrough.Endpoint) {},
+				Now: func() time.Duration { return time.Since(started) }, OnPlacement: func(passthrough.Flow, *steer.Server, time.Duration) {},
+			})
+			version := &routes.Version{Revision: 1, Routes: map[netip.AddrPort]*routes.Route{
+				service.AddrPort(): {LatencyTarget: target, Targets: []routes.Target{{Service: "orders", Weight: 1}}},
+			}}
+			s.SetVersion(version)
+			for i := range 45 {
+				s.SetServer(steer.Server{
+					Name: fmt.Sprint(i), Agent: passthrough.MakeEndpoint(0x0a000000+uint32(i), 7000), Service: "orders", Domain: [...]string{"a", "b", "c"}[i%3],
+					State: steer.Ready, Slots: 4, Reachable: true, HasLoad: true, Pending: i % 5, ServiceTime: time.Duration(20+i) * time.Millisecond,
+				})
+			}
+			for i := range b.N {
+				s.HandlePacket(passthroughtest.Framed(passthrough.Segment{Source: caller(i), Target: service, Flags: passthrough.Open, Ack: 1}))
+			}
+			fmt.Printf("bench steer/choice/%s %.0f ns\n", name, float64(b.Elapsed().Nanoseconds())/float64(b.N))
+		})
+	}
+}
--- a/connection/steer/choose.go
+++ b/connection/steer/choose.go
@@ -1,7 +1,5 @@
 package steer
 
-import "math/rand/v2"
-
 const (
 	// crossDomainPenalty is added to the score of a server in another failure
 	// domain, since traffic between domains adds cost and latency. Another domain is
@@ -41,6 +39,7 @@
 	if e.position >= 0 {
 		return
 	}
+	r.addLoad(e)
 	c := r.services[e.Service]
 	if c == nil {
 		c = &candidates{}
@@ -60,6 +59,7 @@
 	if e.position < 0 {
 		return
 	}
+	r.removeLoad(e)
 	c := r.services[e.Service]
 	list := c[e.group]
 	last := len(list) - 1
@@ -74,11 +74,12 @@
 }
 
 // choose selects a server of a service for a new flow, other than except: the one with the
-// lowest score among the drawn servers with a fresh report. If there is none, it samples two
-// servers in the balancer's own failure domain and two in other domains by their last
-// reports.
-func (r *Router) choose(service string, except *entry) *entry {
-	if e := r.bestDrawn(service, except); e != nil {
+// lowest value of a measure among the drawn servers with a fresh report. If there is none, it
+// samples two servers in the balancer's own failure domain and two in other domains by their
+// last reports.
+func (r *Router) choose(service string, except *entry, m measure) *entry {
+	r.randomBits = r.random.Uint64()
+	if e := r.bestDrawn(service, except, m); e != nil {
 		return e
 	}
 	c := r.services[service]
@@ -87,25 +88,28 @@
 	}
 	var best scored
 	for group := range c {
-		first, second := sample(c[group], except)
-		best = r.better(best, first)
-		best = r.better(best, second)
+		first, second := r.sample(c[group], except)
+		best = r.better(best, first, m)
+		best = r.better(best, second, m)
 	}
 	return best.entry
 }
 
-// scored is a server with its score.
+// measure compares servers as candidates for a new flow; lower is better.
+type measure func(r *Router, e *entry) float64
+
+// scored is a server with its value of a measure.
 type scored struct {
 	entry *entry
 	score float64
 }
 
-// better returns the one with the lower score; e may be nil.
-func (r *Router) better(best scored, e *entry) scored {
+// better returns the one with the lower value of a measure; e may be nil.
+func (r *Router) better(best scored, e *entry, m measure) scored {
 	if e == nil {
 		return best
 	}
-	if score := r.score(e); best.entry == nil || score < best.score {
+	if score := m(r, e); best.entry == nil || score < best.score {
 		return scored{e, score}
 	}
 	return best
@@ -113,7 +117,7 @@
 
 // sample returns two different entries of a list other than except, each pair with equal
 // probability. If there are fewer, the rest is nil.
-func sample(list []*entry, except *entry) (first, second *entry) {
+func (r *Router) sample(list []*entry, except *entry) (first, second *entry) {
 	n := len(list)
 	excluded := [2]int{n, n}
 	if except != nil && except.position >= 0 && except.position < n && list[except.position] == except {
@@ -123,12 +127,12 @@
 	if n == 0 {
 		return nil, nil
 	}
-	i := nth(rand.IntN(n), excluded)
+	i := nth(r.random.IntN(n), excluded)
 	if n == 1 {
 		return list[i], nil
 	}
 	excluded[1] = i
-	return list[i], list[nth(rand.IntN(n-1), excluded)]
+	return list[i], list[nth(r.random.IntN(n-1), excluded)]
 }
 
 // nth returns the position of the nth entry that is not excluded.
@@ -150,8 +154,18 @@
 
 // score returns the load of a server per slot with penalties; lower is better.
 func (r *Router) score(e *entry) float64 {
-	slots := float64(max(e.Slots, 1))
-	v := (e.MeanOpenRequests + flowLoad*(float64(e.Flows)+e.openedSinceReport)) / slots
+	return e.openRequests()/e.slots() + e.penalty()
+}
+
+// openRequests returns the number of open requests at a server, with those expected of the
+// flows opened since its report.
+func (e *entry) openRequests() float64 {
+	return e.MeanOpenRequests + flowLoad*(float64(e.Flows)+e.openedSinceReport)
+}
+
+// penalty returns the penalty of a candidate in requests per slot.
+func (e *entry) penalty() float64 {
+	v := 0.0
 	switch e.State {
 	case Cold:
 		v += coldPenalty
@@ -159,7 +173,7 @@
 		v += failingPenalty
 	default:
 	}
-	if e.Domain != r.options.Domain {
+	if e.group != ownDomain {
 		v += crossDomainPenalty
 	}
 	return v
--- a/connection/steer/choose_test.go
+++ b/connection/steer/choose_test.go
@@ -39,7 +39,7 @@
 	const choices = 2000
 	counts := map[passthrough.Endpoint]int{}
 	for range choices {
-		if e := r.choose("orders", except); e != nil {
+		if e := r.choose("orders", except, (*Router).score); e != nil {
 			counts[e.Agent]++
 		}
 	}
@@ -84,12 +84,12 @@
 				convey.So(chosen(r, nil), convey.ShouldHaveLength, 5-i)
 				r.RemoveServer(agentAddress(i))
 			}
-			convey.So(r.choose("orders", nil), convey.ShouldBeNil)
+			convey.So(r.choose("orders", nil, (*Router).score), convey.ShouldBeNil)
 			convey.So(r.services, convey.ShouldBeEmpty)
 		})
 		convey.Convey("a version that takes the domain out leaves none, and the next one brings them back", func() {
 			r.SetVersion(versionWithout("junin"))
-			convey.So(r.choose("orders", nil), convey.ShouldBeNil)
+			convey.So(r.choose("orders", nil, (*Router).score), convey.ShouldBeNil)
 			r.SetVersion(versionWithout())
 			convey.So(chosen(r, nil), convey.ShouldHaveLength, 5)
 		})
@@ -107,9 +107,9 @@
 		near, far := readyServer(0, "junin"), readyServer(1, "pasco")
 		r.SetServer(near)
 		r.SetServer(far)
-		convey.So(r.choose("orders", nil).Agent, convey.ShouldEqual, near.Agent)
+		convey.So(r.choose("orders", nil, (*Router).score).Agent, convey.ShouldEqual, near.Agent)
 		near.MeanOpenRequests = 2*crossDomainPenalty + 0.01
 		r.UpdateLoad(near)
-		convey.So(r.choose("orders", nil).Agent, convey.ShouldEqual, far.Agent)
+		convey.So(r.choose("orders", nil, (*Router).score).Agent, convey.ShouldEqual, far.Agent)
 	})
 }
--- a/connection/steer/draw.go
+++ b/connection/steer/draw.go
@@ -28,18 +28,17 @@
 	placedAt time.Duration
 }
 
-// bestDrawn returns the drawn server with the lowest score among those with a fresh report,
-// other than except, or nil.
-func (r *Router) bestDrawn(service string, except *entry) *entry {
+// bestDrawn returns the drawn server with the lowest value of a measure among those with a
+// fresh report, other than except, or nil.
+func (r *Router) bestDrawn(service string, except *entry, m measure) *entry {
 	d := r.draws[service]
 	if d == nil {
 		return nil
 	}
-	now := r.options.Now()
 	var best scored
 	for _, e := range d.entries {
-		if e != except && e.position >= 0 && e.Service == service && e.hasFreshReport(now) {
-			best = r.better(best, e)
+		if e != except && e.position >= 0 && e.Service == service && e.hasFreshReport(r.now) {
+			best = r.better(best, e, m)
 		}
 	}
 	return best.entry
@@ -62,7 +61,7 @@
 		d = &draw{}
 		r.draws[service] = d
 	}
-	d.placedAt = r.options.Now()
+	d.placedAt = r.now
 	d.remove(chosen)
 	r.drawNext(service, d, d.placedAt)
 }
@@ -76,7 +75,7 @@
 		return
 	}
 	for group := range c {
-		first, second := sample(c[group], nil)
+		first, second := r.sample(c[group], nil)
 		for _, e := range [...]*entry{first, second} {
 			if e == nil {
 				continue
--- a/connection/steer/draw_test.go
+++ b/connection/steer/draw_test.go
@@ -49,7 +49,7 @@
 	version.Routes[ordersAddress.AddrPort()] = &routes.Route{Name: "orders", Targets: []routes.Target{{Service: "orders", Weight: 1}}}
 	for b := range balancers {
 		options := Options{Format: passthroughtest.Format{}, Domain: domainOf(b), Sender: discardSender{}, Now: func() time.Duration { return f.now }}
-		options.OnPlacement = func(_ passthrough.Flow, server *Server) {
+		options.OnPlacement = func(_ passthrough.Flow, server *Server, _ time.Duration) {
 			f.ages = append(f.ages, f.now-server.ReportedAt)
 			if f.failed[server.Agent] {
 				f.lost++
@@ -182,27 +182,29 @@
 		for i := range 2 {
 			r.SetServer(readyServer(i, "junin"))
 		}
+		r.now = now
 		r.placed("orders", r.byAgent[agentAddress(0)])
 		convey.So(requested, convey.ShouldHaveLength, 2)
 		busy := readyServer(1, "junin")
 		busy.MeanOpenRequests, busy.ReportedAt = 3, now+10*time.Millisecond
 		now += 20 * time.Millisecond
+		r.now = now
 		r.UpdateLoad(busy)
 
 		convey.Convey("flows go to it although the other was idle at its last report", func() {
-			convey.So(r.choose("orders", nil).Agent, convey.ShouldEqual, agentAddress(1))
+			convey.So(r.choose("orders", nil, (*Router).score).Agent, convey.ShouldEqual, agentAddress(1))
 		})
 		convey.Convey("the other one is the alternate", func() {
-			convey.So(r.choose("orders", r.byAgent[agentAddress(1)]).Agent, convey.ShouldEqual, agentAddress(0))
+			convey.So(r.choose("orders", r.byAgent[agentAddress(1)], (*Router).score).Agent, convey.ShouldEqual, agentAddress(0))
 		})
 		convey.Convey("an old answer counts no more than any other report", func() {
-			now += maxReportAge + time.Millisecond
-			convey.So(r.choose("orders", nil).Agent, convey.ShouldEqual, agentAddress(0))
+			r.now += maxReportAge + time.Millisecond
+			convey.So(r.choose("orders", nil, (*Router).score).Agent, convey.ShouldEqual, agentAddress(0))
 		})
 		convey.Convey("a drawn server that may not receive new flows is not chosen", func() {
 			busy.State = Draining
 			r.SetServer(busy)
-			convey.So(r.choose("orders", nil).Agent, convey.ShouldEqual, agentAddress(0))
+			convey.So(r.choose("orders", nil, (*Router).score).Agent, convey.ShouldEqual, agentAddress(0))
 		})
 	})
 }
--- a/connection/steer/packet.go
+++ b/connection/steer/packet.go
@@ -36,6 +36,9 @@
 // handleOpening selects a server for an opening packet. A retransmission goes to
 // the same agent as long as that agent is reachable and its server runs.
 func (r *Router) handleOpening(buffer []byte, segment *passthrough.Segment) {
+	if r.options.Now != nil {
+		r.now = r.options.Now()
+	}
 	flow := segment.FromCaller()
 	route := r.version.Route(flow.Service.AddrPort())
 	if route == nil {
@@ -43,14 +46,14 @@
 		r.reset(flow, segment.Ack, errkind.NotFound)
 		return
 	}
-	service := route.Pick(flow.Hash())
+	service, measure := route.Pick(flow.Hash()), measureFor(route)
 	if h, ok := r.holders.Get(flow); ok {
 		if e := r.byAgent[h.agent]; e != nil && e.Reachable && e.State != Down {
-			r.sendOpening(buffer, service, e)
+			r.sendOpening(buffer, service, e, measure)
 			return
 		}
 	}
-	chosen := r.choose(service, nil)
+	chosen := r.choose(service, nil, measure)
 	if chosen == nil {
 		r.counters.NoServer++
 		if segment.IsLastRetransmission() {
@@ -60,20 +63,21 @@
 		return
 	}
 	r.counters.Opens++
-	chosen.openedSinceReport++
-	r.holders.Put(flow, holder{agent: chosen.Agent})
 	if r.options.OnPlacement != nil {
-		r.options.OnPlacement(flow, &chosen.Server)
+		r.options.OnPlacement(flow, &chosen.Server, r.expectedCompletion(chosen, route))
 	}
-	r.sendOpening(buffer, service, chosen)
+	chosen.openedSinceReport++
+	chosen.placements.add(r.now)
+	r.holders.Put(flow, holder{agent: chosen.Agent})
+	r.sendOpening(buffer, service, chosen, measure)
 	r.placed(service, chosen)
 }
 
 // sendOpening sends an opening packet to an agent, with the service that was selected for the
 // flow and the agent to which this one forwards the flow if it refuses it.
-func (r *Router) sendOpening(buffer []byte, service string, to *entry) {
+func (r *Router) sendOpening(buffer []byte, service string, to *entry, m measure) {
 	frame := passthrough.Frame{Kind: passthrough.Deliver, Tag: uint32(passthrough.ServiceTagOf(service))}
-	if e := r.choose(service, to); e != nil {
+	if e := r.choose(service, to, m); e != nil {
 		frame.Alternate = e.Agent
 	}
 	r.sendFramed(buffer, &frame, to.Agent)
--- a/connection/steer/steer.go
+++ b/connection/steer/steer.go
@@ -5,6 +5,7 @@
 package steer
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"bergamotbank/connection/passthrough"
@@ -124,8 +125,9 @@
 	// OnLookup is called for each packet of a flow whose holder is not cached, with
 	// the agent that receives the lookup; nil for none.
 	OnLookup func(flow passthrough.Flow, owner passthrough.Endpoint)
-	// OnPlacement is called when a server is selected for a new flow; nil for none.
-	OnPlacement func(flow passthrough.Flow, server *Server)
+	// OnPlacement is called when a server is selected for a new flow, with its expected
+	// completion, or 0 if it was not selected by that; nil for none.
+	OnPlacement func(flow passthrough.Flow, server *Server, completion time.Duration)
 	// Now returns the time, on the clock of Server.ReportedAt.
 	Now func() time.Duration
 	// RequestReport requests a report of an agent, which answers with its load. If it is nil,
@@ -140,7 +142,15 @@
 	version  *routes.Version
 	byAgent  map[passthrough.Endpoint]*entry
 	services map[string]*candidates
-	draws    map[string]*draw
+	// loads holds the load of each service that has candidates.
+	loads  map[string]*serviceLoad
+	draws  map[string]*draw
+	random *rand.Rand
+	// randomBits is the random number of the choice in progress.
+	randomBits uint64
+	// now is the arrival time of the last opening packet, so that the clock is read once for
+	// each.
+	now      time.Duration
 	owners   *passthrough.Owners
 	holders  *passthrough.ExpiringMap[holder]
 	lookups  *passthrough.ExpiringMap[uint8]
@@ -168,6 +178,11 @@
 type entry struct {
 	Server
 	openedSinceReport float64
+	placements        placements
+	// load is the load of the service and openPerSlot the mean number of open requests per
+	// slot, valid while the server is a candidate.
+	load        *serviceLoad
+	openPerSlot float64
 	// requestedAt is the time of the last request for a report.
 	requestedAt time.Duration
 	// group and position are the place in the candidates of the service; position is
@@ -181,7 +196,9 @@
 		options:  options,
 		byAgent:  map[passthrough.Endpoint]*entry{},
 		services: map[string]*candidates{},
+		loads:    map[string]*serviceLoad{},
 		draws:    map[string]*draw{},
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		owners:   &passthrough.Owners{},
 		holders:  passthrough.NewExpiringMap[holder](holderRetention, maxHolders),
 		lookups:  passthrough.NewExpiringMap[uint8](lookupRetention, maxHolders),
@@ -216,6 +233,9 @@
 	before := e.Server
 	r.removeCandidate(e)
 	e.Server = server
+	if server.ReportedAt > before.ReportedAt {
+		e.placements.reported(server.ReportedAt)
+	}
 	r.updateCandidate(e)
 	switch {
 	case server.TimedOut && !before.TimedOut:
--- a/connection/steer/update_test.go
+++ b/connection/steer/update_test.go
@@ -27,7 +27,7 @@
 			taken.Service = "other"
 			r.UpdateLoad(taken)
 			r.SetServer(taken)
-			convey.So(r.choose("orders", nil).Agent, convey.ShouldEqual, agentAddress(0))
+			convey.So(r.choose("orders", nil, (*Router).score).Agent, convey.ShouldEqual, agentAddress(0))
 			convey.So(chosenOf(r, "other"), convey.ShouldResemble, map[passthrough.Endpoint]bool{agentAddress(1): true, agentAddress(2): true})
 		})
 		convey.Convey("without a service, as an agent sends it that has just started, takes it out", func() {
@@ -55,7 +55,7 @@
 func chosenOf(r *Router, service string) map[passthrough.Endpoint]bool {
 	seen := map[passthrough.Endpoint]bool{}
 	for range 200 {
-		if e := r.choose(service, nil); e != nil {
+		if e := r.choose(service, nil, (*Router).score); e != nil {
 			seen[e.Agent] = true
 		}
 	}
--- a/process/passthrough/observe.go
+++ b/process/passthrough/observe.go
@@ -122,14 +122,15 @@
 }
 
 // logPlacement logs the server that a balancer selected for an opening packet and the
-// load on which it was selected.
-func (b *Balancer) logPlacement(flow passthrough.Flow, server *steer.Server) {
+// load on which it was selected. The expected completion is 0 if it was not selected by that.
+func (b *Balancer) logPlacement(flow passthrough.Flow, server *steer.Server, completion time.Duration) {
 	entry := b.logger.Check(zap.InfoLevel, "flow placed")
 	if entry == nil {
 		return
 	}
 	entry.Write(flowFields(flow, zap.String("agent", server.Name), zap.String("service", server.Service), zap.String("domain", server.Domain),
-		zap.Float64("work", server.MeanOpenRequests), zap.Int("flows", server.Flows), zap.Duration("report_age", b.clock.now()-server.ReportedAt),
+		zap.Float64("work", server.MeanOpenRequests), zap.Int("flows", server.Flows), zap.Int("pending", server.Pending),
+		zap.Duration("service_time", server.ServiceTime), zap.Duration("completion", completion), zap.Duration("report_age", b.clock.now()-server.ReportedAt),
 		zap.Uint64("revision", b.revision()))...)
 }
 
