--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -91,16 +91,12 @@
 		Flows:            a.gate.Flows(),
 		Incarnation:      server.Incarnation,
 		HasLoad:          true,
-		Pending:          a.pending(),
+		Pending:          a.gate.Pending(),
 		ServiceTime:      serviceTime,
 	}
 	return m
 }
 
-// pending returns the number of requests that the server has still to process. The caller
-// holds mu.
-func (a *Agent) pending() int { return a.gate.OpenRequests() }
-
 // Run runs the agent until ctx is canceled and then shuts it down gracefully.
 func (a *Agent) Run(ctx context.Context) error {
 	a.logger.Info("agent started", zap.Stringer("backend", a.settings.Passthrough.Backend), zap.Stringer("peer", a.settings.Passthrough.Peer))
