backlog: waiting entries are not refused by small changes of the expected wait

Late entries are let in if twice their expected wait ends before their callers give up. The same factor at each check refused entries that would have been served, and used up attempts.

--- a/connection/backlog/backlog.go
+++ b/connection/backlog/backlog.go
@@ -34,8 +34,8 @@
 	// their targets and those of the lower one can.
 	timelyShare = 1.0 / 2
 	// lateWaitMargin is the factor by which the expected wait of an entry that cannot meet its
-	// target is multiplied when it is compared with the patience of its caller. Such an entry
-	// waits for all timely ones that arrive meanwhile. If it is refused at once, its caller's
+	// target is multiplied on arrival when it is compared with the patience of its caller. Such
+	// an entry waits for all timely ones that arrive meanwhile. If it is refused at once, its caller's
 	// next attempt may be in time elsewhere; after a long wait, the next attempt looks like a
 	// new one and takes capacity although it is late.
 	lateWaitMargin = 2
@@ -280,7 +280,8 @@
 	return e.FirstSentAt + attemptLimit - b.handshake.mean()/2
 }
 
-// isHopeless reports whether the caller of an entry will have given up after the expected wait.
+// isHopeless reports whether the caller of an entry that arrives will have given up after the
+// expected wait.
 func (b *Backlog) isHopeless(e *Entry, wait, now time.Duration) bool {
 	if e.Late {
 		wait *= lateWaitMargin
@@ -412,7 +413,8 @@
 }
 
 // Expire removes the entries that are not expected to be forwarded before their callers give
-// up. It scans all late entries and is meant to be called some times per second.
+// up. The expected wait counts once here, so that small changes of the rates do not remove what
+// was let in. It scans all late entries and is meant to be called some times per second.
 func (b *Backlog) Expire(load Load, now time.Duration) []*Entry {
 	var expired []*Entry
 	ahead, taken := 0, 0.0
@@ -422,7 +424,7 @@
 		taken += l.timelyRate.perSecond(now)
 		for i := range l.late.Len() {
 			e := b.entries[l.late.At(i).Key]
-			if b.isHopeless(e, b.waitBehind(ahead, taken, &load, now), now) {
+			if now+b.waitBehind(ahead, taken, &load, now) > b.latestUseful(e) {
 				expired = append(expired, e)
 				continue
 			}
