steer: long queues at agents keep their weight as reports age

What callers saw, in the stream of the tests at 95% load: more than half of the responses came after the latency target.

Cause: the weight of the reported pending requests fell to 0 after four service times, and the mean of open requests took their place. It counts only requests that the agent has sent to its server, two per slot at most, so a server with a long queue at its agent looked like one without. The stream of the tests had counted the whole queue in that mean, which hid this.

Change: the time in which the weight falls grows with the queue beyond two requests per slot. Terms that depend on the report alone are computed once for each report.

The new case of TestExpectedCompletion failed before.

--- a/connection/steer/completion.go
+++ b/connection/steer/completion.go
@@ -11,8 +11,10 @@
 	// relevance is the age, in service times, from which a report tells nothing about the
 	// requests that are pending now, since those that it counted have completed; the mean
 	// number of open requests does. Balancers that trust an older report choose the same
-	// server at the same time.
-	relevance = 4.0
+	// server at the same time. A queue of more than relevantQueue requests per slot, the most
+	// that a server is sent, is not in that mean and takes longer to complete.
+	relevance     = 4.0
+	relevantQueue = 2.0
 	// busyTolerance is the ratio to the mean load per slot of a service up to which a server
 	// may be busier than the others. Each request per slot above it is penalised by busyPenalty
 	// times the distance of the mean from busyService, at which all servers are busy anyway.
@@ -60,7 +62,8 @@
 		r.loads[e.Service] = l
 	}
 	e.load = l
-	e.openPerSlot = e.MeanOpenRequests / e.slots()
+	e.perSlot = 1 / e.slots()
+	e.openPerSlot = e.MeanOpenRequests * e.perSlot
 	l.servers++
 	l.openPerSlot += e.openPerSlot
 	if e.ServiceTime > 0 {
@@ -68,6 +71,10 @@
 		l.serviceTime += e.ServiceTime
 	}
 	l.updateMeans()
+	e.fading = 0
+	if l.measured > 0 {
+		e.fading = 1 / (relevance * e.serviceTime() * max(1, float64(e.Pending)*e.perSlot/relevantQueue))
+	}
 }
 
 // removeLoad removes a candidate from the load of its service.
@@ -92,6 +99,15 @@
 
 func (e *entry) slots() float64 { return float64(max(e.Slots, 1)) }
 
+// serviceTime returns the mean service time in nanoseconds, that of the service if the
+// server's is not known.
+func (e *entry) serviceTime() float64 {
+	if e.ServiceTime > 0 {
+		return float64(e.ServiceTime)
+	}
+	return e.load.meanServiceTime
+}
+
 // randomizedCompletion returns the expected completion of a request at a server with a random
 // factor, or the score if no server of the service reports its service time.
 func (r *Router) randomizedCompletion(e *entry) float64 {
@@ -116,11 +132,7 @@
 // there, with penalties, in nanoseconds: the wait for a slot and the service time. A server
 // without a measurement counts with the mean of the service.
 func (r *Router) completion(e *entry) float64 {
-	serviceTime := e.load.meanServiceTime
-	if e.ServiceTime > 0 {
-		serviceTime = float64(e.ServiceTime)
-	}
-	return serviceTime*(1+r.pending(e, serviceTime)/e.slots()) + e.load.meanServiceTime*(e.busyPenalty()+e.penalty())
+	return e.serviceTime()*(1+r.pending(e)*e.perSlot) + e.load.meanServiceTime*(e.busyPenalty()+e.penalty())
 }
 
 // busyPenalty returns the penalty of a server that is busier than the others of its service.
@@ -134,16 +146,15 @@
 }
 
 // pending returns the expected number of requests at a server that a new one waits for.
-func (r *Router) pending(e *entry, serviceTime float64) float64 {
+func (r *Router) pending(e *entry) float64 {
 	if !e.HasLoad {
 		return e.openRequests()
 	}
-	placed := float64(e.placements.count)
-	age, limit := float64(r.now-e.ReportedAt), relevance*serviceTime
-	if age >= limit {
-		return e.MeanOpenRequests + placed
+	pending := e.MeanOpenRequests + float64(e.placements.count)
+	if weight := 1 - float64(r.now-e.ReportedAt)*e.fading; weight > 0 {
+		pending += weight * (float64(e.Pending) - e.MeanOpenRequests)
 	}
-	return e.MeanOpenRequests + (float64(e.Pending)-e.MeanOpenRequests)*(1-age/limit) + placed
+	return pending
 }
 
 // placements are the requests that the balancer placed at a server and that its last report
--- a/connection/steer/completion_test.go
+++ b/connection/steer/completion_test.go
@@ -137,7 +137,8 @@
 	for i, s := range l.servers {
 		const window = 1500 * time.Millisecond
 		open := len(slices.DeleteFunc(slices.Clone(s.ends), func(end time.Duration) bool { return end <= l.now }))
-		s.MeanOpenRequests += (float64(open) - s.MeanOpenRequests) * float64(step) / float64(window)
+		// More than two requests per slot wait at the agent and are not open.
+		s.MeanOpenRequests += (float64(min(open, 2*loadedSlots)) - s.MeanOpenRequests) * float64(step) / float64(window)
 		if (l.now+time.Duration(i)*reportEvery/45)%reportEvery < step {
 			l.reports = append(l.reports, s.report(l.now))
 		}
@@ -274,6 +275,12 @@
 		{"one of an earlier build by its open requests", func(s []Server) {
 			s[near].Pending, s[far].Pending, s[other].HasLoad, s[other].ServiceTime = 4, 4, false, 0
 		}, other},
+		{"not one that had a long queue some time ago", func(s []Server) {
+			for i := range s {
+				s[i].ReportedAt, s[i].MeanOpenRequests, s[i].Pending = -300*time.Millisecond, 8, 8
+			}
+			s[other].Pending, s[far].MeanOpenRequests = 40, 12
+		}, near},
 		{"not one that is much busier than the others, though its queue is short just now", func(s []Server) {
 			s[near].MeanOpenRequests, s[far].Pending = 4, 2
 		}, other},
--- a/connection/steer/steer.go
+++ b/connection/steer/steer.go
@@ -179,10 +179,11 @@
 	Server
 	openedSinceReport float64
 	placements        placements
-	// load is the load of the service and openPerSlot the mean number of open requests per
-	// slot, valid while the server is a candidate.
-	load        *serviceLoad
-	openPerSlot float64
+	// load is the load of the service, openPerSlot the mean number of open requests per slot,
+	// perSlot the inverse of the number of slots and fading the loss of weight of the report per
+	// nanosecond. They are computed for each report and valid while the server is a candidate.
+	load                         *serviceLoad
+	openPerSlot, perSlot, fading float64
 	// requestedAt is the time of the last request for a report.
 	requestedAt time.Duration
 	// group and position are the place in the candidates of the service; position is
