--- a/connection/steer/completion.go
+++ b/connection/steer/completion.go
@@ -18,7 +18,8 @@
 	// busyTolerance is the ratio to the mean load per slot of a service up to which a server
 	// may be busier than the others. Each request per slot above it is penalised by busyPenalty
 	// times the distance of the mean from busyService, at which all servers are busy anyway.
-	// This keeps the utilisation of the fastest servers within 1.15 times the mean.
+	// This keeps the utilisation of the fastest servers within 1.15 times the mean from a load of
+	// 70% on; at lower load they have room for more.
 	busyTolerance = 1.1
 	busyPenalty   = 3.0
 	busyService   = 2.0
