settings: a process may announce another peer address than the bound one

passthrough.announce is the address that other processes use, for a process behind a port forwarder. It is the address in heartbeats and in the directory; without it nothing changes.

--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -132,9 +132,9 @@
 	return n.version.Revision
 }
 
-// self returns the peer address of this process.
+// self returns the peer address that this process announces.
 func (n *node) self() passthrough.Endpoint {
-	return passthrough.EndpointOf(n.settings.Passthrough.Peer)
+	return passthrough.EndpointOf(n.settings.Passthrough.AnnouncedPeer())
 }
 
 // addPeer adds an address to which heartbeats are sent.
@@ -152,11 +152,11 @@
 }
 
 // addSeeds adds the peer addresses of the seeds. A seed is the control address of a
-// balancer; its peer address is the same IP address with the peer port of this process,
-// since all VMs use the same ports.
+// balancer; its peer address is the same IP address with the port that this process
+// announces, since all VMs use the same ports.
 func (n *node) addSeeds(seeds []netip.AddrPort) {
 	for _, seed := range seeds {
-		n.addPeer(passthrough.EndpointOf(seed).WithPort(n.settings.Passthrough.Peer.Port()), roster.Balancer)
+		n.addPeer(passthrough.EndpointOf(seed).WithPort(n.self().Port()), roster.Balancer)
 	}
 }
 
--- a/process/settings/check.go
+++ b/process/settings/check.go
@@ -152,6 +152,9 @@
 	if s.Passthrough.Heartbeat <= 0 {
 		problems = append(problems, `field "passthrough.heartbeat": must be greater than zero`)
 	}
+	if a := s.Passthrough.Announce; a.IsValid() && (!a.Addr().Is4() || a.Addr().IsUnspecified() || a.Addr().IsMulticast() || a.Port() == 0) {
+		problems = append(problems, `field "passthrough.announce": `+a.String()+" is not an IPv4 address and port of one process")
+	}
 	if s.Passthrough.FlowLifetime <= 0 {
 		problems = append(problems, `field "passthrough.flow_lifetime": must be greater than zero`)
 	}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -58,6 +58,10 @@
 type Passthrough struct {
 	// Peer is the address for datagrams and HTTP requests between processes.
 	Peer netip.AddrPort `toml:"peer" doc:"address for datagrams and HTTP requests between processes, UDP and TCP" required:"passthrough"`
+	// Announce is the address that other processes use instead of Peer. A process behind
+	// address translation or a port forwarder binds another address than the one at which
+	// it is reached.
+	Announce netip.AddrPort `toml:"announce" doc:"peer address that other processes use, if it differs from the bound one; empty: passthrough.peer"`
 	// Readiness is the address that serves readiness probes.
 	Readiness netip.AddrPort `toml:"readiness" doc:"TCP address that serves readiness probes of the fabric" required:"passthrough"`
 	// Domains are all failure domains of the deployment.
@@ -76,6 +80,14 @@
 	LeaseMinimum Duration `toml:"lease_minimum" doc:"shortest lease that the store grants" default:"1s"`
 }
 
+// AnnouncedPeer returns the address at which other processes reach this one.
+func (p Passthrough) AnnouncedPeer() netip.AddrPort {
+	if p.Announce.IsValid() {
+		return p.Announce
+	}
+	return p.Peer
+}
+
 // Balancer are the settings of a balancer.
 type Balancer struct {
 	// SourcePorts is the number of UDP source ports in rotation for packets to agents.
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -39,6 +39,21 @@
 	})
 }
 
+func TestAnnouncedPeer(t *testing.T) {
+	// Otherwise members would send to an address at which the process is not reached.
+	convey.Convey("A process announces the address that is set for it, else the bound one", t, func() {
+		for _, row := range []struct{ announce, want string }{
+			{"", "127.0.0.1:7203"},
+			{"announce = \"127.0.0.2:7204\"\n", "127.0.0.2:7204"},
+		} {
+			text := balancerText + "[passthrough]\npeer = \"127.0.0.1:7203\"\n" + row.announce
+			s, err := settings.Parse([]byte(text), settings.RoleBalancer, emptyEnvironment)
+			convey.So(err, convey.ShouldBeNil)
+			convey.So(s.Passthrough.AnnouncedPeer().String(), convey.ShouldEqual, row.want)
+		}
+	})
+}
+
 func TestParseRejects(t *testing.T) {
 	cases := []struct {
 		name, text string
@@ -52,6 +67,7 @@
 		{"a number of source ports out of range", balancerText + "[balancer]\nsource_ports = 65\n", settings.RoleBalancer, `"balancer.source_ports": 65`},
 		{"an unknown log level", balancerText + "log_level = \"loud\"\n", settings.RoleBalancer, `unknown level "loud"`},
 		{"an agent without its service", balancerText, settings.RoleAgent, `field "agent.service": missing`},
+		{"an announced address that is not one of a process", balancerText + "[passthrough]\nannounce = \"0.0.0.0:7203\"\n", settings.RoleBalancer, `"passthrough.announce": 0.0.0.0:7203`},
 		{"calls without a source", balancerText + "[agent]\ncalls = \"127.0.0.1:1\"\n", settings.RoleBalancer, `"agent.source"`},
 	}
 	for _, c := range cases {
