--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -25,6 +25,8 @@
 	metricsPort   = 29006
 	storePort     = 29007
 	proxyPort     = 29008
+	// announcedPort is the peer port that processes announce; the network relays it.
+	announcedPort = 29009
 )
 
 const (
@@ -44,6 +46,10 @@
 type deploymentSize struct {
 	network                               byte
 	domains, balancers, orders, downloads int
+	// spareBalancers is the number of balancers that are not started with the deployment;
+	// spareVMs adds such a VM for each of a backend server.
+	spareBalancers int
+	spareVMs       bool
 }
 
 // Offsets of the second address byte, relative to the network of the balancers.
@@ -89,9 +95,12 @@
 	store        *standin.Store
 	proxy        *standin.Proxy
 	fabric       *standin.Fabric
+	network      *standin.Network
 	http         *http.Server
 	balancers    []*process
 	vms          []*vm
+	// spares are the VMs among vms that are not started with the deployment.
+	spares []*vm
 
 	mu          sync.Mutex
 	version     int
@@ -115,7 +124,7 @@
 // newDeployment starts the test doubles and all processes.
 func newDeployment(dir, program string, s deploymentSize) (*deployment, error) {
 	d := &deployment{
-		dir: dir, program: program, size: s, checker: standin.NewChecker(), store: standin.NewStore(),
+		dir: dir, program: program, size: s, checker: standin.NewChecker(), store: standin.NewStore(), network: standin.NewNetwork(),
 		routes:   map[passthrough.Endpoint]string{ordersRoute: "orders", downloadsRoute: "downloads"},
 		outSince: map[string]time.Time{},
 	}
@@ -132,17 +141,19 @@
 		return nil, err
 	}
 	d.writeManifest()
-	for i := range s.balancers {
+	for i := range s.balancers + s.spareBalancers {
 		if err := d.addBalancer(i); err != nil {
 			return nil, err
 		}
 	}
-	for i := range s.orders + s.downloads {
-		service := "orders"
-		if i >= s.orders {
-			service = "downloads"
+	count := s.orders + s.downloads
+	for i := range count {
+		if err := d.addVM(i, i, false); err != nil {
+			return nil, err
 		}
-		if _, err := d.addVM(i, service); err != nil {
+	}
+	for i := 0; s.spareVMs && i < count; i++ {
+		if err := d.addVM(count+i, i, true); err != nil {
 			return nil, err
 		}
 	}
@@ -170,6 +181,7 @@
 		v.crash()
 	}
 	d.fabric.Close()
+	d.network.Close()
 	d.proxy.Close()
 	_ = d.http.Close()
 }
@@ -193,35 +205,61 @@
 	}
 	return fmt.Sprintf("name = %q\ndomain = %q\npacket = %q\ncontrol = %q\nstore = %q\nseeds = [%q]\n",
 		name, domain, addrPort(ip, packetPort), addrPort(ip, controlPort), d.size.store(proxyPort), addrPort(d.size.address(0, 0), controlPort)) + "%s" +
-		fmt.Sprintf("[passthrough]\npeer = %q\ndomains = [%s]\nreadiness = %q\nmetrics = %q\nheartbeat = %q\n",
-			addrPort(ip, peerPort), domains, addrPort(ip, readinessPort), addrPort(ip, metricsPort), heartbeatInterval)
+		fmt.Sprintf("[passthrough]\npeer = %q\nannounce = %q\ndomains = [%s]\nreadiness = %q\nmetrics = %q\nheartbeat = %q\n",
+			addrPort(ip, peerPort), addrPort(ip, announcedPort), domains, addrPort(ip, readinessPort), addrPort(ip, metricsPort), heartbeatInterval)
 }
 
 func (d *deployment) addBalancer(i int) error {
 	ip := d.size.address(0, i)
 	domain, name := domainName(i%d.size.domains), fmt.Sprintf("balancer-%d", i)
 	text := fmt.Sprintf(d.commonSettings(name, domain, ip), "[balancer]\nstop_grace = \"1500ms\"\n")
-	p := &process{name: name, ip: ip, program: d.program, role: "passthrough-balancer", dir: d.dir, onUnexpectedEnd: d.processEnded}
+	p := d.newProcess(name, "passthrough-balancer", domain, ip)
+	if err := d.network.Add(domain, addrPort(ip, announcedPort), addrPort(ip, peerPort)); err != nil {
+		return err
+	}
 	if err := os.WriteFile(filepath.Join(d.dir, name+".toml"), []byte(text), 0o600); err != nil {
 		return err
 	}
 	d.balancers = append(d.balancers, p)
 	d.fabric.Add(standin.Balancer{Domain: domain, Packet: addrPort(ip, packetPort), Readiness: addrPort(ip, readinessPort)})
+	if i >= d.size.balancers {
+		return nil
+	}
 	return p.start()
 }
 
-func (d *deployment) addVM(i int, service string) (*vm, error) {
-	ip := d.size.address(serverNetwork, i)
-	domain, name := domainName(i%d.size.domains), fmt.Sprintf("agent-%d", i)
-	v := &vm{domain: domain, ip: ip, process: &process{name: name, ip: ip, program: d.program, role: "passthrough-agent", dir: d.dir, onUnexpectedEnd: d.processEnded}}
+// addVM adds the VM with index i, with the service and domain of the VM with index like.
+func (d *deployment) addVM(i, like int, spare bool) error {
+	ip, service := d.size.address(serverNetwork, i), "orders"
+	if like >= d.size.orders {
+		service = "downloads"
+	}
+	domain, name := domainName(like%d.size.domains), fmt.Sprintf("agent-%d", i)
+	v := &vm{domain: domain, ip: ip, process: d.newProcess(name, "passthrough-agent", domain, ip)}
+	if err := d.network.Add(domain, addrPort(ip, announcedPort), addrPort(ip, peerPort)); err != nil {
+		return err
+	}
 	if err := d.setService(v, service); err != nil {
-		return nil, err
+		return err
 	}
 	d.vms = append(d.vms, v)
+	if spare {
+		d.spares = append(d.spares, v)
+		return nil
+	}
+	return d.startVM(v)
+}
+
+// startVM starts the agent and the server of a VM.
+func (d *deployment) startVM(v *vm) error {
 	if err := v.process.start(); err != nil {
-		return nil, err
+		return err
 	}
-	return v, d.startServer(v)
+	return d.startServer(v)
+}
+
+func (d *deployment) newProcess(name, role, domain string, ip netip.Addr) *process {
+	return &process{name: name, ip: ip, domain: domain, program: d.program, role: role, dir: d.dir, onUnexpectedEnd: d.processEnded}
 }
 
 // setService sets the service of a VM and writes the settings of its agent.
@@ -331,6 +369,17 @@
 	return all
 }
 
+// domainVMs returns the addresses of all VMs of a failure domain.
+func (d *deployment) domainVMs(domain string) []netip.Addr {
+	var all []netip.Addr
+	for _, p := range d.processes() {
+		if p.domain == domain {
+			all = append(all, p.ip)
+		}
+	}
+	return all
+}
+
 func (d *deployment) routesOf(service string) map[passthrough.Endpoint]bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/soak/load.go
+++ b/soak/load.go
@@ -17,7 +17,7 @@
 	requestTimeout = 1200 * time.Millisecond
 	// meanRequestPause is the mean interval between requests on a flow.
 	meanRequestPause = 120 * time.Millisecond
-	// meanFlowDuration is the mean duration of a long flow.
+	// meanFlowDuration is the mean duration of a long flow in a schedule.
 	meanFlowDuration = 8 * time.Second
 	orderBytes       = 300
 	downloadBytes    = 12000
@@ -27,12 +27,14 @@
 type load struct {
 	d       *deployment
 	callers []*standin.Caller
-	done    sync.WaitGroup
+	// flowDuration is the mean duration of a long flow.
+	flowDuration time.Duration
+	done         sync.WaitGroup
 }
 
 // startLoad starts callers. Each uses long flows and occasionally downloads.
-func startLoad(ctx context.Context, d *deployment, count int, seed uint64) (*load, error) {
-	l := &load{d: d}
+func startLoad(ctx context.Context, d *deployment, count int, seed uint64, flowDuration time.Duration) (*load, error) {
+	l := &load{d: d, flowDuration: flowDuration}
 	for i := range count {
 		at := netip.AddrPortFrom(d.size.address(callerNetwork, i), packetPort)
 		c, err := standin.NewCaller(domainName(i%d.size.domains), at, d.fabric, d.checker, d.holderVM)
@@ -77,7 +79,7 @@
 // useFlow sends requests on a flow for an exponentially distributed time, or until one
 // is not served. It retries that request on a new flow if this is safe.
 func (l *load) useFlow(ctx context.Context, c *standin.Caller, f *standin.Flow, random *rand.Rand, prefix string) {
-	end := time.Now().Add(time.Duration(random.ExpFloat64() * float64(meanFlowDuration)))
+	end := time.Now().Add(time.Duration(random.ExpFloat64() * float64(l.flowDuration)))
 	for n := 0; ctx.Err() == nil && time.Now().Before(end); n++ {
 		unsafe := random.IntN(3) == 0
 		id := fmt.Sprintf("%s.%d", prefix, n)
--- a/soak/main.go
+++ b/soak/main.go
@@ -26,6 +26,7 @@
 	Length    time.Duration `arg:"--length" default:"20s" help:"length of one schedule"`
 	Regress   bool          `arg:"--regressions" help:"run the schedules of past failures instead"`
 	Demo      bool          `arg:"--demo" help:"run only planned changes and crashes of servers; only flows of a crashed server may break"`
+	Case      string        `arg:"--case" help:"run a fixed sequence once for each seed instead: one-way-cut"`
 	Program   string        `arg:"--program" default:"bin/bergamotd" help:"path of the bergamotd binary"`
 	Output    string        `arg:"--output" default:"out/soak" help:"directory for settings and logs"`
 	Callers   int           `arg:"--callers" default:"24" help:"number of callers"`
@@ -38,7 +39,10 @@
 
 func main() {
 	var a arguments
-	arg.MustParse(&a)
+	parser := arg.MustParse(&a)
+	if a.Case != "" && scripts[a.Case] == nil {
+		parser.Fail("unknown case " + a.Case)
+	}
 	schedules := a.schedules()
 	failed := 0
 	for _, plan := range schedules {
@@ -72,6 +76,10 @@
 		return all
 	}
 	for i := range a.Seeds {
+		if a.Case != "" {
+			all = append(all, schedule{seed: a.First + uint64(i), script: scripts[a.Case]})
+			continue
+		}
 		all = append(all, schedule{seed: a.First + uint64(i), stepCount: len(allSteps), demo: a.Demo, small: a.Demo, concurrency: defaultConcurrency})
 	}
 	return all
@@ -87,6 +95,8 @@
 func (a arguments) size(plan schedule) deploymentSize {
 	size := sizes[plan.seed%uint64(len(sizes))]
 	switch {
+	case plan.script != nil:
+		size = plan.script.size
 	case a.Balancers > 0:
 		size = deploymentSize{domains: a.Zones, balancers: a.Balancers, orders: a.Orders, downloads: a.Downloads}
 	case plan.small:
@@ -115,17 +125,26 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	l, err := startLoad(ctx, d, a.Callers, seed)
+	flowDuration, length := meanFlowDuration, a.Length
+	if plan.script != nil {
+		flowDuration, length = plan.script.flowDuration, scriptLength
+	}
+	l, err := startLoad(ctx, d, a.Callers, seed, flowDuration)
 	if err != nil {
 		return 0, err
 	}
-	d.fabric.SetRendezvousHashing(seed%rendezvousSeedInterval == 1)
-	scheduleCtx, cancel := context.WithTimeout(ctx, a.Length)
+	d.fabric.SetRendezvousHashing(plan.script == nil && seed%rendezvousSeedInterval == 1)
+	scheduleCtx, cancel := context.WithTimeout(ctx, length)
 	defer cancel()
 	started := time.Now()
-	runSchedule(scheduleCtx, d, plan, func(step string) {
+	logStep := func(step string) {
 		fmt.Printf("seed %d %6.2f s %s\n", seed, time.Since(started).Seconds(), step)
-	})
+	}
+	if plan.script != nil {
+		plan.script.run(scheduleCtx, d, seed, logStep)
+	} else {
+		runSchedule(scheduleCtx, d, plan, logStep)
+	}
 	checkRecovery(d, l)
 	stop()
 	l.close()
--- a/soak/process.go
+++ b/soak/process.go
@@ -16,6 +16,7 @@
 type process struct {
 	name    string
 	ip      netip.Addr
+	domain  string
 	program string
 	role    string
 	dir     string
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -322,6 +322,16 @@
 			injectFault(d, "kill "+p.name, randomDuration(r, restartDelay, 3*restartDelay), p.kill, func() { restart(d, p) }, p.ip)
 		}
 	}},
+	{"a failure domain is cut off from the others", false, func(d *deployment, r *rand.Rand) {
+		cut := []standin.Cut{{In: true}, {Out: true}, {In: true, Out: true}}[r.IntN(3)]
+		cutDomain(d, domainName(r.IntN(d.size.domains)), cut, randomDuration(r, time.Second, 6*time.Second))
+	}},
+}
+
+// cutDomain cuts a failure domain off from the others for a time.
+func cutDomain(d *deployment, domain string, cut standin.Cut, length time.Duration) {
+	injectFault(d, "cut of "+domain, length, func() { d.network.Cut(domain, cut) },
+		func() { d.network.Cut(domain, standin.Cut{}) }, d.domainVMs(domain)...)
 }
 
 const (
@@ -371,6 +381,8 @@
 	small bool
 	// concurrency is the number of steps that may run at the same time.
 	concurrency int
+	// script replaces the drawn steps if it is not nil.
+	script *script
 }
 
 // runSchedule runs steps selected by the seed until ctx is done, up to plan.concurrency at a
