--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -50,6 +50,8 @@
 	// spareVMs adds such a VM for each of a backend server.
 	spareBalancers int
 	spareVMs       bool
+	// relayed is true if a network relays what the processes send to each other.
+	relayed bool
 }
 
 // Offsets of the second address byte, relative to the network of the balancers.
@@ -124,10 +126,11 @@
 // newDeployment starts the test doubles and all processes.
 func newDeployment(dir, program string, s deploymentSize) (*deployment, error) {
 	d := &deployment{
-		dir: dir, program: program, size: s, checker: standin.NewChecker(), store: standin.NewStore(), network: standin.NewNetwork(),
+		dir: dir, program: program, size: s, checker: standin.NewChecker(), store: standin.NewStore(),
 		routes:   map[passthrough.Endpoint]string{ordersRoute: "orders", downloadsRoute: "downloads"},
 		outSince: map[string]time.Time{},
 	}
+	d.network = standin.NewNetwork(d.relaysStalled)
 	listener, err := net.Listen("tcp", s.store(storePort).String())
 	if err != nil {
 		return nil, err
@@ -206,7 +209,31 @@
 	return fmt.Sprintf("name = %q\ndomain = %q\npacket = %q\ncontrol = %q\nstore = %q\nseeds = [%q]\n",
 		name, domain, addrPort(ip, packetPort), addrPort(ip, controlPort), d.size.store(proxyPort), addrPort(d.size.address(0, 0), controlPort)) + "%s" +
 		fmt.Sprintf("[passthrough]\npeer = %q\nannounce = %q\ndomains = [%s]\nreadiness = %q\nmetrics = %q\nheartbeat = %q\n",
-			addrPort(ip, peerPort), addrPort(ip, announcedPort), domains, addrPort(ip, readinessPort), addrPort(ip, metricsPort), heartbeatInterval)
+			addrPort(ip, peerPort), d.announced(ip), domains, addrPort(ip, readinessPort), addrPort(ip, metricsPort), heartbeatInterval)
+}
+
+// announced returns the peer address that a process announces.
+func (d *deployment) announced(ip netip.Addr) netip.AddrPort {
+	if d.size.relayed {
+		return addrPort(ip, announcedPort)
+	}
+	return addrPort(ip, peerPort)
+}
+
+// relay relays what is sent to a process, if the deployment is relayed.
+func (d *deployment) relay(domain string, ip netip.Addr) error {
+	if !d.size.relayed {
+		return nil
+	}
+	return d.network.Add(domain, d.announced(ip), addrPort(ip, peerPort))
+}
+
+// relaysStalled records that the soak test itself has cut off all processes from each other.
+func (d *deployment) relaysStalled(length time.Duration) {
+	if d.size.relayed {
+		d.checker.Count("stalls of the relays")
+		d.checker.Disturb(fmt.Sprintf("relays stalled for %s", length), stabilizationTime)
+	}
 }
 
 func (d *deployment) addBalancer(i int) error {
@@ -214,7 +241,7 @@
 	domain, name := domainName(i%d.size.domains), fmt.Sprintf("balancer-%d", i)
 	text := fmt.Sprintf(d.commonSettings(name, domain, ip), "[balancer]\nstop_grace = \"1500ms\"\n")
 	p := d.newProcess(name, "passthrough-balancer", domain, ip)
-	if err := d.network.Add(domain, addrPort(ip, announcedPort), addrPort(ip, peerPort)); err != nil {
+	if err := d.relay(domain, ip); err != nil {
 		return err
 	}
 	if err := os.WriteFile(filepath.Join(d.dir, name+".toml"), []byte(text), 0o600); err != nil {
@@ -236,7 +263,7 @@
 	}
 	domain, name := domainName(like%d.size.domains), fmt.Sprintf("agent-%d", i)
 	v := &vm{domain: domain, ip: ip, process: d.newProcess(name, "passthrough-agent", domain, ip)}
-	if err := d.network.Add(domain, addrPort(ip, announcedPort), addrPort(ip, peerPort)); err != nil {
+	if err := d.relay(domain, ip); err != nil {
 		return err
 	}
 	if err := d.setService(v, service); err != nil {
--- a/soak/main.go
+++ b/soak/main.go
@@ -103,6 +103,9 @@
 		size = smallSize
 	}
 	size.network = a.Network
+	// Schedules from before the step that cuts off a failure domain, and those of the demo,
+	// run as before: without relays, which need processor time.
+	size.relayed = plan.script != nil || (!plan.demo && plan.stepCount == len(allSteps))
 	return size
 }
 
