--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -25,6 +25,8 @@
 	metricsPort   = 29006
 	storePort     = 29007
 	proxyPort     = 29008
+	// announcedPort is the peer port that processes announce; the network relays it.
+	announcedPort = 29009
 )
 
 const (
@@ -44,6 +46,12 @@
 type deploymentSize struct {
 	network                               byte
 	domains, balancers, orders, downloads int
+	// spareBalancers is the number of balancers that are not started with the deployment;
+	// spareVMs adds such a VM for each of a backend server.
+	spareBalancers int
+	spareVMs       bool
+	// relayed is true if a network relays what the processes send to each other.
+	relayed bool
 }
 
 // Offsets of the second address byte, relative to the network of the balancers.
@@ -89,9 +97,12 @@
 	store        *standin.Store
 	proxy        *standin.Proxy
 	fabric       *standin.Fabric
+	network      *standin.Network
 	http         *http.Server
 	balancers    []*process
 	vms          []*vm
+	// spares are the VMs among vms that are not started with the deployment.
+	spares []*vm
 
 	mu          sync.Mutex
 	version     int
@@ -119,6 +130,7 @@
 		routes:   map[passthrough.Endpoint]string{ordersRoute: "orders", downloadsRoute: "downloads"},
 		outSince: map[string]time.Time{},
 	}
+	d.network = standin.NewNetwork(d.relaysStalled)
 	listener, err := net.Listen("tcp", s.store(storePort).String())
 	if err != nil {
 		return nil, err
@@ -132,17 +144,19 @@
 		return nil, err
 	}
 	d.writeManifest()
-	for i := range s.balancers {
+	for i := range s.balancers + s.spareBalancers {
 		if err := d.addBalancer(i); err != nil {
 			return nil, err
 		}
 	}
-	for i := range s.orders + s.downloads {
-		service := "orders"
-		if i >= s.orders {
-			service = "downloads"
+	count := s.orders + s.downloads
+	for i := range count {
+		if err := d.addVM(i, i, false); err != nil {
+			return nil, err
 		}
-		if _, err := d.addVM(i, service); err != nil {
+	}
+	for i := 0; s.spareVMs && i < count; i++ {
+		if err := d.addVM(count+i, i, true); err != nil {
 			return nil, err
 		}
 	}
@@ -170,6 +184,7 @@
 		v.crash()
 	}
 	d.fabric.Close()
+	d.network.Close()
 	d.proxy.Close()
 	_ = d.http.Close()
 }
@@ -193,35 +208,85 @@
 	}
 	return fmt.Sprintf("name = %q\ndomain = %q\npacket = %q\ncontrol = %q\nstore = %q\nseeds = [%q]\n",
 		name, domain, addrPort(ip, packetPort), addrPort(ip, controlPort), d.size.store(proxyPort), addrPort(d.size.address(0, 0), controlPort)) + "%s" +
-		fmt.Sprintf("[passthrough]\npeer = %q\ndomains = [%s]\nreadiness = %q\nmetrics = %q\nheartbeat = %q\n",
-			addrPort(ip, peerPort), domains, addrPort(ip, readinessPort), addrPort(ip, metricsPort), heartbeatInterval)
+		fmt.Sprintf("[passthrough]\npeer = %q\nannounce = %q\ndomains = [%s]\nreadiness = %q\nmetrics = %q\nheartbeat = %q\n",
+			addrPort(ip, peerPort), d.announced(ip), domains, addrPort(ip, readinessPort), addrPort(ip, metricsPort), heartbeatInterval)
+}
+
+// announced returns the peer address that a process announces.
+func (d *deployment) announced(ip netip.Addr) netip.AddrPort {
+	if d.size.relayed {
+		return addrPort(ip, announcedPort)
+	}
+	return addrPort(ip, peerPort)
+}
+
+// relay relays what is sent to a process, if the deployment is relayed.
+func (d *deployment) relay(domain string, ip netip.Addr) error {
+	if !d.size.relayed {
+		return nil
+	}
+	return d.network.Add(domain, d.announced(ip), addrPort(ip, peerPort))
+}
+
+// relaysStalled records that the soak test itself has cut off all processes from each other.
+func (d *deployment) relaysStalled(length time.Duration) {
+	if d.size.relayed {
+		d.checker.Count("stalls of the relays")
+		d.checker.Disturb(fmt.Sprintf("relays stalled for %s", length), stabilizationTime)
+	}
 }
 
 func (d *deployment) addBalancer(i int) error {
 	ip := d.size.address(0, i)
 	domain, name := domainName(i%d.size.domains), fmt.Sprintf("balancer-%d", i)
 	text := fmt.Sprintf(d.commonSettings(name, domain, ip), "[balancer]\nstop_grace = \"1500ms\"\n")
-	p := &process{name: name, ip: ip, program: d.program, role: "passthrough-balancer", dir: d.dir, onUnexpectedEnd: d.processEnded}
+	p := d.newProcess(name, "passthrough-balancer", domain, ip)
+	if err := d.relay(domain, ip); err != nil {
+		return err
+	}
 	if err := os.WriteFile(filepath.Join(d.dir, name+".toml"), []byte(text), 0o600); err != nil {
 		return err
 	}
 	d.balancers = append(d.balancers, p)
 	d.fabric.Add(standin.Balancer{Domain: domain, Packet: addrPort(ip, packetPort), Readiness: addrPort(ip, readinessPort)})
+	if i >= d.size.balancers {
+		return nil
+	}
 	return p.start()
 }
 
-func (d *deployment) addVM(i int, service string) (*vm, error) {
-	ip := d.size.address(serverNetwork, i)
-	domain, name := domainName(i%d.size.domains), fmt.Sprintf("agent-%d", i)
-	v := &vm{domain: domain, ip: ip, process: &process{name: name, ip: ip, program: d.program, role: "passthrough-agent", dir: d.dir, onUnexpectedEnd: d.processEnded}}
+// addVM adds the VM with index i, with the service and domain of the VM with index like.
+func (d *deployment) addVM(i, like int, spare bool) error {
+	ip, service := d.size.address(serverNetwork, i), "orders"
+	if like >= d.size.orders {
+		service = "downloads"
+	}
+	domain, name := domainName(like%d.size.domains), fmt.Sprintf("agent-%d", i)
+	v := &vm{domain: domain, ip: ip, process: d.newProcess(name, "passthrough-agent", domain, ip)}
+	if err := d.relay(domain, ip); err != nil {
+		return err
+	}
 	if err := d.setService(v, service); err != nil {
-		return nil, err
+		return err
 	}
 	d.vms = append(d.vms, v)
+	if spare {
+		d.spares = append(d.spares, v)
+		return nil
+	}
+	return d.startVM(v)
+}
+
+// startVM starts the agent and the server of a VM.
+func (d *deployment) startVM(v *vm) error {
 	if err := v.process.start(); err != nil {
-		return nil, err
+		return err
 	}
-	return v, d.startServer(v)
+	return d.startServer(v)
+}
+
+func (d *deployment) newProcess(name, role, domain string, ip netip.Addr) *process {
+	return &process{name: name, ip: ip, domain: domain, program: d.program, role: role, dir: d.dir, onUnexpectedEnd: d.processEnded}
 }
 
 // setService sets the service of a VM and writes the settings of its agent.
@@ -331,6 +396,17 @@
 	return all
 }
 
+// domainVMs returns the addresses of all VMs of a failure domain.
+func (d *deployment) domainVMs(domain string) []netip.Addr {
+	var all []netip.Addr
+	for _, p := range d.processes() {
+		if p.domain == domain {
+			all = append(all, p.ip)
+		}
+	}
+	return all
+}
+
 func (d *deployment) routesOf(service string) map[passthrough.Endpoint]bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
