roster: tests draw with a seed, and processes that are cut off send nothing

The draws of TestFailedAgentIsKnownEverywhere had no seed; it is 1 now, or the value of ROSTER_SEED. The processes that cutOff isolates still sent suspicions, since these do not name their sender: a process that was cut off told all others but those that it had asked in vain itself that a member does not answer, and in some runs nobody told the rest. Their sender drops all datagrams now. Checks and bounds are unchanged.

--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -1,8 +1,12 @@
 package roster
 
 import (
+	"cmp"
 	"fmt"
+	"math/rand/v2"
+	"os"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
@@ -28,6 +32,29 @@
 	network   *passthroughtest.Network
 	processes []*testProcess
 	now       time.Duration
+	random    *rand.Rand
+	// cut holds the processes that are cut off.
+	cut map[passthrough.Endpoint]bool
+}
+
+// testSender sends the datagrams of a process of a testCluster.
+type testSender struct {
+	cluster *testCluster
+	from    passthrough.Endpoint
+}
+
+// Send implements passthrough.Sender.
+func (s testSender) Send(b []byte, to passthrough.Endpoint) {
+	if !s.cluster.cut[s.from] && !s.cluster.cut[to] {
+		s.cluster.network.Send(b, to)
+	}
+}
+
+// testSeed returns the seed of the random choices of a testCluster, which the environment
+// variable ROSTER_SEED replaces.
+func testSeed() uint64 {
+	seed, _ := strconv.ParseUint(cmp.Or(os.Getenv("ROSTER_SEED"), "1"), 10, 64)
+	return seed
 }
 
 func addressOf(i int) passthrough.Endpoint {
@@ -37,7 +64,7 @@
 // newTestCluster returns a cluster of the given numbers of balancers and agents that
 // know no other process.
 func newTestCluster(balancers, agents int) *testCluster {
-	c := &testCluster{network: passthroughtest.NewNetwork(), now: time.Second}
+	c := &testCluster{network: passthroughtest.NewNetwork(), now: time.Second, random: rand.New(rand.NewPCG(testSeed(), 1))}
 	for i := range balancers + agents {
 		p := &testProcess{self: Member{Name: fmt.Sprintf("p-%d", i), Domain: "junin", Role: Balancer, Peer: addressOf(i), Run: 1, Version: 1}}
 		if i >= balancers {
@@ -54,7 +81,7 @@
 	p := c.processes[i]
 	p.roster = New(Options{
 		Self:           func() Member { return p.self },
-		Sender:         c.network,
+		Sender:         testSender{c, p.self.Peer},
 		OnNewerVersion: func(m Member) { p.newerVersions = append(p.newerVersions, m.Version) },
 		OnConfirmed:    func(time.Duration) {},
 		OnChange:       func(changed []Status) { p.changes, p.lastChanged = p.changes+1, changed },
@@ -279,7 +306,7 @@
 				c.advance(50 * time.Millisecond)
 				convey.So(c.status(0, 4).Silent, convey.ShouldBeFalse)
 			}
-			c.network.Drop = nil
+			c.cutOff()
 			c.processes[4].roster.Announce(c.now)
 			for range 20 {
 				c.advance(50 * time.Millisecond)
@@ -345,7 +372,7 @@
 		c.advance(time.Second)
 		c.cutOff(1)
 		c.advance(600 * time.Millisecond)
-		c.network.Drop = nil
+		c.cutOff()
 		old := heartbeat{Member: c.processes[1].self, interval: time.Second}
 		c.processes[1].self.Run = 800
 		c.start(1)
--- a/process/roster/suspicion_test.go
+++ b/process/roster/suspicion_test.go
@@ -1,7 +1,6 @@
 package roster
 
 import (
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -33,7 +32,7 @@
 func (c *testCluster) place() {
 	for i := range largeSiteBalancers {
 		for range 4 {
-			c.processes[i].roster.RequestReport(addressOf(largeSiteBalancers+rand.IntN(largeSiteAgents)), c.now)
+			c.processes[i].roster.RequestReport(addressOf(largeSiteBalancers+c.random.IntN(largeSiteAgents)), c.now)
 		}
 	}
 	c.network.Run()
@@ -42,11 +41,10 @@
 
 // cutOff drops all datagrams from and to the given processes.
 func (c *testCluster) cutOff(processes ...int) {
-	cut := map[passthrough.Endpoint]bool{}
+	c.cut = map[passthrough.Endpoint]bool{}
 	for _, i := range processes {
-		cut[addressOf(i)] = true
+		c.cut[addressOf(i)] = true
 	}
-	c.network.Drop = func(b []byte, to passthrough.Endpoint) bool { return cut[to] || cut[sender(b)] }
 }
 
 // TestFailedAgentIsKnownEverywhere guards against a detection time that grows with the
@@ -106,7 +104,7 @@
 			c.cutOff(100)
 			c.place()
 			c.place()
-			c.network.Drop = nil
+			c.cutOff()
 			c.processes[100].roster.Announce(c.now)
 			for range 8 {
 				c.place()
