roster: the time until an agent is presumed failed does not depend on chance

Seen: an agent whose VM is not checked is to be presumed failed within 1.25 s. That held only if its last report came at least 100 ms before its failure: of the five ticks of a report interval, the test passes in three. In the large fleet a balancer that asked an agent for its load at the moment of an outage counts 400 ms from there, so an outage of 500 ms is presumed a failure of the VM. Cause: the limit of 1.3 s since the last heartbeat, and limits from the first probe, which is sent 100 ms after a missed heartbeat but at once on a request. Change: silence counts from unansweredSince: the first probe, or 100 ms before it if a heartbeat was overdue; a suspicion counts the 300 ms for which its sender has probed. Evidence: TestFailedAgentIsDetectedInTime and TestSilenceByVM now start at each tick of a report interval. TestSilenceByVM delivers the result of the check whenever it was started, not only in the first part of the test, with the same bounds.

--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -102,10 +102,13 @@
 	})
 }
 
+// tickInterval is the time between two ticks.
+const tickInterval = 50 * time.Millisecond
+
 // advance advances the virtual time in steps of one tick.
 func (c *testCluster) advance(d time.Duration) {
 	for end := c.now + d; c.now < end; {
-		c.now += 50 * time.Millisecond
+		c.now += tickInterval
 		for _, p := range c.processes {
 			p.roster.Tick(c.now)
 		}
@@ -289,31 +292,33 @@
 // TestFailedAgentIsDetectedInTime guards requests whose callers wait for 1.5 s: when their
 // server is lost, they can be repeated elsewhere only if their flows are reset well before.
 func TestFailedAgentIsDetectedInTime(t *testing.T) {
-	convey.Convey("Given a small deployment", t, func() {
-		c := newTestCluster(2, 4)
-		for _, p := range c.processes[1:] {
-			p.roster.Add(addressOf(0), Balancer)
-		}
-		c.advance(3 * time.Second)
-		c.cutOff(4)
-		convey.Convey("an agent that has failed is presumed so within 1.25 s", func() {
-			c.advance(1250 * time.Millisecond)
-			convey.So(c.status(0, 4).Silent, convey.ShouldBeTrue)
-			convey.So(c.status(1, 4).Silent, convey.ShouldBeTrue)
-		})
-		convey.Convey("an agent that is back after 700 ms is not", func() {
-			for range 14 {
-				c.advance(50 * time.Millisecond)
-				convey.So(c.status(0, 4).Silent, convey.ShouldBeFalse)
-			}
-			c.cutOff()
-			c.processes[4].roster.Announce(c.now)
-			for range 20 {
-				c.advance(50 * time.Millisecond)
-				convey.So(c.status(0, 4).Silent, convey.ShouldBeFalse)
+	for ticks := range minReportInterval / tickInterval {
+		convey.Convey(fmt.Sprintf("Given a small deployment after %d ticks more", ticks), t, func() {
+			c := newTestCluster(2, 4)
+			for _, p := range c.processes[1:] {
+				p.roster.Add(addressOf(0), Balancer)
 			}
+			c.advance(3*time.Second + ticks*tickInterval)
+			c.cutOff(4)
+			convey.Convey("an agent that has failed is presumed so within 1.25 s", func() {
+				c.advance(1250 * time.Millisecond)
+				convey.So(c.status(0, 4).Silent, convey.ShouldBeTrue)
+				convey.So(c.status(1, 4).Silent, convey.ShouldBeTrue)
+			})
+			convey.Convey("an agent that is back after 700 ms is not", func() {
+				for range 14 {
+					c.advance(tickInterval)
+					convey.So(c.status(0, 4).Silent, convey.ShouldBeFalse)
+				}
+				c.cutOff()
+				c.processes[4].roster.Announce(c.now)
+				for range 20 {
+					c.advance(tickInterval)
+					convey.So(c.status(0, 4).Silent, convey.ShouldBeFalse)
+				}
+			})
 		})
-	})
+	}
 }
 
 func TestOneWayLoss(t *testing.T) {
--- a/process/roster/status.go
+++ b/process/roster/status.go
@@ -46,24 +46,24 @@
 
 // silence defines when an agent is presumed failed: flows of its server are then reset.
 type silence struct {
-	// sinceHeartbeat and sinceProbe are the minimum times since the last heartbeat and since
-	// the first unanswered probe.
-	sinceHeartbeat, sinceProbe time.Duration
+	// sinceHeartbeat and unanswered are the minimum times since the last heartbeat and since
+	// peerState.unansweredSince.
+	sinceHeartbeat, unanswered time.Duration
 }
 
 // agentSilence is the silence after which an agent is presumed failed. A process that is
 // restarted answers again after 0.6 to 0.8 s, so an agent on a running VM is given more time
 // than one on a VM that has failed.
 var agentSilence = [...]silence{
-	vmUnknown:     {1300 * time.Millisecond, 900 * time.Millisecond},
-	vmRunning:     {1100 * time.Millisecond, 750 * time.Millisecond},
-	vmUnreachable: {700 * time.Millisecond, 400 * time.Millisecond},
+	vmUnknown:     {1200 * time.Millisecond, 950 * time.Millisecond},
+	vmRunning:     {1100 * time.Millisecond, 850 * time.Millisecond},
+	vmUnreachable: {700 * time.Millisecond, 550 * time.Millisecond},
 }
 
 // stoppingSilence applies to an agent that announced that its server takes no new flows, unless
 // its VM has failed: the agent is probably being restarted, and its server keeps its flows. It
 // is longer than the grace period of a stop and the start of the next process.
-var stoppingSilence = silence{10 * time.Second, 750 * time.Millisecond}
+var stoppingSilence = silence{10 * time.Second, 850 * time.Millisecond}
 
 // peerState is the state kept for an address. known is true once a heartbeat has
 // arrived, receivesHeartbeats if the last one reported that the peer receives
@@ -81,10 +81,11 @@
 	listedAt time.Duration
 	// sent counts the heartbeats to the member.
 	sent uint
-	// probes counts the probes since the last heartbeat, firstProbe and lastProbe are the
-	// times of the first and the last one.
-	probes                int
-	firstProbe, lastProbe time.Duration
+	// probes counts the probes since the last heartbeat, lastProbe is the time of the last
+	// one. The member has not answered since unansweredSince: the first probe, or earlier if
+	// a heartbeat was overdue or another process had probed the member before.
+	probes                     int
+	lastProbe, unansweredSince time.Duration
 	// vm is the state of the member's VM, vmChecked is true once a check has been started.
 	vm        vmState
 	vmChecked bool
@@ -123,8 +124,13 @@
 // probeDue reports whether a probe is due: the heartbeat is overdue, or a probe has not been
 // answered.
 func (p *peerState) probeDue(now time.Duration) bool {
-	overdue := p.probes > 0 || now-p.lastHeartbeatAt > p.interval+probeDelay
-	return p.known && p.probes < maxProbes && overdue && now-p.lastProbe >= probeInterval
+	due := p.probes > 0 || p.overdue(now)
+	return p.known && p.probes < maxProbes && due && now-p.lastProbe >= probeInterval
+}
+
+// overdue reports whether a heartbeat is late by more than probeDelay.
+func (p *peerState) overdue(now time.Duration) bool {
+	return now-p.lastHeartbeatAt > p.interval+probeDelay
 }
 
 // probe requests a heartbeat from a member.
@@ -171,7 +177,10 @@
 // countProbe counts a probe that is sent now.
 func (p *peerState) countProbe(now time.Duration) {
 	if p.probes == 0 {
-		p.firstProbe = now
+		p.unansweredSince = now
+		if p.overdue(now) {
+			p.unansweredSince -= probeDelay
+		}
 	}
 	p.probes++
 	p.lastProbe = now
@@ -247,7 +256,7 @@
 	if p.member.Report.State == steer.Draining && p.vm != vmUnreachable {
 		limit = stoppingSilence
 	}
-	return now-p.lastHeartbeatAt > limit.sinceHeartbeat && now-p.firstProbe >= limit.sinceProbe
+	return now-p.lastHeartbeatAt > limit.sinceHeartbeat && now-p.unansweredSince >= limit.unanswered
 }
 
 // unansweredProbes returns the number of unanswered probes, without one for which
--- a/process/roster/suspicion.go
+++ b/process/roster/suspicion.go
@@ -71,4 +71,5 @@
 		p.countProbe(now)
 		r.probe(peer, p, now)
 	}
+	p.unansweredSince = min(p.unansweredSince, max(p.lastHeartbeatAt, now-unreachableProbes*probeInterval))
 }
--- a/process/roster/suspicion_test.go
+++ b/process/roster/suspicion_test.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -102,6 +103,14 @@
 		})
 		convey.Convey("a process that restarts within 600 ms is not presumed failed", func() {
 			c.cutOff(100)
+			presumedFailed := 0
+			for _, p := range c.processes {
+				p.roster.options.OnMemberChange = func(m Member, change string, _ time.Duration) {
+					if change == "silent" && m.Peer == addressOf(100) {
+						presumedFailed++
+					}
+				}
+			}
 			c.place()
 			c.place()
 			c.cutOff()
@@ -115,6 +124,7 @@
 				}
 			}
 			convey.So(c.status(0, 100).Reachable, convey.ShouldBeTrue)
+			convey.So(presumedFailed, convey.ShouldEqual, 0)
 		})
 	})
 }
@@ -239,31 +249,34 @@
 		{"an agent whose VM responds is presumed failed only after 0.8 s", true, 800 * time.Millisecond, 1250 * time.Millisecond},
 		{"an agent whose VM does not respond is presumed failed within 0.85 s", false, 400 * time.Millisecond, 850 * time.Millisecond},
 	} {
-		convey.Convey("In a small deployment "+row.name, t, func() {
-			c := newTestCluster(2, 3)
-			for _, p := range c.processes[1:] {
-				p.roster.Add(addressOf(0), Balancer)
-			}
-			c.advance(2 * time.Second)
-			checks := 0
-			balancer := c.processes[0].roster
-			balancer.options.CheckVM = func(peer passthrough.Endpoint) {
-				checks++
-				convey.So(peer, convey.ShouldEqual, addressOf(4))
-			}
-			c.cutOff(4)
-			cutAt := c.now
-			for c.now < cutAt+row.before {
-				c.advance(50 * time.Millisecond)
-				if checks == 1 {
-					balancer.HandleVMCheck(addressOf(4), row.running)
+		for ticks := range minReportInterval / tickInterval {
+			convey.Convey(fmt.Sprintf("In a small deployment, after %d ticks more, %s", ticks, row.name), t, func() {
+				c := newTestCluster(2, 3)
+				for _, p := range c.processes[1:] {
+					p.roster.Add(addressOf(0), Balancer)
 				}
-				convey.So(c.status(0, 4).Silent, convey.ShouldBeFalse)
-			}
-			c.advance(row.after - row.before)
-			convey.So(c.status(0, 4).Silent, convey.ShouldBeTrue)
-			convey.So(checks, convey.ShouldEqual, 1)
-		})
+				c.advance(2*time.Second + ticks*tickInterval)
+				checks := 0
+				balancer := c.processes[0].roster
+				balancer.options.CheckVM = func(peer passthrough.Endpoint) {
+					checks++
+					convey.So(peer, convey.ShouldEqual, addressOf(4))
+				}
+				c.cutOff(4)
+				cutAt := c.now
+				for c.now < cutAt+row.after {
+					c.advance(tickInterval)
+					if checks == 1 {
+						balancer.HandleVMCheck(addressOf(4), row.running)
+					}
+					if c.now <= cutAt+row.before {
+						convey.So(c.status(0, 4).Silent, convey.ShouldBeFalse)
+					}
+				}
+				convey.So(c.status(0, 4).Silent, convey.ShouldBeTrue)
+				convey.So(checks, convey.ShouldEqual, 1)
+			})
+		}
 	}
 	convey.Convey("The result of a check that arrives after the member has answered is ignored", t, func() {
 		c := newTestCluster(1, 1)
