spread: a process that was held up does not read the store for lack of peers

Cause: a starting process that has found no peers after a second of the clock watches the store and reads the version from it, six calls in all. If the processes are held up in that second, those that run first afterwards do so before their peers are delivered. Change: each tick counts for at most 250 ms of the second. A discovery that really takes longer than a second still leads to six calls per process, as before.

--- a/version/spread/fleet_test.go
+++ b/version/spread/fleet_test.go
@@ -1,16 +1,22 @@
 package spread_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"bergamotbank/event"
 	"bergamotbank/version/config"
 	"bergamotbank/version/publish"
@@ -22,6 +28,13 @@
 // waitTimeout is the timeout of eventually.
 const waitTimeout = 20 * time.Second
 
+// testSeed returns the seed of the random choices of all processes, which the environment
+// variable SPREAD_SEED replaces.
+func testSeed() uint64 {
+	seed, _ := strconv.ParseUint(cmp.Or(os.Getenv("SPREAD_SEED"), "1"), 10, 64)
+	return seed
+}
+
 // process is a Spreader that serves on a loopback address.
 type process struct {
 	peer     spread.Peer
@@ -123,6 +136,7 @@
 	}
 	p.spreader = spread.New(spread.Options{
 		Self: p.peer, Store: p.client, Peers: peers, Recorder: p, Apply: p.apply, Tick: 20 * time.Millisecond,
+		Random: rand.New(rand.NewPCG(testSeed(), xxhash.Sum64String(name))),
 	})
 	mux := http.NewServeMux()
 	mux.Handle(p.spreader.Handler())
--- a/version/spread/machine.go
+++ b/version/spread/machine.go
@@ -16,7 +16,10 @@
 	// leafQueryInterval is queryInterval for a leaf. It is longer since a leaf also
 	// learns of versions from notifications and heartbeats of its home balancers.
 	leafQueryInterval = 2 * time.Second
-	// peerDiscoveryTimeout is how long a starting process waits for peers.
+	// peerDiscoveryTimeout is how long a starting process waits for peers, as the sum of
+	// the times between its ticks, of which each counts for at most DefaultTick: a process
+	// that is held up cannot discover peers. Without this, processes that started together
+	// on a busy machine and were held up all watched the store, six calls each.
 	peerDiscoveryTimeout = time.Second
 	// pauseThreshold is the time between two ticks after which a process assumes
 	// that it was paused and repeats its startup.
@@ -101,6 +104,8 @@
 	startedAt   time.Time
 	// lastTick is the time of the latest tick.
 	lastTick time.Time
+	// discoveryTime is the time since the start as peerDiscoveryTimeout counts it.
+	discoveryTime time.Duration
 	// startupQueriedAt is the time at which the startup queries were sent, and
 	// zero before.
 	startupQueriedAt time.Time
@@ -167,6 +172,8 @@
 func (m *machine) tick(now time.Time, peers []Peer, contact time.Time) []action {
 	if m.lastTick.IsZero() || now.Sub(m.lastTick) > pauseThreshold {
 		m.beginStartup(now)
+	} else {
+		m.discoveryTime += min(now.Sub(m.lastTick), DefaultTick)
 	}
 	m.lastTick = now
 	m.setPeers(peers)
@@ -185,6 +192,7 @@
 // ready until it has repeated the startup queries.
 func (m *machine) beginStartup(now time.Time) {
 	m.startedAt = now
+	m.discoveryTime = 0
 	m.peerContact = now
 	m.startupQueriedAt = time.Time{}
 	m.synchronized = false
@@ -204,7 +212,7 @@
 // updateWatcher starts or stops watching the store according to the current
 // peers.
 func (m *machine) updateWatcher() []action {
-	if m.leaf || m.discoveringPeers(m.lastTick) {
+	if m.leaf || m.discoveringPeers() {
 		return nil
 	}
 	chosen := isWatcher(m.self, m.localPeers)
@@ -224,7 +232,7 @@
 	if m.startupQueriesSent() {
 		return m.expireStartup(now)
 	}
-	if m.discoveringPeers(now) {
+	if m.discoveringPeers() {
 		return nil
 	}
 	m.startupQueriedAt = now
@@ -242,8 +250,8 @@
 // discoveringPeers reports whether a starting process still waits for its first
 // peers. Meanwhile it must not become a watcher, or every process of a deployment
 // that restarts would become one.
-func (m *machine) discoveringPeers(now time.Time) bool {
-	return m.peerCount() == 0 && now.Sub(m.startedAt) < peerDiscoveryTimeout
+func (m *machine) discoveringPeers() bool {
+	return m.peerCount() == 0 && m.discoveryTime < peerDiscoveryTimeout
 }
 
 // startupStoreRead starts the wait for the first response of the store. Watchers
--- a/version/spread/spread.go
+++ b/version/spread/spread.go
@@ -65,6 +65,9 @@
 	// Tick is the interval between two calls of the state machine's periodic
 	// work; 0 means DefaultTick.
 	Tick time.Duration
+	// Random is the source of the random choices, which no other goroutine may use while
+	// the Spreader runs; nil means one with a random seed.
+	Random *rand.Rand
 }
 
 // DefaultTick is the default of Options.Tick.
@@ -102,12 +105,15 @@
 	if options.Tick == 0 {
 		options.Tick = DefaultTick
 	}
+	if options.Random == nil {
+		options.Random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
 	s := &Spreader{
 		options: options,
 		machine: newMachine(machineOptions{
 			self:   options.Self,
 			leaf:   options.Store == nil,
-			random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			random: options.Random,
 		}),
 		client:       newPeerClient(options.Self, options.Store == nil),
 		leaves:       newLeafTable(),
