roster: heartbeats to the others are spread over their interval

Cause: a process sends its heartbeats to all others at the same moment, every 1.4 or 5.4 s in the large fleet. Between two of them only a request for a load report reveals that an agent does not respond, and with four draws of 59 balancers among 136 agents nobody asks one in 3% of cases for half a second. An agent receives heartbeats in bursts, if all started together, and requests: after 400 ms without any it took itself for cut off. Change: each pair of processes has a slot of the interval, given by a hash of the addresses. Of 59 balancers one is due a report of a failed agent soon, and its suspicion reaches all others. The number of heartbeats is the same, and the random delay after Announce is no longer needed. With few balancers the bound remains the interval of reports.

--- a/process/roster/heartbeat.go
+++ b/process/roster/heartbeat.go
@@ -58,7 +58,7 @@
 // heartbeat is a full heartbeat.
 type heartbeat struct {
 	Member
-	// interval is the time to the sender's next heartbeat.
+	// interval is the maximum time to the sender's next heartbeat.
 	interval time.Duration
 	// receivesHeartbeats is true if the sender has recently received a heartbeat of
 	// the receiver.
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -68,12 +68,10 @@
 
 // Roster tracks the members. It is not safe for concurrent use.
 type Roster struct {
-	options       Options
-	peers         map[passthrough.Endpoint]*peerState
-	nextReport    time.Duration
-	nextHeartbeat time.Duration
-	nextContact   time.Duration
-	lastTick      time.Duration
+	options     Options
+	peers       map[passthrough.Endpoint]*peerState
+	nextContact time.Duration
+	lastTick    time.Duration
 	// lastStatic holds the fields of this process that compact heartbeats omit, as
 	// last sent; after a change all heartbeats are full ones until fullUntil.
 	lastStatic staticFields
--- a/process/roster/send.go
+++ b/process/roster/send.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/binary"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -30,16 +29,15 @@
 	// fullHeartbeatIntervals intervals, since datagrams may be lost.
 	fullHeartbeatEvery     = 8
 	fullHeartbeatIntervals = 3
+	// slots is the number of times within an interval at which heartbeats may be due.
+	slots = 1024
 )
 
 // shouldIntroduce reports whether this process is one of the few that send a member
 // an introduction unrequested, since the directory it read may be out of date. If all
 // did, the traffic after a mass restart would grow with the square of its size.
 func (r *Roster) shouldIntroduce(peer passthrough.Endpoint, self Member) bool {
-	var addresses [16]byte
-	binary.LittleEndian.PutUint64(addresses[:], uint64(peer))
-	binary.LittleEndian.PutUint64(addresses[8:], uint64(self.Peer))
-	return xxhash.Sum64(addresses[:])%uint64(len(r.peers)+1) < introducers
+	return hashOfPair(peer, self.Peer)%uint64(len(r.peers)+1) < introducers
 }
 
 // sendIntroduction sends a member that has just started the list of all others, in as
@@ -73,46 +71,54 @@
 // Announce sends a heartbeat to all members immediately, after a change of this
 // process.
 func (r *Roster) Announce(now time.Duration) {
-	r.nextReport, r.nextHeartbeat = 0, 0
+	for _, p := range r.peers {
+		p.nextHeartbeat = 0
+	}
 	r.sendDueHeartbeats(now)
-	// Processes that change at the same time, for example after a mass restart, should not
-	// send all their heartbeats at the same time from then on.
-	report, regular := r.intervals()
-	r.nextReport, r.nextHeartbeat = now+rand.N(report), now+rand.N(regular)
 }
 
 // sendDueHeartbeats sends the heartbeats that are due.
 func (r *Roster) sendDueHeartbeats(now time.Duration) {
-	report, regular, contact := now >= r.nextReport, now >= r.nextHeartbeat, now >= r.nextContact
-	if !report && !regular && !contact {
-		return
-	}
-	self := r.options.Self()
-	reportEvery, heartbeatEvery := r.intervals()
-	if report {
-		r.nextReport = now + reportEvery
-	}
-	if regular {
-		r.nextHeartbeat = now + heartbeatEvery
-	}
+	contact := now >= r.nextContact
 	if contact {
 		r.nextContact = now + contactInterval
 	}
+	self := r.options.Self()
+	_, regular := r.intervals()
 	if static := staticFieldsOf(self); static != r.lastStatic {
-		r.lastStatic, r.fullUntil = static, now+fullHeartbeatIntervals*heartbeatEvery
+		r.lastStatic, r.fullUntil = static, now+fullHeartbeatIntervals*regular
 	}
 	for peer, p := range r.peers {
 		switch {
-		case !p.known && contact:
-			if p.contactDue() {
+		case !p.known:
+			if contact && p.contactDue() {
 				r.sendHeartbeat(peer, p, self, now)
 			}
-		case p.known && carriesReport(self, p) && report, p.known && !carriesReport(self, p) && regular:
+		case now >= p.nextHeartbeat:
 			r.sendHeartbeat(peer, p, self, now)
 		}
 	}
 }
 
+// nextInSlot returns the time after now, at most an interval away, of the next heartbeat
+// from one process to another. A hash of the addresses selects the slot of the interval.
+// The heartbeats of a process to the others are thereby spread over the interval: when it
+// fails, one of them is due soon, and its receiver tells all others. The heartbeats that a
+// process receives are spread too, also if all their senders started at the same time, so
+// that a pause in them shows that it is cut off.
+func nextInSlot(from, to passthrough.Endpoint, now, interval time.Duration) time.Duration {
+	slot := time.Duration(hashOfPair(from, to)%slots) * interval / slots
+	return now + interval - (now-slot+interval)%interval
+}
+
+// hashOfPair returns a hash of two addresses, which depends on their order.
+func hashOfPair(first, second passthrough.Endpoint) uint64 {
+	var addresses [16]byte
+	binary.LittleEndian.PutUint64(addresses[:], uint64(first))
+	binary.LittleEndian.PutUint64(addresses[8:], uint64(second))
+	return xxhash.Sum64(addresses[:])
+}
+
 // carriesReport reports whether heartbeats to a member carry the load of a server:
 // those of an agent to a balancer, which are sent more often than others.
 func carriesReport(self Member, p *peerState) bool {
@@ -136,6 +142,7 @@
 	if carriesReport(self, p) {
 		h.interval = report
 	}
+	p.nextHeartbeat = nextInSlot(self.Peer, peer, now, h.interval)
 	p.sent++
 	if p.receivesHeartbeats && !h.wantsIntroduction && now >= r.fullUntil && p.sent%fullHeartbeatEvery != 0 {
 		b := compactHeartbeatOf(&h)
--- a/process/roster/status.go
+++ b/process/roster/status.go
@@ -79,8 +79,9 @@
 	// listedAt is the time of the last read of the directory that lists the address, 0 for
 	// none.
 	listedAt time.Duration
-	// sent counts the heartbeats to the member.
-	sent uint
+	// nextHeartbeat is the time of the next heartbeat to the member, sent counts them.
+	nextHeartbeat time.Duration
+	sent          uint
 	// probes counts the probes since the last heartbeat, lastProbe is the time of the last
 	// one. The member has not answered since unansweredSince: the first probe, or earlier if
 	// a heartbeat was overdue or another process had probed the member before.
--- a/process/roster/suspicion_test.go
+++ b/process/roster/suspicion_test.go
@@ -57,6 +57,15 @@
 		for range 4 {
 			c.place()
 		}
+		convey.Convey("every process knows within a second that an agent does not respond which no balancer asks", func() {
+			c.cutOff(100)
+			c.advance(time.Second)
+			for i := range c.processes {
+				if i != 100 {
+					convey.So(c.status(i, 100).Reachable, convey.ShouldBeFalse)
+				}
+			}
+		})
 		for _, i := range []int{largeSiteBalancers, largeSiteBalancers + largeSiteAgents - 1} {
 			convey.So(c.status(0, i).Reachable, convey.ShouldBeTrue)
 		}
