roster: a process that has unread datagrams presumes no member failed

Cause, as far as the code shows: ticks run and count silence while answers wait unread in the socket or for the lock. Only a gap of over 500 ms between two ticks was taken into account. Change: while a process probes members it sends itself a marker at each tick, which waits behind all datagrams that arrived before. Members are judged as of the time of the last marker handled, plus the 50 ms to the next tick: a probe counts as unanswered, and the next one is sent, only if an answer would have been read. Should markers not arrive at all, judgements lag by 5 s. A process at rest sends none. A compact heartbeat of an unknown run makes the previous run unreachable by itself, not only by the time since its last heartbeat.

--- a/connection/passthrough/frame.go
+++ b/connection/passthrough/frame.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -41,11 +42,14 @@
 	Redirected
 	// Suspicion informs a process that a member does not answer the sender.
 	Suspicion
+	// Marker is sent by a process to itself and contains the time at which it was sent. When
+	// it is handled, so are all datagrams that had arrived by then.
+	Marker
 )
 
 // String returns the name of the kind in logs.
 func (k Kind) String() string {
-	names := [...]string{"deliver", "lookup", "registered", "search", "learned", "register", "hello", "introduction", "not_held", "beat", "redirected", "suspicion"}
+	names := [...]string{"deliver", "lookup", "registered", "search", "learned", "register", "hello", "introduction", "not_held", "beat", "redirected", "suspicion", "marker"}
 	if k < Deliver || int(k-Deliver) >= len(names) {
 		return "unknown"
 	}
@@ -134,6 +138,7 @@
 	holderSize         = 1 + endpointSize + flowSize
 	registerHeaderSize = 1 + endpointSize + 4
 	suspicionSize      = 1 + endpointSize + 4
+	markerSize         = 9
 )
 
 // MaxRegistrations is the maximum number of flows in a datagram of kind Register,
@@ -195,6 +200,19 @@
 	return endpointAt(b[1:]), binary.LittleEndian.Uint32(b[1+endpointSize:]), nil
 }
 
+// AppendMarker appends a datagram of kind Marker.
+func AppendMarker(b []byte, sentAt time.Duration) []byte {
+	return binary.LittleEndian.AppendUint64(append(b, byte(Marker)), uint64(sentAt))
+}
+
+// ParseMarker decodes a datagram of kind Marker. The error has kind Malformed.
+func ParseMarker(b []byte) (sentAt time.Duration, err error) {
+	if len(b) != markerSize {
+		return 0, errInvalidLength
+	}
+	return time.Duration(binary.LittleEndian.Uint64(b[1:])), nil
+}
+
 func appendEndpoint(b []byte, e Endpoint) []byte {
 	var raw [endpointSize]byte
 	putEndpoint(raw[:], e)
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -260,6 +260,8 @@
 		n.roster.HandleIntroduction(b)
 	case passthrough.Suspicion:
 		n.roster.HandleSuspicion(b, now)
+	case passthrough.Marker:
+		n.roster.HandleMarker(b, now)
 	default:
 	}
 }
--- a/process/roster/compact.go
+++ b/process/roster/compact.go
@@ -115,7 +115,7 @@
 		return
 	}
 	if uint32(p.member.Run) != b.run {
-		p.lastHeartbeatAt = min(p.lastHeartbeatAt, now-p.reachableTimeout())
+		p.lastHeartbeatAt, p.receivesHeartbeats = min(p.lastHeartbeatAt, now-p.reachableTimeout()), false
 		return
 	}
 	h := heartbeat{Member: p.member, interval: b.interval, receivesHeartbeats: b.receivesHeartbeats, wantsReply: b.wantsReply}
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -72,6 +72,8 @@
 	peers       map[passthrough.Endpoint]*peerState
 	nextContact time.Duration
 	lastTick    time.Duration
+	// handledUntil is the time of the last marker that has arrived, 0 for none.
+	handledUntil time.Duration
 	// lastStatic holds the fields of this process that compact heartbeats omit, as
 	// last sent; after a change all heartbeats are full ones until fullUntil.
 	lastStatic staticFields
@@ -249,18 +251,23 @@
 	r.compensateStall(now)
 	r.updateIsolation(now)
 	r.sendDueHeartbeats(now)
+	judgedAt, probing := r.judgementTime(now), false
 	for peer, p := range r.peers {
-		if p.probeDue(now) {
+		if p.probeDue(now, judgedAt) {
 			r.probe(peer, p, now)
 		}
-		r.checkVM(peer, p, now)
-		if r.updateStatus(p, now) {
+		probing = probing || p.probes > 0
+		r.checkVM(peer, p, judgedAt)
+		if r.updateStatus(p, judgedAt) {
 			r.markChanged(p)
 		}
 		if r.expired(p, now) {
 			r.remove(peer, p)
 		}
 	}
+	if probing {
+		r.sendMarker(now)
+	}
 	r.NotifyChanges()
 }
 
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -25,6 +25,11 @@
 	lastChanged   []Status
 	removed       []Member
 	newerVersions []uint64
+	// silences counts the members presumed failed. While the process is heldUp, its unread
+	// datagrams wait.
+	silences int
+	heldUp   bool
+	unread   [][]byte
 }
 
 // testCluster simulates the rosters of a deployment in virtual time.
@@ -35,6 +40,10 @@
 	random    *rand.Rand
 	// cut holds the processes that are cut off.
 	cut map[passthrough.Endpoint]bool
+	// handlers receive the datagrams of processes, toSelf are those under way from a
+	// process to itself.
+	handlers map[passthrough.Endpoint]func(b []byte)
+	toSelf   []func()
 }
 
 // testSender sends the datagrams of a process of a testCluster.
@@ -45,7 +54,11 @@
 
 // Send implements passthrough.Sender.
 func (s testSender) Send(b []byte, to passthrough.Endpoint) {
-	if !s.cluster.cut[s.from] && !s.cluster.cut[to] {
+	switch {
+	case s.from == to:
+		// What a process sends itself does not leave its VM. It waits behind all others.
+		s.cluster.toSelf = append(s.cluster.toSelf, func() { s.cluster.handlers[to](b) })
+	case !s.cluster.cut[s.from] && !s.cluster.cut[to]:
 		s.cluster.network.Send(b, to)
 	}
 }
@@ -64,7 +77,7 @@
 // newTestCluster returns a cluster of the given numbers of balancers and agents that
 // know no other process.
 func newTestCluster(balancers, agents int) *testCluster {
-	c := &testCluster{network: passthroughtest.NewNetwork(), now: time.Second, random: rand.New(rand.NewPCG(testSeed(), 1))}
+	c := &testCluster{network: passthroughtest.NewNetwork(), now: time.Second, random: rand.New(rand.NewPCG(testSeed(), 1)), handlers: map[passthrough.Endpoint]func([]byte){}}
 	for i := range balancers + agents {
 		p := &testProcess{self: Member{Name: fmt.Sprintf("p-%d", i), Domain: "junin", Role: Balancer, Peer: addressOf(i), Run: 1, Version: 1}}
 		if i >= balancers {
@@ -86,8 +99,17 @@
 		OnConfirmed:    func(time.Duration) {},
 		OnChange:       func(changed []Status) { p.changes, p.lastChanged = p.changes+1, changed },
 		OnRemove:       func(m Member) { p.removed = append(p.removed, m) },
+		OnMemberChange: func(_ Member, change string, _ time.Duration) {
+			if change == "silent" {
+				p.silences++
+			}
+		},
 	})
-	c.network.Attach(addressOf(i), func(b []byte) {
+	c.handlers[addressOf(i)] = func(b []byte) {
+		if p.heldUp {
+			p.unread = append(p.unread, b)
+			return
+		}
 		switch passthrough.Kind(b[0]) {
 		case passthrough.Introduction:
 			p.roster.HandleIntroduction(b)
@@ -95,11 +117,23 @@
 			p.roster.HandleCompactHeartbeat(b, c.now)
 		case passthrough.Suspicion:
 			p.roster.HandleSuspicion(b, c.now)
+		case passthrough.Marker:
+			p.roster.HandleMarker(b, c.now)
 		default:
 			p.roster.HandleHeartbeat(b, c.now)
 		}
 		p.roster.NotifyChanges()
-	})
+	}
+	c.network.Attach(addressOf(i), c.handlers[addressOf(i)])
+}
+
+// deliver delivers all datagrams.
+func (c *testCluster) deliver() {
+	c.network.Run()
+	for _, handle := range c.toSelf {
+		handle()
+	}
+	c.toSelf = nil
 }
 
 // tickInterval is the time between two ticks.
@@ -112,7 +146,7 @@
 		for _, p := range c.processes {
 			p.roster.Tick(c.now)
 		}
-		c.network.Run()
+		c.deliver()
 	}
 }
 
@@ -586,6 +620,7 @@
 	f.Add(compact.encode())
 	f.Add(encodeIntroduction([]introductionEntry{{1, Balancer}, {2, Agent}}))
 	f.Add(passthrough.AppendSuspicion(nil, 1, 1))
+	f.Add(passthrough.AppendMarker(nil, time.Second))
 	f.Fuzz(func(_ *testing.T, b []byte) {
 		if len(b) == 0 {
 			return
@@ -595,6 +630,7 @@
 		c.processes[0].roster.HandleCompactHeartbeat(b, c.now)
 		c.processes[0].roster.HandleIntroduction(b)
 		c.processes[0].roster.HandleSuspicion(b, c.now)
+		c.processes[0].roster.HandleMarker(b, c.now)
 		c.processes[0].roster.Tick(c.now)
 	})
 }
--- a/process/roster/status.go
+++ b/process/roster/status.go
@@ -122,11 +122,16 @@
 	return p.known && slices.Contains(p.previousRuns, run) && now-p.lastHeartbeatAt < p.reachableTimeout()
 }
 
-// probeDue reports whether a probe is due: the heartbeat is overdue, or a probe has not been
-// answered.
-func (p *peerState) probeDue(now time.Duration) bool {
-	due := p.probes > 0 || p.overdue(now)
-	return p.known && p.probes < maxProbes && due && now-p.lastProbe >= probeInterval
+// probeDue reports whether a probe is due: the heartbeat is overdue, or the last probe has
+// not been answered as of judgedAt.
+func (p *peerState) probeDue(now, judgedAt time.Duration) bool {
+	if !p.known || p.probes >= maxProbes {
+		return false
+	}
+	if p.probes == 0 {
+		return p.overdue(now) && now-p.lastProbe >= probeInterval
+	}
+	return judgedAt-p.lastProbe >= probeInterval
 }
 
 // overdue reports whether a heartbeat is late by more than probeDelay.
