gate: an agent that has not run for a while does not reset the flow of an old opening packet

Cause: an agent resumed after a pause of 0.8 s and refused a copy of an opening packet that had waited unread, by the last heartbeat of its server that it had handled. The caller had opened the flow 0.6 s before with a later copy, which another agent had accepted.

Change: an agent whose last tick is more than 150 ms ago, or that has resumed within that time, refuses opening packets without a reset; callers send the next copy after 200 ms, and then the agents decide by what they know now.

Evidence: TestOldCopyAfterStall failed before in both orders of tick and packet.

--- a/connection/gate/gate.go
+++ b/connection/gate/gate.go
@@ -101,6 +101,7 @@
 	backlog       *backlog.Backlog
 	// lastEvent is the time of the last event.
 	lastEvent         time.Duration
+	stalls            stallMeter
 	agents            map[passthrough.Endpoint]Agent
 	discoveryComplete bool
 	owners            *passthrough.Owners
@@ -265,8 +266,8 @@
 	}
 	g.options.Observer.Refused(d.flow, kind, d.frame, alternate)
 	if alternate == 0 || alternate == g.options.Self {
-		if (!isTransient(kind) || d.segment.IsLastRetransmission()) && !d.opensElsewhere {
-			g.reset(d.flow, d.segment.Ack, kind)
+		if !isTransient(kind) || d.segment.IsLastRetransmission() {
+			g.resetUnopened(d, kind)
 		}
 		// Otherwise the next retransmission, 200 or 400 ms later, is the retry. A
 		// reset would use up one of the caller's few attempts for a transient reason.
@@ -284,6 +285,14 @@
 	return true
 }
 
+// resetUnopened resets the flow of an opening packet, unless a later copy of the packet may have
+// opened the flow at another server.
+func (g *Gate) resetUnopened(d *delivery, kind errkind.Kind) {
+	if !d.opensElsewhere && !g.stalls.mayHaveHeldBack(g.lastEvent) {
+		g.reset(d.flow, d.segment.Ack, kind)
+	}
+}
+
 // isTransient reports whether the reason for a refusal is likely to pass within
 // a second.
 func isTransient(kind errkind.Kind) bool {
--- a/connection/gate/queue.go
+++ b/connection/gate/queue.go
@@ -52,9 +52,7 @@
 func (g *Gate) refuseAtOnce(d *delivery) {
 	g.counters.Refused++
 	g.options.Observer.Refused(d.flow, errkind.Overloaded, d.frame, 0)
-	if !d.opensElsewhere {
-		g.reset(d.flow, d.segment.Ack, errkind.Overloaded)
-	}
+	g.resetUnopened(d, errkind.Overloaded)
 }
 
 // forwardQueued sends waiting opening packets to the server while it has room.
--- a/connection/gate/registry.go
+++ b/connection/gate/registry.go
@@ -96,6 +96,7 @@
 // Tick updates averages, expires entries and sends registrations that are due.
 func (g *Gate) Tick(now time.Duration) {
 	g.lastEvent = now
+	g.stalls.tick(now)
 	// Removes the reservations that have ended.
 	g.backlog.Reserved(now)
 	g.expireQueued(now)
