roster: an agent whose process exists is presumed failed after 2 s

Cause: the agent got no processor time for 1.4 and 1.6 s. Its VM accepted the connection by which balancers check it, and the limit for a VM that answers was 1.1 s, which is meant for a process that has ended and is restarted.

Change: an accepted connection is told apart from a refused one. A process that exists has 2 s; the limits of 1.1 s after a refusal and 0.7 s without an answer are unchanged.

--- a/process/passthrough/members.go
+++ b/process/passthrough/members.go
@@ -37,21 +37,24 @@
 	}
 	go func() {
 		defer func() { <-n.vmChecks }()
-		running := acceptsOrRefuses(peer.AddrPort())
+		state := checkVM(peer.AddrPort())
 		n.mu.Lock()
 		defer n.mu.Unlock()
-		n.roster.HandleVMCheck(peer, running)
+		n.roster.HandleVMCheck(peer, state)
 	}()
 }
 
-// acceptsOrRefuses reports whether a connection to an address is accepted or refused in time.
-func acceptsOrRefuses(addr netip.AddrPort) bool {
+// checkVM reports whether a connection to an address is accepted or refused in time.
+func checkVM(addr netip.AddrPort) roster.VMState {
 	conn, err := net.DialTimeout("tcp", addr.String(), vmCheckTimeout)
-	if err == nil {
+	switch {
+	case err == nil:
 		_ = conn.Close()
-		return true
+		return roster.VMAccepts
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return roster.VMRefuses
 	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return roster.VMUnreachable
 }
 
 // logIsolation logs that no heartbeats of any member arrive, or that they do again.
--- a/process/roster/status.go
+++ b/process/roster/status.go
@@ -31,17 +31,19 @@
 	stallThreshold = 500 * time.Millisecond
 )
 
-// vmState is what the check of a member's VM has shown since its last heartbeat.
-type vmState uint8
+// VMState is what the check of a member's VM has shown since its last heartbeat.
+type VMState uint8
 
 const (
-	// vmUnknown is a VM that has not been checked yet.
-	vmUnknown vmState = iota
-	// vmRunning is a VM that accepts or refuses connections, so that only the process is
-	// not running or stalled.
-	vmRunning
-	// vmUnreachable is a VM from which no response has arrived.
-	vmUnreachable
+	// VMUnknown is a VM that has not been checked yet.
+	VMUnknown VMState = iota
+	// VMAccepts is a VM that accepts connections to the member, so that the process exists but
+	// does not run: it gets no processor time, or the VM is frozen.
+	VMAccepts
+	// VMRefuses is a VM that refuses connections, so that only the process has ended.
+	VMRefuses
+	// VMUnreachable is a VM from which no response has arrived.
+	VMUnreachable
 )
 
 // silence defines when an agent is presumed failed: flows of its server are then reset.
@@ -53,11 +55,13 @@
 
 // agentSilence is the silence after which an agent is presumed failed. A process that is
 // restarted answers again after 0.6 to 0.8 s, so an agent on a running VM is given more time
-// than one on a VM that has failed.
+// than one on a VM that has failed. One that exists beside a running server had no processor
+// time for 1.6 s on a busy machine.
 var agentSilence = [...]silence{
-	vmUnknown:     {1200 * time.Millisecond, 950 * time.Millisecond},
-	vmRunning:     {1100 * time.Millisecond, 850 * time.Millisecond},
-	vmUnreachable: {700 * time.Millisecond, 550 * time.Millisecond},
+	VMUnknown:     {1200 * time.Millisecond, 950 * time.Millisecond},
+	VMAccepts:     {2000 * time.Millisecond, 1750 * time.Millisecond},
+	VMRefuses:     {1100 * time.Millisecond, 850 * time.Millisecond},
+	VMUnreachable: {700 * time.Millisecond, 550 * time.Millisecond},
 }
 
 // stoppingSilence applies to an agent that announced that its server takes no new flows, unless
@@ -91,7 +95,7 @@
 	probes                     int
 	lastProbe, unansweredSince time.Duration
 	// vm is the state of the member's VM, vmChecked is true once a check has been started.
-	vm        vmState
+	vm        VMState
 	vmChecked bool
 	// suspected is true if another process has reported since the last heartbeat that the
 	// member does not answer.
@@ -161,7 +165,7 @@
 
 // answered resets what is known about the silence of a member.
 func (p *peerState) answered() {
-	p.probes, p.suspected, p.vm, p.vmChecked = 0, false, vmUnknown, false
+	p.probes, p.suspected, p.vm, p.vmChecked = 0, false, VMUnknown, false
 }
 
 // checkVM starts a check of a member's VM once enough probes are unanswered.
@@ -172,16 +176,10 @@
 	}
 }
 
-// HandleVMCheck handles the result of a check that CheckVM started: whether the VM accepted or
-// refused a connection.
-func (r *Roster) HandleVMCheck(peer passthrough.Endpoint, running bool) {
-	p := r.peers[peer]
-	switch {
-	case p == nil || !p.vmChecked:
-	case running:
-		p.vm = vmRunning
-	default:
-		p.vm = vmUnreachable
+// HandleVMCheck handles the result of a check that CheckVM started.
+func (r *Roster) HandleVMCheck(peer passthrough.Endpoint, state VMState) {
+	if p := r.peers[peer]; p != nil && p.vmChecked {
+		p.vm = state
 	}
 }
 
@@ -264,7 +262,7 @@
 		return now-p.lastHeartbeatAt > silentBalancerTimeout
 	}
 	limit := agentSilence[p.vm]
-	if p.member.Report.State == steer.Draining && p.vm != vmUnreachable {
+	if p.member.Report.State == steer.Draining && p.vm != VMUnreachable {
 		limit = stoppingSilence
 	}
 	return now-p.lastHeartbeatAt > limit.sinceHeartbeat && now-p.unansweredSince >= limit.unanswered
