steer: another failure domain costs the measured detour

What callers saw: on the ordering desk half of the flows went to another failure domain at moderate load, and the median of stock queries rose from 57 to 66 ms with placement by expected completion.

Cause: another domain cost a tenth of the mean service time, 3 ms, but the detour of the opening packet and the request takes 6.8 ms there, and 1 ms on the seismic feed.

Change: the cost is the difference of the round trips, estimated from the time until requested reports arrive, and at least the former one.

Evidence: TestDetour, TestRoundTrip.

--- a/connection/steer/choose.go
+++ b/connection/steer/choose.go
@@ -154,7 +154,11 @@
 
 // score returns the load of a server per slot with penalties; lower is better.
 func (r *Router) score(e *entry) float64 {
-	return e.openRequests()/e.slots() + e.penalty()
+	v := e.openRequests()/e.slots() + e.statePenalty()
+	if e.group != ownDomain {
+		v += crossDomainPenalty
+	}
+	return v
 }
 
 // openRequests returns the number of open requests at a server, with those expected of the
@@ -163,18 +167,14 @@
 	return e.MeanOpenRequests + flowLoad*(float64(e.Flows)+e.openedSinceReport)
 }
 
-// penalty returns the penalty of a candidate in requests per slot.
-func (e *entry) penalty() float64 {
-	v := 0.0
+// statePenalty returns the penalty of a candidate for its state, in requests per slot.
+func (e *entry) statePenalty() float64 {
 	switch e.State {
 	case Cold:
-		v += coldPenalty
+		return coldPenalty
 	case Failing:
-		v += failingPenalty
+		return failingPenalty
 	default:
+		return 0
 	}
-	if e.group != ownDomain {
-		v += crossDomainPenalty
-	}
-	return v
 }
--- a/connection/steer/completion.go
+++ b/connection/steer/completion.go
@@ -62,7 +62,7 @@
 		l = &serviceLoad{}
 		r.loads[e.Service] = l
 	}
-	e.load = l
+	e.load, e.roundTripTime = l, r.roundTripTo(e.Domain)
 	e.perSlot = 1 / e.slots()
 	e.openPerSlot = e.MeanOpenRequests * e.perSlot
 	l.servers++
@@ -133,7 +133,11 @@
 // there, with penalties, in nanoseconds: the wait for a slot and the service time. A server
 // without a measurement counts with the mean of the service.
 func (r *Router) completion(e *entry) float64 {
-	return e.serviceTime()*(1+r.pending(e)*e.perSlot) + e.load.meanServiceTime*(e.busyPenalty()+e.penalty())
+	v := e.serviceTime()*(1+r.pending(e)*e.perSlot) + e.load.meanServiceTime*(e.busyPenalty()+e.statePenalty())
+	if e.group != ownDomain {
+		v += max(crossDomainPenalty*e.load.meanServiceTime, float64(r.detour(e)))
+	}
+	return v
 }
 
 // busyPenalty returns the penalty of a server that is busier than the others of its service.
--- a/connection/steer/steer.go
+++ b/connection/steer/steer.go
@@ -143,9 +143,13 @@
 	byAgent  map[passthrough.Endpoint]*entry
 	services map[string]*candidates
 	// loads holds the load of each service that has candidates.
-	loads  map[string]*serviceLoad
-	draws  map[string]*draw
-	random *rand.Rand
+	loads map[string]*serviceLoad
+	// roundTrips holds the round-trip time to each failure domain, ownRoundTrip that to the own
+	// one.
+	roundTrips   map[string]*roundTripTime
+	ownRoundTrip *roundTripTime
+	draws        map[string]*draw
+	random       *rand.Rand
 	// randomBits is the random number of the choice in progress.
 	randomBits uint64
 	// now is the arrival time of the last opening packet, so that the clock is read once for
@@ -182,7 +186,9 @@
 	// load is the load of the service, openPerSlot the mean number of open requests per slot,
 	// perSlot the inverse of the number of slots and fading the loss of weight of the report per
 	// nanosecond. They are computed for each report and valid while the server is a candidate.
-	load                         *serviceLoad
+	load *serviceLoad
+	// roundTripTime is that to the failure domain of the server.
+	roundTripTime                *roundTripTime
 	openPerSlot, perSlot, fading float64
 	// requestedAt is the time of the last request for a report.
 	requestedAt time.Duration
@@ -193,17 +199,20 @@
 
 // New returns a Router without routes and servers.
 func New(options Options) *Router {
-	return &Router{
-		options:  options,
-		byAgent:  map[passthrough.Endpoint]*entry{},
-		services: map[string]*candidates{},
-		loads:    map[string]*serviceLoad{},
-		draws:    map[string]*draw{},
-		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		owners:   &passthrough.Owners{},
-		holders:  passthrough.NewExpiringMap[holder](holderRetention, maxHolders),
-		lookups:  passthrough.NewExpiringMap[uint8](lookupRetention, maxHolders),
+	r := &Router{
+		options:    options,
+		byAgent:    map[passthrough.Endpoint]*entry{},
+		services:   map[string]*candidates{},
+		loads:      map[string]*serviceLoad{},
+		roundTrips: map[string]*roundTripTime{},
+		draws:      map[string]*draw{},
+		random:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		owners:     &passthrough.Owners{},
+		holders:    passthrough.NewExpiringMap[holder](holderRetention, maxHolders),
+		lookups:    passthrough.NewExpiringMap[uint8](lookupRetention, maxHolders),
 	}
+	r.ownRoundTrip = r.roundTripTo(options.Domain)
+	return r
 }
 
 // SetVersion makes a configuration version active.
@@ -260,6 +269,7 @@
 // not passed to SetServer.
 func (r *Router) UpdateLoad(report Server) {
 	if e := r.byAgent[report.Agent]; e != nil {
+		r.measureRoundTrip(e, report.ReportedAt)
 		r.update(e, report)
 		e.openedSinceReport = 0
 	}
