--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 	$(call BENCH,./connection/flows,SuccessiveChanges|RegistrationBytes,1x)
 	$(call BENCH,./connection/endpoint,.,1x)
 	$(call BENCH,./connection/steer,.,1s)
+	$(call BENCH,./connection/hedge,.,1s)
 	$(call BENCH,./connection/backlog,.,1s)
 	$(call BENCH,./process/passthrough,Path,1s)
 	$(call BENCH,./process/membership,Heartbeat,20000x)
