steer, gate: second opening packets

The balancer sends a second opening packet to another server when the first one is late, and tells the first agent, which then no longer resets the flow. The second agent opens the flow only if its server has a free slot, and declines it otherwise. Until the holder is known, the caller's packets name both agents, so that the wrong one forwards them without a search. The loser gets a Cancel, which ends its reservation or its wait.

A duplicated opening is confirmed only by an acknowledgement of what the server has sent, since two servers may have chosen numbers that are close to each other.

--- a/connection/gate/admit.go
+++ b/connection/gate/admit.go
@@ -171,6 +171,12 @@
 		if f.phase == phaseAborted {
 			continue
 		}
+		if f.phase == phaseOpening && f.duplicated {
+			// Another server may hold the flow.
+			g.release(key, f)
+			delete(g.flows, key)
+			continue
+		}
 		closed := f.phase == phaseClosed
 		g.close(key, f, now)
 		f.phase = phaseAborted
--- a/connection/gate/cluster_test.go
+++ b/connection/gate/cluster_test.go
@@ -121,6 +121,8 @@
 		g.HandleRegister(b)
 	case passthrough.NotHeld:
 		g.HandleNotHeld(b)
+	case passthrough.Cancel:
+		g.HandleCancel(b, tc.now)
 	default:
 		g.HandleDatagram(b, tc.now)
 	}
@@ -166,19 +168,25 @@
 		b.SetVersion(tc.version)
 		setServers(b, tc.servers())
 		tc.balancers = append(tc.balancers, b)
-		tc.network.Attach(self, func(datagram []byte) {
-			agent, flow, err := passthrough.ParseHolder(datagram)
-			switch {
-			case err != nil:
-			case passthrough.Kind(datagram[0]) == passthrough.Learned:
-				b.SetHolder(agent, flow)
-			default:
-				b.SetCandidate(agent, flow)
-			}
-		})
+		tc.attachBalancer(self, b)
 	}
 }
 
+func (tc *testCluster) attachBalancer(self passthrough.Endpoint, b *steer.Router) {
+	tc.network.Attach(self, func(datagram []byte) {
+		agent, flow, err := passthrough.ParseHolder(datagram)
+		switch {
+		case err != nil:
+		case passthrough.Kind(datagram[0]) == passthrough.Learned:
+			b.SetHolder(agent, flow)
+		case passthrough.Kind(datagram[0]) == passthrough.NotHeld:
+			b.SetNotHeld(agent, flow)
+		default:
+			b.SetCandidate(agent, flow)
+		}
+	})
+}
+
 func (tc *testCluster) servers() []steer.Server {
 	var servers []steer.Server
 	for i, n := range tc.nodes {
--- a/connection/gate/flow.go
+++ b/connection/gate/flow.go
@@ -51,11 +51,13 @@
 	hops        uint8
 	requestOpen bool
 	// reserved is true if a slot is reserved for the first request.
-	reserved       bool
-	registered     bool
-	serverISN      uint32
-	serverNextSeq  uint32
-	accepted       bool
+	reserved      bool
+	registered    bool
+	serverISN     uint32
+	serverNextSeq uint32
+	accepted      bool
+	// duplicated is true if another agent has a copy of the opening packet too.
+	duplicated     bool
 	callerAck      uint32
 	callerNextSeq  uint32
 	callerSentData bool
@@ -76,7 +78,13 @@
 // confirms reports whether a caller's packet confirms the opening by this
 // server. All packets of the server pass its agent, so a caller that continues
 // before this server has responded is using another server.
+//
+// Two servers that were sent an opening packet at the same time may have chosen numbers that are
+// close to each other. A caller acknowledges no more than the server has sent.
 func (f *flow) confirms(segment *passthrough.Segment) bool {
+	if f.duplicated && segment.Ack-f.serverISN-1 >= f.serverNextSeq-f.serverISN {
+		return false
+	}
 	return f.accepted && segment.Has(passthrough.Acknowledge) && segment.Ack-f.serverISN < maxWindow
 }
 
--- a/connection/gate/gate.go
+++ b/connection/gate/gate.go
@@ -81,6 +81,9 @@
 	// those whose callers gave up, and those whose callers reset the flow or opened it
 	// elsewhere.
 	Queued, QueueForwarded, QueuePassedOn, QueueRefused, QueueExpired, QueueWithdrawn uint64
+	// Duplicates counts copies of opening packets that another agent had too, and
+	// DuplicatesDeclined those for which the server had no free slot.
+	Duplicates, DuplicatesDeclined uint64
 }
 
 // Gate processes the packets of one backend server. It is not safe for
@@ -190,9 +193,12 @@
 	}
 	d := delivery{frame: frame, datagram: datagram, packet: packet, segment: segment, flow: segment.FromCaller()}
 	g.lastEvent = now
-	if segment.IsOpening() {
+	switch {
+	case frame.Kind == passthrough.Duplicate:
+		g.handleDuplicate(&d, now)
+	case segment.IsOpening():
 		g.handleOpening(&d, now)
-	} else {
+	default:
 		// A caller that sends another packet has reset the flow or opened it elsewhere.
 		g.withdraw(d.flow, now)
 		g.handleFlowPacket(&d, now)
@@ -207,8 +213,8 @@
 	packet   []byte
 	segment  *passthrough.Segment
 	flow     passthrough.Flow
-	// opensElsewhere is true if the caller may have sent a later copy of an opening packet,
-	// so that another server may hold the flow.
+	// opensElsewhere is true if the caller may have sent a later copy of an opening packet, or
+	// another agent has one, so that another server may hold the flow.
 	opensElsewhere bool
 }
 
@@ -243,7 +249,7 @@
 	g.counters.Opened++
 	g.bucket.take()
 	delete(g.restored.flows, d.flow)
-	f := &flow{phase: phaseOpening, openedAt: now, lastUsed: now, origin: d.frame.Origin, alternate: d.frame.Alternate, version: d.frame.Version, service: d.frame.ServiceTag(), hops: d.frame.Hops}
+	f := &flow{phase: phaseOpening, openedAt: now, lastUsed: now, origin: d.frame.Origin, alternate: d.frame.Alternate, version: d.frame.Version, service: d.frame.ServiceTag(), hops: d.frame.Hops, duplicated: d.frame.Kind == passthrough.Duplicate}
 	g.flows[d.flow] = f
 	g.reserve(d.flow, f, now)
 	g.options.Observer.Opened(d.flow, d.frame)
@@ -328,6 +334,11 @@
 		g.handleUnknown(d, now)
 		return
 	}
+	if f.phase == phaseAborted && d.hasSecondAgent() {
+		delete(g.flows, d.flow)
+		g.handleUnknown(d, now)
+		return
+	}
 	if f.phase == phaseAborted {
 		if !d.segment.Has(passthrough.Reset) {
 			g.reset(d.flow, d.segment.Ack, errkind.BackendUnavailable)
--- a/connection/hedge/hedge.go
+++ b/connection/hedge/hedge.go
@@ -39,6 +39,9 @@
 	ended bool
 }
 
+// Age returns the time since the first opening packet.
+func (o *Opening) Age(now time.Duration) time.Duration { return now - o.openedAt }
+
 // Counters count second copies by outcome.
 type Counters struct {
 	// HedgesSent counts second copies, HedgesWon those whose server holds the flow, and
@@ -168,6 +171,15 @@
 	return o.Second
 }
 
+// Declined records that the server of a second copy has not opened the flow. No further copy is
+// sent.
+func (h *Hedger) Declined(flow passthrough.Flow, agent passthrough.Endpoint) {
+	if o := h.openings[flow]; o != nil && o.Second == agent {
+		h.counters.HedgesWasted++
+		o.Second, o.Packet = 0, nil
+	}
+}
+
 // Ended records that a caller has reset a flow. It returns the opening if a second copy was
 // sent for it, else nil.
 func (h *Hedger) Ended(flow passthrough.Flow) *Opening {
--- a/connection/passthrough/frame.go
+++ b/connection/passthrough/frame.go
@@ -49,11 +49,17 @@
 	// Marker is sent by a process to itself and contains the time at which it was sent. When
 	// it is handled, so are all datagrams that had arrived by then.
 	Marker
+	// Duplicate carries a copy of an opening packet of which two agents have one. It is
+	// neither queued nor forwarded, and no reset answers it, since the other agent's server
+	// may hold the flow.
+	Duplicate
+	// Cancel informs an agent that another one holds a flow whose opening packet both have.
+	Cancel
 )
 
 // String returns the name of the kind in logs.
 func (k Kind) String() string {
-	names := [...]string{"deliver", "lookup", "registered", "search", "learned", "register", "hello", "introduction", "not_held", "beat", "redirected", "suspicion", "view_request", "view", "marker"}
+	names := [...]string{"deliver", "lookup", "registered", "search", "learned", "register", "hello", "introduction", "not_held", "beat", "redirected", "suspicion", "view_request", "view", "marker", "duplicate", "cancel"}
 	if k < Deliver || int(k-Deliver) >= len(names) {
 		return "unknown"
 	}
@@ -66,7 +72,7 @@
 // Frame is the header of a datagram that carries a caller's packet between
 // processes.
 type Frame struct {
-	// Kind is Deliver, Lookup, Registered or Search.
+	// Kind is Deliver, Lookup, Registered, Search or Duplicate.
 	Kind Kind
 	// Hops is the number of agents that have forwarded the packet.
 	Hops uint8
@@ -74,8 +80,9 @@
 	Version uint64
 	// Origin is the peer address of the balancer that received the packet.
 	Origin Endpoint
-	// Alternate is the agent to try if the first one refuses an opening packet, 0
-	// for none. In a Search it is the agent to which responses are sent.
+	// Alternate is the agent to try if the first one refuses an opening packet, or does not
+	// hold the flow of another packet, 0 for none. In a Search it is the agent to which
+	// responses are sent.
 	Alternate Endpoint
 	// Incarnation is the incarnation of the backend server in the flow's
 	// registration, for Registered.
@@ -159,15 +166,16 @@
 // so that the datagram is at most 1,200 bytes long.
 const MaxRegistrations = (1200 - registerHeaderSize) / flowSize
 
-// AppendHolder appends a datagram of kind Learned, Redirected or NotHeld, which states
-// that an agent holds a flow, may hold it or does not.
+// AppendHolder appends a datagram of kind Learned, Redirected, NotHeld or Cancel, which states
+// that an agent holds a flow, may hold it or does not, or that another one than the receiver
+// holds it.
 func AppendHolder(b []byte, kind Kind, agent Endpoint, flow Flow) []byte {
 	b = appendEndpoint(append(b, byte(kind)), agent)
 	return appendFlow(b, flow)
 }
 
-// ParseHolder decodes a datagram of kind Learned, Redirected or NotHeld. The error has kind
-// Malformed.
+// ParseHolder decodes a datagram of kind Learned, Redirected, NotHeld or Cancel. The error has
+// kind Malformed.
 func ParseHolder(b []byte) (agent Endpoint, flow Flow, err error) {
 	if len(b) < holderSize {
 		return 0, Flow{}, errInvalidLength
--- a/connection/steer/packet.go
+++ b/connection/steer/packet.go
@@ -47,6 +47,9 @@
 		return
 	}
 	service, measure := route.Pick(flow.Hash()), measureFor(route)
+	if r.hedger != nil && segment.Ack > 0 && r.sendHedgedCopy(buffer, flow, service) {
+		return
+	}
 	if h, ok := r.holders.Get(flow); ok {
 		if e := r.byAgent[h.agent]; e != nil && e.Reachable && e.State != Down {
 			r.sendOpening(buffer, service, e, measure)
@@ -71,6 +74,9 @@
 	r.holders.Put(flow, holder{agent: chosen.Agent})
 	r.sendOpening(buffer, service, chosen, measure)
 	r.placed(service, chosen)
+	if r.hedger != nil && segment.Ack == 0 {
+		r.recordOpening(buffer, flow, route, service, chosen)
+	}
 }
 
 // sendOpening sends an opening packet to an agent, with the service that was selected for the
@@ -88,6 +94,9 @@
 func (r *Router) handleFlowPacket(buffer []byte, segment *passthrough.Segment) {
 	flow := segment.FromCaller()
 	h, ok := r.holders.Get(flow)
+	if r.hedger != nil && !h.confirmed && r.sendHedgedPacket(buffer, flow) {
+		return
+	}
 	e := r.byAgent[h.agent]
 	switch {
 	case ok && h.confirmed && e != nil && e.TimedOut:
@@ -143,6 +152,11 @@
 	}
 	r.holders.Delete(flow)
 	r.send(buffer, passthrough.Deliver, h.agent)
+	if r.hedger != nil {
+		if o := r.hedger.Ended(flow); o != nil {
+			r.options.Sender.Send(buffer, o.Second)
+		}
+	}
 }
 
 // resetFlows resets the flows of an agent that is presumed to have failed, so that
--- a/connection/steer/steer.go
+++ b/connection/steer/steer.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"time"
 
+	"bergamotbank/connection/hedge"
 	"bergamotbank/connection/passthrough"
 	"bergamotbank/errkind"
 	"bergamotbank/version/routes"
@@ -106,6 +107,7 @@
 	NoRoute, NoServer, HolderLost uint64
 	// Dropped counts packets for which there was no active version or no holder.
 	Dropped uint64
+	hedge.Counters
 }
 
 // Options configure a Router.
@@ -128,11 +130,17 @@
 	// OnPlacement is called when a server is selected for a new flow, with its expected
 	// completion, or 0 if it was not selected by that; nil for none.
 	OnPlacement func(flow passthrough.Flow, server *Server, completion time.Duration)
-	// Now returns the time, on the clock of Server.ReportedAt.
+	// Now returns the time, on the clock of Server.ReportedAt. It is required with HedgeLimit.
 	Now func() time.Duration
 	// RequestReport requests a report of an agent, which answers with its load. If it is nil,
 	// flows are placed by the last reports.
 	RequestReport func(agent passthrough.Endpoint)
+	// HedgeLimit is the share of the openings of a service for which a second opening packet
+	// may be sent, 0 for none.
+	HedgeLimit float64
+	// OnHedge is called when a second opening packet is sent, with the servers of both and the
+	// time since the first; nil for none.
+	OnHedge func(flow passthrough.Flow, first, second *Server, waited time.Duration)
 }
 
 // Router routes the callers' packets of one balancer. It is not safe for
@@ -148,14 +156,18 @@
 	random *rand.Rand
 	// randomBits is the random number of the choice in progress.
 	randomBits uint64
-	// now is the arrival time of the last opening packet, so that the clock is read once for
-	// each.
+	// now is the time of the last choice, so that the clock is read once for each opening
+	// packet.
 	now      time.Duration
 	owners   *passthrough.Owners
 	holders  *passthrough.ExpiringMap[holder]
 	lookups  *passthrough.ExpiringMap[uint8]
 	segment  passthrough.Segment
 	counters Counters
+	// hedger is nil if no opening packet is sent twice. hedgesCheckedAt is the time of the last
+	// check for openings that are due.
+	hedger          *hedge.Hedger
+	hedgesCheckedAt time.Duration
 }
 
 // holder is the cached holder of a flow.
@@ -203,6 +215,7 @@
 		owners:   &passthrough.Owners{},
 		holders:  passthrough.NewExpiringMap[holder](holderRetention, maxHolders),
 		lookups:  passthrough.NewExpiringMap[uint8](lookupRetention, maxHolders),
+		hedger:   hedge.New(options.HedgeLimit),
 	}
 }
 
@@ -270,6 +283,7 @@
 	h, _ := r.holders.Get(flow)
 	h.agent, h.confirmed = agent, true
 	r.holders.Put(flow, h)
+	r.settleHedge(flow, agent)
 }
 
 // SetCandidate caches the agent to which an opening packet was forwarded, unless the
@@ -279,6 +293,9 @@
 		h.agent = agent
 		r.holders.Put(flow, h)
 	}
+	if r.hedger != nil {
+		r.hedger.Moved(flow, agent)
+	}
 }
 
 // Ready reports whether the balancer has a configuration and a reachable agent.
@@ -295,7 +312,11 @@
 }
 
 // Counters returns the current counters.
-func (r *Router) Counters() Counters { return r.counters }
+func (r *Router) Counters() Counters {
+	counters := r.counters
+	counters.Counters = r.hedger.Counters()
+	return counters
+}
 
 // CachedFlows returns the number of flows whose holder is cached.
 func (r *Router) CachedFlows() int { return r.holders.Len() }
@@ -303,6 +324,7 @@
 // Tick expires cache entries and keeps the reports of drawn servers fresh.
 func (r *Router) Tick(now time.Duration) {
 	r.refreshDraws(now)
+	r.checkHedges(now)
 	r.holders.Tick(now)
 	r.lookups.Tick(now)
 }
