--- a/process/passthrough/agent.go
+++ b/process/passthrough/agent.go
@@ -237,12 +237,14 @@
 func (a *Agent) handlePeerDatagrams(r *datagram.Reader, n int) {
 	a.handleBatch(r, n, func(d []byte, now time.Duration) {
 		switch passthrough.Kind(d[0]) {
-		case passthrough.Deliver, passthrough.Lookup, passthrough.Registered, passthrough.Search:
+		case passthrough.Deliver, passthrough.Lookup, passthrough.Registered, passthrough.Search, passthrough.Duplicate:
 			a.gate.HandleDatagram(d, now)
 		case passthrough.NotHeld:
 			a.gate.HandleNotHeld(d)
 		case passthrough.Register:
 			a.gate.HandleRegister(d)
+		case passthrough.Cancel:
+			a.gate.HandleCancel(d, now)
 		default:
 			a.handleControl(d, now)
 		}
--- a/process/passthrough/balancer.go
+++ b/process/passthrough/balancer.go
@@ -49,6 +49,8 @@
 		RequestReport: func(agent passthrough.Endpoint) {
 			n.roster.RequestReport(agent, n.clock.now())
 		},
+		HedgeLimit: s.Passthrough.HedgeLimit,
+		OnHedge:    b.logHedge,
 	})
 	n.config = newConfigSync(n, b.setVersion)
 	n.roster = roster.New(roster.Options{
@@ -140,6 +142,7 @@
 	for i := range n {
 		b.steer.HandlePacket(r.Prefixed(i, 0, passthrough.FrameSize))
 	}
+	b.steer.CheckHedges()
 	b.sender.flush()
 }
 
@@ -147,7 +150,7 @@
 func (b *Balancer) handlePeerDatagrams(r *datagram.Reader, n int) {
 	b.handleBatch(r, n, func(d []byte, now time.Duration) {
 		kind := passthrough.Kind(d[0])
-		if kind != passthrough.Learned && kind != passthrough.Redirected {
+		if kind != passthrough.Learned && kind != passthrough.Redirected && kind != passthrough.NotHeld {
 			b.handleControl(d, now)
 			return
 		}
@@ -156,8 +159,10 @@
 		case err != nil:
 		case kind == passthrough.Learned:
 			b.steer.SetHolder(agent, flow)
-		default:
+		case kind == passthrough.Redirected:
 			b.steer.SetCandidate(agent, flow)
+		default:
+			b.steer.SetNotHeld(agent, flow)
 		}
 	})
 }
--- a/process/passthrough/observe.go
+++ b/process/passthrough/observe.go
@@ -151,6 +151,14 @@
 		zap.Uint64("revision", b.revision()))...)
 }
 
+// logHedge logs a second opening packet with both servers.
+func (b *Balancer) logHedge(flow passthrough.Flow, first, second *steer.Server, waited time.Duration) {
+	if entry := b.logger.Check(zap.InfoLevel, "flow hedged"); entry != nil {
+		entry.Write(flowFields(flow, zap.String("agent", first.Name), zap.String("second_agent", second.Name), zap.String("service", second.Service),
+			zap.Duration("waited", waited), zap.Int("pending", second.Pending), zap.Uint64("revision", b.revision()))...)
+	}
+}
+
 // logLookup logs a packet of a flow whose holder this balancer does not know.
 func (b *Balancer) logLookup(flow passthrough.Flow, owner passthrough.Endpoint) {
 	if entry := b.logger.Check(zap.InfoLevel, "flow looked up"); entry != nil {
--- a/process/settings/check.go
+++ b/process/settings/check.go
@@ -79,6 +79,8 @@
 		*target = value
 	case *int:
 		*target, _ = strconv.Atoi(value)
+	case *float64:
+		*target, _ = strconv.ParseFloat(value, 64)
 	case *Duration:
 		d, _ := time.ParseDuration(value)
 		*target = Duration(d)
@@ -161,6 +163,9 @@
 	if s.Passthrough.LeaseMinimum <= 0 {
 		problems = append(problems, `field "passthrough.lease_minimum": must be greater than zero`)
 	}
+	if limit := s.Passthrough.HedgeLimit; !(limit >= 0 && limit <= 1) {
+		problems = append(problems, `field "passthrough.hedge_limit": `+strconv.FormatFloat(limit, 'g', -1, 64)+" is out of range")
+	}
 	return problems
 }
 
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -78,6 +78,9 @@
 	FlowLifetime Duration `toml:"flow_lifetime" doc:"age at which a flow may be removed" default:"60s"`
 	// LeaseMinimum is the shortest lease that the store grants.
 	LeaseMinimum Duration `toml:"lease_minimum" doc:"shortest lease that the store grants" default:"1s"`
+	// HedgeLimit is the share of the openings of a service for which a balancer may send a
+	// second opening packet.
+	HedgeLimit float64 `toml:"hedge_limit" doc:"share of the openings of a service for which a second opening packet may go to another server, 0 to 1; 0: none" default:"0"`
 }
 
 // AnnouncedPeer returns the address at which other processes reach this one.
