steer: previews of placements

A balancer can tell where a flow opened now would go and why. The code that handles opening packets runs on a copy of the state with random numbers of its own, so that the router, its draws, its cache of holders and later choices are the same as without the question.

--- a/connection/passthrough/expiring_map.go
+++ b/connection/passthrough/expiring_map.go
@@ -38,6 +38,15 @@
 	return v, ok
 }
 
+// Peek returns the value of a flow without renewing the entry.
+func (m *ExpiringMap[V]) Peek(flow Flow) (V, bool) {
+	if v, ok := m.current[flow]; ok {
+		return v, true
+	}
+	v, ok := m.previous[flow]
+	return v, ok
+}
+
 // Put sets the value of a flow. If the current generation then has limit entries,
 // Put drops the previous one and starts a new one.
 func (m *ExpiringMap[V]) Put(flow Flow, v V) {
--- a/connection/steer/packet.go
+++ b/connection/steer/packet.go
@@ -46,7 +46,7 @@
 		r.reset(flow, segment.Ack, errkind.NotFound)
 		return
 	}
-	service, measure := route.Pick(flow.Hash()), measureFor(route)
+	service, measure := route.Pick(flow.Hash()), r.observed(measureFor(route))
 	if h, ok := r.holders.Get(flow); ok {
 		if e := r.byAgent[h.agent]; e != nil && e.Reachable && e.State != Down {
 			r.sendOpening(buffer, service, e, measure)
--- a/connection/steer/steer.go
+++ b/connection/steer/steer.go
@@ -148,6 +148,9 @@
 	random *rand.Rand
 	// randomBits is the random number of the choice in progress.
 	randomBits uint64
+	// onCompare is called for each server that is compared with others for a flow, with its
+	// value of the measure; nil except in previews.
+	onCompare func(e *entry, value float64)
 	// now is the arrival time of the last opening packet, so that the clock is read once for
 	// each.
 	now      time.Duration
