--- a/process/passthrough/balancer.go
+++ b/process/passthrough/balancer.go
@@ -74,7 +74,7 @@
 	b.addSeeds(b.settings.Seeds)
 	return taskgroup.Run(ctx, b.stop, append(b.tasks(b.handlePeerDatagrams, b.steer.Tick, b.ready),
 		func(ctx context.Context) error { return receive(ctx, b.callers, b.handleCallerPackets) },
-		b.serve(b.settings.Passthrough.Peer, b.peerHandler(nil)),
+		b.serve(b.settings.Passthrough.Peer, b.handler()),
 	)...)
 }
 
