ctl: where shows where a flow opened now would go and why

Finding out why callers of an address got no server, or an unexpected one, took the logs of all processes.

--- a/process/ctl/args.go
+++ b/process/ctl/args.go
@@ -28,10 +28,11 @@
 	Drain    *DrainCommand    `arg:"subcommand:drain" help:"drain a backend server"`
 	Timeline *TimelineCommand `arg:"subcommand:timeline" help:"show the events of all processes in causal order"`
 	Explain  *ExplainCommand  `arg:"subcommand:explain" help:"trace a request or flow through log files"`
+	Where    *WhereCommand    `arg:"subcommand:where" help:"show where a passthrough-balancer would place a flow opened now"`
 	Version  *EmptyCommand    `arg:"subcommand:version" help:"print the version of this program"`
 
 	Store    string        `arg:"--store,env:BERGAMOT_STORE" default:"127.0.0.1:8500" placeholder:"HOST:PORT" help:"address of the key-value service"`
-	Balancer []string      `arg:"--balancer,separate,env:BERGAMOT_BALANCERS" placeholder:"IP:PORT" help:"control address of a balancer; may be repeated"`
+	Balancer []string      `arg:"--balancer,separate,env:BERGAMOT_BALANCERS" placeholder:"IP:PORT" help:"control address of a balancer, for where its peer address; may be repeated"`
 	Timeout  time.Duration `arg:"--timeout,env:BERGAMOT_TIMEOUT" default:"15s" help:"timeout of the command"`
 	JSON     bool          `arg:"--json" help:"print JSON"`
 }
--- a/process/ctl/run.go
+++ b/process/ctl/run.go
@@ -85,6 +85,8 @@
 		return c.timeline(ctx, a.Timeline)
 	case a.Explain != nil:
 		return c.explain(a.Explain)
+	case a.Where != nil:
+		return c.where(ctx, a.Where)
 	case a.Version != nil:
 		return c.version()
 	}
