--- a/connection/steer/preview.go
+++ b/connection/steer/preview.go
@@ -33,7 +33,7 @@
 	Version *routes.Version
 	// Route is the route of the address, nil for none.
 	Route *routes.Route
-	// Refusal is set if there is no version or no route.
+	// Refusal is set if there is no version, no route, or no service with a weight.
 	Refusal *Refusal
 	// Services holds the service that is picked for the flow of the caller, or all services
 	// of the route if no caller is given.
@@ -105,6 +105,10 @@
 		return p
 	}
 	picked := p.Route.Pick(flow.Hash())
+	if picked == "" {
+		p.Refusal = r.newTrial(flow, &routes.Route{Targets: []routes.Target{{}}}).open().Refusal
+		return p
+	}
 	total := 0.0
 	for _, target := range p.Route.Targets {
 		total += float64(target.Weight)
--- a/connection/steer/preview_test.go
+++ b/connection/steer/preview_test.go
@@ -154,6 +154,10 @@
 			convey.So(excluded, convey.ShouldResemble, []string{"", "domain out of service", "unreachable"})
 			convey.So(none.Refusal, convey.ShouldResemble, &Refusal{Kind: errkind.BackendUnavailable, Reset: true, Copy: 2})
 		})
+		convey.Convey("a route without a service with a weight gets no server", func() {
+			version.Routes[ordersAddress.AddrPort()].Targets = []routes.Target{{Service: "unused"}, {Service: "unused"}}
+			convey.So(r.Preview(ordersAddress, 0).Refusal, convey.ShouldResemble, &Refusal{Kind: errkind.BackendUnavailable, Reset: true, Copy: 2})
+		})
 		convey.Convey("with a caller only the service of its flow is previewed", func() {
 			for port := range uint16(20) {
 				caller := passthrough.MakeEndpoint(0x64400001, 1024+port)
--- a/process/passthrough/where.go
+++ b/process/passthrough/where.go
@@ -163,10 +163,14 @@
 			}
 		}
 	}
-	w.Refusal = refusalOf(p.Refusal, "the address has no route in the active version")
-	if p.Version == nil {
-		w.Refusal.Reason = "the balancer has no configuration version yet"
+	reason := "the route has no service with a weight above 0"
+	switch {
+	case p.Version == nil:
+		reason = "the balancer has no configuration version yet"
+	case p.Route == nil:
+		reason = "the address has no route in the active version"
 	}
+	w.Refusal = refusalOf(p.Refusal, reason)
 	if p.Route != nil {
 		w.Route = &WhereRoute{
 			Name: p.Route.Name, Idempotent: p.Route.Idempotent, Priority: p.Route.Priority,
