--- a/connection/gate/gate.go
+++ b/connection/gate/gate.go
@@ -81,6 +81,9 @@
 	// those whose callers gave up, and those whose callers reset the flow or opened it
 	// elsewhere.
 	Queued, QueueForwarded, QueuePassedOn, QueueRefused, QueueExpired, QueueWithdrawn uint64
+	// Duplicates counts copies of opening packets that another agent had too, and
+	// DuplicatesDeclined those for which the server had no free slot.
+	Duplicates, DuplicatesDeclined uint64
 }
 
 // Gate processes the packets of one backend server. It is not safe for
@@ -101,6 +104,7 @@
 	backlog       *backlog.Backlog
 	// lastEvent is the time of the last event.
 	lastEvent         time.Duration
+	stalls            stallMeter
 	agents            map[passthrough.Endpoint]Agent
 	discoveryComplete bool
 	owners            *passthrough.Owners
@@ -189,9 +193,12 @@
 	}
 	d := delivery{frame: frame, datagram: datagram, packet: packet, segment: segment, flow: segment.FromCaller()}
 	g.lastEvent = now
-	if segment.IsOpening() {
+	switch {
+	case frame.Kind == passthrough.Duplicate:
+		g.handleDuplicate(&d, now)
+	case segment.IsOpening():
 		g.handleOpening(&d, now)
-	} else {
+	default:
 		// A caller that sends another packet has reset the flow or opened it elsewhere.
 		g.withdraw(d.flow, now)
 		g.handleFlowPacket(&d, now)
@@ -206,8 +213,8 @@
 	packet   []byte
 	segment  *passthrough.Segment
 	flow     passthrough.Flow
-	// opensElsewhere is true if the caller may have sent a later copy of an opening packet,
-	// so that another server may hold the flow.
+	// opensElsewhere is true if the caller may have sent a later copy of an opening packet, or
+	// another agent has one, so that another server may hold the flow.
 	opensElsewhere bool
 }
 
@@ -242,7 +249,7 @@
 	g.counters.Opened++
 	g.bucket.take()
 	delete(g.restored.flows, d.flow)
-	f := &flow{phase: phaseOpening, openedAt: now, lastUsed: now, origin: d.frame.Origin, alternate: d.frame.Alternate, version: d.frame.Version, service: d.frame.ServiceTag(), hops: d.frame.Hops}
+	f := &flow{phase: phaseOpening, openedAt: now, lastUsed: now, origin: d.frame.Origin, alternate: d.frame.Alternate, version: d.frame.Version, service: d.frame.ServiceTag(), hops: d.frame.Hops, duplicated: d.frame.Kind == passthrough.Duplicate}
 	g.flows[d.flow] = f
 	g.reserve(d.flow, f, now)
 	g.options.Observer.Opened(d.flow, d.frame)
@@ -265,8 +272,8 @@
 	}
 	g.options.Observer.Refused(d.flow, kind, d.frame, alternate)
 	if alternate == 0 || alternate == g.options.Self {
-		if (!isTransient(kind) || d.segment.IsLastRetransmission()) && !d.opensElsewhere {
-			g.reset(d.flow, d.segment.Ack, kind)
+		if !isTransient(kind) || d.segment.IsLastRetransmission() {
+			g.resetUnopened(d, kind)
 		}
 		// Otherwise the next retransmission, 200 or 400 ms later, is the retry. A
 		// reset would use up one of the caller's few attempts for a transient reason.
@@ -284,6 +291,14 @@
 	return true
 }
 
+// resetUnopened resets the flow of an opening packet, unless a later copy of the packet may have
+// opened the flow at another server.
+func (g *Gate) resetUnopened(d *delivery, kind errkind.Kind) {
+	if !d.opensElsewhere && !g.stalls.mayHaveHeldBack(g.lastEvent) {
+		g.reset(d.flow, d.segment.Ack, kind)
+	}
+}
+
 // isTransient reports whether the reason for a refusal is likely to pass within
 // a second.
 func isTransient(kind errkind.Kind) bool {
@@ -319,6 +334,11 @@
 		g.handleUnknown(d, now)
 		return
 	}
+	if f.phase == phaseAborted && d.hasSecondAgent() {
+		delete(g.flows, d.flow)
+		g.handleUnknown(d, now)
+		return
+	}
 	if f.phase == phaseAborted {
 		if !d.segment.Has(passthrough.Reset) {
 			g.reset(d.flow, d.segment.Ack, errkind.BackendUnavailable)
--- a/connection/steer/preview.go
+++ b/connection/steer/preview.go
@@ -144,7 +144,8 @@
 
 // newTrial copies the state for a flow to an address with the given route, nil for none. The
 // copy has a router of its own instead of being a shallow one, so that no map or server is
-// shared with the original.
+// shared with the original. It has no hedger: the first copy of an opening packet is placed
+// without it.
 func (r *Router) newTrial(flow passthrough.Flow, route *routes.Route) *trial {
 	t := &trial{flow: flow, servers: map[*entry]*ServerPreview{}}
 	now := r.now
@@ -159,6 +160,9 @@
 	})
 	t.router.now = now
 	t.router.onCompare = t.compare
+	for domain, roundTrip := range r.roundTrips {
+		*t.router.roundTripTo(domain) = *roundTrip
+	}
 	version := *r.version
 	version.Routes = map[netip.AddrPort]*routes.Route{}
 	t.router.version = &version
--- a/connection/steer/preview_test.go
+++ b/connection/steer/preview_test.go
@@ -7,17 +7,20 @@
 
 	"github.com/smartystreets/goconvey/convey"
 
+	"bergamotbank/connection/hedge"
 	"bergamotbank/connection/passthrough"
 	"bergamotbank/connection/passthrough/passthroughtest"
 	"bergamotbank/errkind"
 	"bergamotbank/version/routes"
 )
 
-// newReportedService returns a stream of arrivals at balancers that draw servers. Requests for
+// newReportedService returns a stream of arrivals at balancers that draw servers and send second
+// opening packets. Requests for
 // reports are counted and answered at once.
 func newReportedService(seed uint64, target time.Duration, requests *int) *loadedService {
 	l := newLoadedService(seed, target, all)
 	for _, r := range l.balancers {
+		r.hedger = hedge.New(0.1)
 		r.options.RequestReport = func(agent passthrough.Endpoint) {
 			*requests++
 			server := r.byAgent[agent].Server
@@ -66,6 +69,8 @@
 				convey.So(r.services, convey.ShouldResemble, same.services)
 				convey.So(r.loads, convey.ShouldResemble, same.loads)
 				convey.So(r.draws, convey.ShouldResemble, same.draws)
+				convey.So(r.roundTrips, convey.ShouldResemble, same.roundTrips)
+				convey.So(r.hedger, convey.ShouldResemble, same.hedger)
 			}
 		})
 	}
@@ -88,6 +93,8 @@
 				if i%50 == 0 {
 					delete(r.draws, "orders")
 				}
+				// Without the round trips the trial would prefer servers of this domain.
+				r.roundTripTo("junin").estimate = 40 * time.Millisecond
 				opening := passthrough.Segment{Source: passthrough.MakeEndpoint(0x64400001, uint16(1024+i/2)), Target: ordersAddress, Flags: passthrough.Open}
 				trial := r.newTrial(opening.FromCaller(), r.version.Route(ordersAddress.AddrPort()))
 				random := *source
