--- a/connection/steer/packet.go
+++ b/connection/steer/packet.go
@@ -46,7 +46,7 @@
 		r.reset(flow, segment.Ack, errkind.NotFound)
 		return
 	}
-	service, measure := route.Pick(flow.Hash()), measureFor(route)
+	service, measure := route.Pick(flow.Hash()), r.observed(measureFor(route))
 	if r.hedger != nil && segment.Ack > 0 && r.sendHedgedCopy(buffer, flow, service) {
 		return
 	}
--- a/connection/steer/steer.go
+++ b/connection/steer/steer.go
@@ -160,6 +160,9 @@
 	random       *rand.Rand
 	// randomBits is the random number of the choice in progress.
 	randomBits uint64
+	// onCompare is called for each server that is compared with others for a flow, with its
+	// value of the measure; nil except in previews.
+	onCompare func(e *entry, value float64)
 	// now is the time of the last choice, so that the clock is read once for each opening
 	// packet.
 	now      time.Duration
