gate, steer: the balancer alone resets flows that two agents may open

An agent that refuses an opening packet cannot know that the balancer has sent it to another agent since, and the reset could reach a caller whose flow is open there. Opening packets that may be sent twice now say so, and a refusal goes to the balancer as NotHeld, which resets the flow if no other agent has the packet. The second copy no longer goes to the first agent too.

--- a/connection/backlog/backlog.go
+++ b/connection/backlog/backlog.go
@@ -109,19 +109,14 @@
 	// Expected is the expected wait on arrival, Ahead the number of entries ahead.
 	Expected time.Duration
 	Ahead    int
-	// Duplicated is true if another agent has a copy of the opening packet too.
-	Duplicated bool
 }
 
 // deadline returns the time at which the response loses its full value.
 func (e *Entry) deadline() time.Duration { return e.FirstSentAt + e.Target }
 
-// OpensElsewhere reports whether another server may hold the flow: another agent has a copy of
-// the opening packet, or the caller may have sent one after the last that arrived.
-func (e *Entry) OpensElsewhere(now time.Duration) bool {
-	if e.Duplicated {
-		return true
-	}
+// HasLaterCopy reports whether the caller may have sent a copy after the last one that
+// arrived. Another server may then hold the flow.
+func (e *Entry) HasLaterCopy(now time.Duration) bool {
 	next := int(e.Copy) + 1
 	return next < len(copyAges) && now-e.RefreshedAt >= copyAges[next]-copyAges[next-1]
 }
@@ -199,17 +194,6 @@
 // Len returns the number of entries that wait.
 func (b *Backlog) Len() int { return len(b.entries) }
 
-// MarkDuplicated records that another agent has a copy of an opening packet too, and reports
-// whether the packet waits here.
-func (b *Backlog) MarkDuplicated(flow passthrough.Flow) bool {
-	e := b.entries[flow]
-	if e == nil {
-		return false
-	}
-	e.Duplicated = true
-	return true
-}
-
 // HasFreeSlot reports whether the server has a slot that neither a request in progress nor a
 // reservation nor a waiting entry uses.
 func (b *Backlog) HasFreeSlot(load Load, now time.Duration) bool {
--- a/connection/gate/admit.go
+++ b/connection/gate/admit.go
@@ -171,10 +171,11 @@
 		if f.phase == phaseAborted {
 			continue
 		}
-		if f.phase == phaseOpening && f.duplicated {
+		if f.phase == phaseOpening && f.hedgeable {
 			// Another server may hold the flow.
 			g.release(key, f)
 			delete(g.flows, key)
+			g.notifyRefused(f.origin, key, 0)
 			continue
 		}
 		closed := f.phase == phaseClosed
--- a/connection/gate/duplicate.go
+++ b/connection/gate/duplicate.go
@@ -7,40 +7,32 @@
 	"bergamotbank/connection/steer"
 )
 
-// handleDuplicate handles a copy of an opening packet that another agent has too. If this agent
-// has not seen the flow, its server gets the packet only if it has a free slot; otherwise the
-// balancer learns that the server has not opened the flow. Nothing is sent to the caller.
+// handleDuplicate handles an opening packet that another agent was sent before. The server gets
+// it only if it has a free slot; otherwise the balancer learns that the server has not opened the
+// flow. Nothing is sent to the caller.
 func (g *Gate) handleDuplicate(d *delivery, now time.Duration) {
 	g.counters.Duplicates++
 	if !d.segment.IsOpening() {
 		g.counters.Malformed++
 		return
 	}
-	if f := g.flows[d.flow]; f != nil && f.phase != phaseAborted {
-		if f.phase == phaseOpening {
-			f.duplicated, f.lastUsed = true, now
-			g.reserve(d.flow, f, now)
-			g.sendToServer(d.packet)
-		}
+	if f := g.flows[d.flow]; (f != nil && f.phase != phaseAborted) || g.backlog.Contains(d.flow) {
+		// The first agent has forwarded the packet here.
 		return
 	}
-	if g.backlog.MarkDuplicated(d.flow) {
-		return
-	}
-	// If the server has terminated since the first copy, the other one may hold the flow.
-	delete(g.flows, d.flow)
 	if _, ok := g.check(d, now); !ok || !g.takesDuplicate(d, now) {
 		g.counters.DuplicatesDeclined++
-		g.notifyBalancer(passthrough.NotHeld, d.frame.Origin, d.flow)
+		g.notifyRefused(d.frame.Origin, d.flow, d.segment.Ack)
 		return
 	}
 	g.open(d, now)
 }
 
-// hasSecondAgent reports whether the frame of a packet of a flow names another agent that may
-// hold the flow, since the balancer has sent the opening packet to both.
-func (d *delivery) hasSecondAgent() bool {
-	return d.frame.Kind == passthrough.Deliver && d.frame.Alternate != 0
+// notifyRefused informs a balancer that this agent has refused a copy of an opening packet.
+func (g *Gate) notifyRefused(balancer passthrough.Endpoint, flow passthrough.Flow, number uint32) {
+	if balancer != 0 {
+		g.options.Sender.Send(passthrough.AppendRefusal(nil, g.options.Self, flow, number), balancer)
+	}
 }
 
 // takesDuplicate reports whether the server has a free slot and neither starts nor fails, and
--- a/connection/gate/flow.go
+++ b/connection/gate/flow.go
@@ -56,8 +56,8 @@
 	serverISN     uint32
 	serverNextSeq uint32
 	accepted      bool
-	// duplicated is true if another agent has a copy of the opening packet too.
-	duplicated     bool
+	// hedgeable is true if another agent may have the opening packet too.
+	hedgeable      bool
 	callerAck      uint32
 	callerNextSeq  uint32
 	callerSentData bool
@@ -82,7 +82,7 @@
 // Two servers that were sent an opening packet at the same time may have chosen numbers that are
 // close to each other. A caller acknowledges no more than the server has sent.
 func (f *flow) confirms(segment *passthrough.Segment) bool {
-	if f.duplicated && segment.Ack-f.serverISN-1 >= f.serverNextSeq-f.serverISN {
+	if f.hedgeable && segment.Ack-f.serverISN-1 >= f.serverNextSeq-f.serverISN {
 		return false
 	}
 	return f.accepted && segment.Has(passthrough.Acknowledge) && segment.Ack-f.serverISN < maxWindow
--- a/connection/gate/gate.go
+++ b/connection/gate/gate.go
@@ -81,8 +81,8 @@
 	// those whose callers gave up, and those whose callers reset the flow or opened it
 	// elsewhere.
 	Queued, QueueForwarded, QueuePassedOn, QueueRefused, QueueExpired, QueueWithdrawn uint64
-	// Duplicates counts copies of opening packets that another agent had too, and
-	// DuplicatesDeclined those for which the server had no free slot.
+	// Duplicates counts second opening packets, DuplicatesDeclined those for which the server
+	// had no free slot.
 	Duplicates, DuplicatesDeclined uint64
 }
 
@@ -213,8 +213,8 @@
 	packet   []byte
 	segment  *passthrough.Segment
 	flow     passthrough.Flow
-	// opensElsewhere is true if the caller may have sent a later copy of an opening packet, or
-	// another agent has one, so that another server may hold the flow.
+	// opensElsewhere is true if the caller may have sent a later copy of an opening packet,
+	// so that another server may hold the flow.
 	opensElsewhere bool
 }
 
@@ -249,7 +249,7 @@
 	g.counters.Opened++
 	g.bucket.take()
 	delete(g.restored.flows, d.flow)
-	f := &flow{phase: phaseOpening, openedAt: now, lastUsed: now, origin: d.frame.Origin, alternate: d.frame.Alternate, version: d.frame.Version, service: d.frame.ServiceTag(), hops: d.frame.Hops, duplicated: d.frame.Kind == passthrough.Duplicate}
+	f := &flow{phase: phaseOpening, openedAt: now, lastUsed: now, origin: d.frame.Origin, alternate: d.frame.Alternate, version: d.frame.Version, service: d.frame.ServiceTag(), hops: d.frame.Hops, hedgeable: d.frame.Hedgeable()}
 	g.flows[d.flow] = f
 	g.reserve(d.flow, f, now)
 	g.options.Observer.Opened(d.flow, d.frame)
@@ -292,9 +292,13 @@
 }
 
 // resetUnopened resets the flow of an opening packet, unless a later copy of the packet may have
-// opened the flow at another server.
+// opened the flow at another server. If the balancer may have sent it to two agents, it decides.
 func (g *Gate) resetUnopened(d *delivery, kind errkind.Kind) {
-	if !d.opensElsewhere && !g.stalls.mayHaveHeldBack(g.lastEvent) {
+	switch {
+	case d.opensElsewhere || g.stalls.mayHaveHeldBack(g.lastEvent):
+	case d.frame.Hedgeable():
+		g.notifyRefused(d.frame.Origin, d.flow, d.segment.Ack)
+	default:
 		g.reset(d.flow, d.segment.Ack, kind)
 	}
 }
@@ -334,11 +338,6 @@
 		g.handleUnknown(d, now)
 		return
 	}
-	if f.phase == phaseAborted && d.hasSecondAgent() {
-		delete(g.flows, d.flow)
-		g.handleUnknown(d, now)
-		return
-	}
 	if f.phase == phaseAborted {
 		if !d.segment.Has(passthrough.Reset) {
 			g.reset(d.flow, d.segment.Ack, errkind.BackendUnavailable)
--- a/connection/gate/queue.go
+++ b/connection/gate/queue.go
@@ -157,13 +157,9 @@
 
 // deliveryOf returns the delivery of a waiting opening packet.
 func deliveryOf(e *backlog.Entry, now time.Duration) delivery {
-	frame := e.Frame
-	if e.Duplicated {
-		frame.Kind = passthrough.Duplicate
-	}
 	return delivery{
-		frame: frame, datagram: e.Datagram, packet: e.Datagram[passthrough.FrameSize:],
-		segment: &passthrough.Segment{Ack: e.Copy}, flow: e.Flow, opensElsewhere: e.OpensElsewhere(now),
+		frame: e.Frame, datagram: e.Datagram, packet: e.Datagram[passthrough.FrameSize:],
+		segment: &passthrough.Segment{Ack: e.Copy}, flow: e.Flow, opensElsewhere: e.HasLaterCopy(now),
 	}
 }
 
--- a/connection/gate/unknown.go
+++ b/connection/gate/unknown.go
@@ -76,7 +76,8 @@
 		g.reset(d.flow, d.segment.Ack, errkind.PeerUnavailable)
 	case registered && !failed:
 		g.forward(d, passthrough.Registered, r.holder, r.incarnation)
-	case d.hasSecondAgent() && !g.hasTimedOut(d.frame.Alternate):
+	case d.frame.Kind == passthrough.Deliver && d.frame.Alternate != 0 && !g.hasTimedOut(d.frame.Alternate):
+		// The balancer has sent the opening packet to both agents.
 		alternate := d.frame.Alternate
 		d.frame.Alternate = 0
 		g.forward(d, passthrough.Registered, alternate, 0)
@@ -167,8 +168,8 @@
 		// The host of a crashed server returns all packets.
 		g.suspectedFrom = now
 		d.frame = passthrough.Frame{Kind: passthrough.Deliver, Hops: f.hops, Version: f.version, Tag: uint32(f.service), Origin: f.origin, Alternate: f.alternate}
-		if f.duplicated {
-			d.frame.Kind, d.opensElsewhere = passthrough.Duplicate, true
+		if f.hedgeable {
+			d.frame.Incarnation = 1
 		}
 		d.frame.Put(buffer)
 		g.refuse(&d, errkind.Overloaded)
--- a/connection/hedge/hedge.go
+++ b/connection/hedge/hedge.go
@@ -32,6 +32,11 @@
 	// Packet is the opening packet with room for its frame, nil if the request of the flow may
 	// not be repeated.
 	Packet []byte
+	// Copy is the number of the caller's last copy of the packet.
+	Copy uint32
+	// hedgeable is true if Packet was set, refused if the last copy of the caller was
+	// refused.
+	hedgeable, refused bool
 	// openedAt is the arrival of the opening packet, sentAt the time of the second copy,
 	// answeredAt the arrival of the caller's first packet on the opened flow, 0 for not yet.
 	openedAt, sentAt, answeredAt time.Duration
@@ -104,7 +109,8 @@
 
 // Opened records that the first opening packet of a flow was sent to an agent. Openings that
 // must not be hedged are recorded without a packet: they are measured and count for the budget.
-func (h *Hedger) Opened(o Opening, now time.Duration) {
+// Opened reports whether a second copy may be sent.
+func (h *Hedger) Opened(o Opening, now time.Duration) (hedgeable bool) {
 	s := h.services[o.Service]
 	if s == nil {
 		s = &service{latency: newLatency(1 - h.limit)}
@@ -112,11 +118,12 @@
 	}
 	s.budget.earn(h.limit)
 	if len(h.openings) >= maxOpenings || h.openings[o.Flow] != nil {
-		return
+		return false
 	}
-	o.openedAt = now
+	o.openedAt, o.hedgeable = now, o.Packet != nil
 	h.openings[o.Flow] = &o
 	s.openings = append(s.openings, &o)
+	return o.hedgeable
 }
 
 // Answered records a packet of a caller on an opened flow. It returns the opening if a second
@@ -138,13 +145,15 @@
 	return o
 }
 
-// Hedged returns the opening of a flow if a second copy was sent for it and the holder is not
-// known yet, else nil.
-func (h *Hedger) Hedged(flow passthrough.Flow) *Opening {
-	if o := h.openings[flow]; o != nil && o.Second != 0 {
-		return o
+// Copied records a caller's copy of an opening packet and reports whether the opening may be
+// sent to a second agent, or was.
+func (h *Hedger) Copied(flow passthrough.Flow, number uint32) bool {
+	o := h.openings[flow]
+	if o == nil {
+		return false
 	}
-	return nil
+	o.Copy, o.refused = number, false
+	return o.hedgeable
 }
 
 // Moved records that the first agent has forwarded the opening packet to another one.
@@ -171,13 +180,26 @@
 	return o.Second
 }
 
-// Declined records that the server of a second copy has not opened the flow. No further copy is
-// sent.
-func (h *Hedger) Declined(flow passthrough.Flow, agent passthrough.Endpoint) {
-	if o := h.openings[flow]; o != nil && o.Second == agent {
+// Refused records that an agent has refused or declined a copy of the opening packet of a flow. It
+// reports whether the flow is to be reset, since no agent has the packet any more: the copy was
+// the last one that the caller has sent.
+func (h *Hedger) Refused(flow passthrough.Flow, agent passthrough.Endpoint, number uint32) (reset bool) {
+	o := h.openings[flow]
+	if o == nil || o.answeredAt != 0 {
+		// The flow is open, or its caller has given up.
+		return false
+	}
+	if o.Second != 0 && agent == o.Second {
 		h.counters.HedgesWasted++
 		o.Second, o.Packet = 0, nil
+	} else {
+		o.refused = number == o.Copy
+	}
+	if o.Second != 0 || !o.refused {
+		return false
 	}
+	h.end(o, 0)
+	return true
 }
 
 // Ended records that a caller has reset a flow. It returns the opening if a second copy was
--- a/connection/hedge/hedge_test.go
+++ b/connection/hedge/hedge_test.go
@@ -143,6 +143,11 @@
 			convey.So(h.Settled(flowOf(1), 7), convey.ShouldEqual, 2)
 			convey.So(h.Counters(), convey.ShouldResemble, Counters{HedgesSent: 1, HedgesWasted: 1})
 		})
+		convey.Convey("refusals by both agents do not reset the flow after the caller's answer", func() {
+			convey.So(h.Refused(flowOf(1), 1, 0), convey.ShouldBeFalse)
+			h.Answered(flowOf(1), now)
+			convey.So(h.Refused(flowOf(1), 2, 0), convey.ShouldBeFalse)
+		})
 		convey.Convey("without a report it is wasted when the caller gives up", func() {
 			due(h, now+attemptLimit)
 			convey.So(h.Counters().HedgesWasted, convey.ShouldEqual, 1)
--- a/connection/passthrough/frame.go
+++ b/connection/passthrough/frame.go
@@ -49,7 +49,7 @@
 	// Marker is sent by a process to itself and contains the time at which it was sent. When
 	// it is handled, so are all datagrams that had arrived by then.
 	Marker
-	// Duplicate carries a copy of an opening packet of which two agents have one. It is
+	// Duplicate carries a copy of an opening packet that another agent was sent before. It is
 	// neither queued nor forwarded, and no reset answers it, since the other agent's server
 	// may hold the flow.
 	Duplicate
@@ -85,12 +85,16 @@
 	// responses are sent.
 	Alternate Endpoint
 	// Incarnation is the incarnation of the backend server in the flow's
-	// registration, for Registered.
+	// registration, for Registered. In an opening packet it is not 0 if Hedgeable.
 	Incarnation uint32
 	// Tag is a ServiceTag or a ViewDigest.
 	Tag uint32
 }
 
+// Hedgeable reports whether the balancer may send an opening packet to a second agent. It then
+// decides alone whether the flow is reset: an agent that refuses the packet informs it by NotHeld.
+func (f *Frame) Hedgeable() bool { return f.Kind == Duplicate || f.Incarnation != 0 }
+
 // ServiceTag returns the tag of the service that was selected for an opening packet.
 func (f *Frame) ServiceTag() ServiceTag { return ServiceTag(f.Tag) }
 
@@ -183,6 +187,21 @@
 	return endpointAt(b[1:]), flowAt(b[1+endpointSize:]), nil
 }
 
+// AppendRefusal appends a datagram of kind NotHeld with the number of the copy of the opening
+// packet that an agent has refused.
+func AppendRefusal(b []byte, agent Endpoint, flow Flow, number uint32) []byte {
+	return append(AppendHolder(b, NotHeld, agent, flow), byte(number))
+}
+
+// ParseRefusal decodes a datagram that AppendRefusal has encoded. The error has kind Malformed.
+func ParseRefusal(b []byte) (agent Endpoint, flow Flow, number uint32, err error) {
+	if len(b) != holderSize+1 {
+		return 0, Flow{}, 0, errInvalidLength
+	}
+	agent, flow, err = ParseHolder(b)
+	return agent, flow, uint32(b[holderSize]), err
+}
+
 // AppendRegister appends a datagram of kind Register for flows that the holder's
 // backend server holds, at most MaxRegistrations.
 func AppendRegister(b []byte, holder Endpoint, incarnation uint32, flows []Flow) []byte {
--- a/connection/steer/hedging.go
+++ b/connection/steer/hedging.go
@@ -6,6 +6,7 @@
 
 	"bergamotbank/connection/hedge"
 	"bergamotbank/connection/passthrough"
+	"bergamotbank/errkind"
 	"bergamotbank/version/routes"
 )
 
@@ -13,14 +14,20 @@
 // opening packet. It is shorter than a handshake.
 const hedgeCheckInterval = 5 * time.Millisecond
 
-// recordOpening records the first opening packet of a flow. It keeps a copy of the packet if the
-// requests of the route may be repeated.
-func (r *Router) recordOpening(buffer []byte, flow passthrough.Flow, route *routes.Route, service string, first *entry) {
-	o := hedge.Opening{Flow: flow, Service: service, First: first.Agent}
+// recordOpening records an opening packet that is sent to an agent, and reports whether another
+// one may be sent to a second agent. It keeps a copy of the first packet of a flow if the requests
+// of the route may be repeated.
+func (r *Router) recordOpening(buffer []byte, segment *passthrough.Segment, route *routes.Route, service string, agent passthrough.Endpoint) bool {
+	flow := segment.FromCaller()
+	if segment.Ack > 0 {
+		r.hedger.Moved(flow, agent)
+		return r.hedger.Copied(flow, segment.Ack)
+	}
+	o := hedge.Opening{Flow: flow, Service: service, First: agent}
 	if route.Idempotent {
 		o.Packet = bytes.Clone(buffer)
 	}
-	r.hedger.Opened(o, r.now)
+	return r.hedger.Opened(o, r.now)
 }
 
 // CheckHedges sends the second opening packets that are due. It is called after each batch of
@@ -43,8 +50,7 @@
 }
 
 // sendHedge sends a second opening packet to another server than the first one and returns its
-// agent, or 0 if the active version or the load of the servers does not allow it. The first
-// agent gets a copy too, so that it does not reset the flow if it refuses the opening later.
+// agent, or 0 if the active version or the load of the servers does not allow it.
 func (r *Router) sendHedge(o *hedge.Opening) passthrough.Endpoint {
 	route := r.version.Route(o.Flow.Service.AddrPort())
 	if route == nil || !route.Idempotent || !route.HasTarget(o.Service) {
@@ -57,7 +63,6 @@
 		return 0
 	}
 	r.sendFramed(o.Packet, &passthrough.Frame{Kind: passthrough.Duplicate, Tag: uint32(passthrough.ServiceTagOf(o.Service))}, second.Agent)
-	r.options.Sender.Send(o.Packet, o.First)
 	second.openedSinceReport++
 	second.placements.add(r.now)
 	r.placed(o.Service, second)
@@ -77,21 +82,6 @@
 	}
 }
 
-// sendHedgedCopy sends a caller's copy of an opening packet that two agents have to the first of
-// them, or to the second if the first has failed. It reports whether the opening is one of these.
-func (r *Router) sendHedgedCopy(buffer []byte, flow passthrough.Flow, service string) bool {
-	o := r.hedger.Hedged(flow)
-	if o == nil {
-		return false
-	}
-	to := o.First
-	if e := r.byAgent[to]; e == nil || !e.Reachable || e.State == Down {
-		to = o.Second
-	}
-	r.sendFramed(buffer, &passthrough.Frame{Kind: passthrough.Duplicate, Tag: uint32(passthrough.ServiceTagOf(service))}, to)
-	return true
-}
-
 // sendHedgedPacket records a caller's packet on an opened flow. If two agents have the opening
 // packet and neither has reported that it holds the flow, it sends the packet to the more
 // probable holder, which forwards it to the other one if it is not, and returns true.
@@ -126,9 +116,14 @@
 	}
 }
 
-// SetNotHeld records that an agent has declined a second opening packet.
-func (r *Router) SetNotHeld(agent passthrough.Endpoint, flow passthrough.Flow) {
-	if r.hedger != nil {
-		r.hedger.Declined(flow, agent)
+// SetNotHeld records that an agent has refused or declined a copy of an opening packet that may be
+// sent to two agents. The flow is reset if no other agent has the packet.
+func (r *Router) SetNotHeld(agent passthrough.Endpoint, flow passthrough.Flow, number uint32) {
+	if r.hedger == nil {
+		return
+	}
+	if r.hedger.Refused(flow, agent, number) {
+		r.reset(flow, number, errkind.BackendUnavailable)
+		r.holders.Delete(flow)
 	}
 }
--- a/connection/steer/packet.go
+++ b/connection/steer/packet.go
@@ -47,12 +47,10 @@
 		return
 	}
 	service, measure := route.Pick(flow.Hash()), r.observed(measureFor(route))
-	if r.hedger != nil && segment.Ack > 0 && r.sendHedgedCopy(buffer, flow, service) {
-		return
-	}
 	if h, ok := r.holders.Get(flow); ok {
 		if e := r.byAgent[h.agent]; e != nil && e.Reachable && e.State != Down {
-			r.sendOpening(buffer, service, e, measure)
+			hedgeable := r.hedger != nil && r.hedger.Copied(flow, segment.Ack)
+			r.sendOpening(buffer, service, e, measure, hedgeable)
 			return
 		}
 	}
@@ -72,20 +70,21 @@
 	chosen.openedSinceReport++
 	chosen.placements.add(r.now)
 	r.holders.Put(flow, holder{agent: chosen.Agent})
-	r.sendOpening(buffer, service, chosen, measure)
+	hedgeable := r.hedger != nil && r.recordOpening(buffer, segment, route, service, chosen.Agent)
+	r.sendOpening(buffer, service, chosen, measure, hedgeable)
 	r.placed(service, chosen)
-	if r.hedger != nil && segment.Ack == 0 {
-		r.recordOpening(buffer, flow, route, service, chosen)
-	}
 }
 
 // sendOpening sends an opening packet to an agent, with the service that was selected for the
 // flow and the agent to which this one forwards the flow if it refuses it.
-func (r *Router) sendOpening(buffer []byte, service string, to *entry, m measure) {
+func (r *Router) sendOpening(buffer []byte, service string, to *entry, m measure, hedgeable bool) {
 	frame := passthrough.Frame{Kind: passthrough.Deliver, Tag: uint32(passthrough.ServiceTagOf(service))}
 	if e := r.choose(service, to, m); e != nil {
 		frame.Alternate = e.Agent
 	}
+	if hedgeable {
+		frame.Incarnation = 1
+	}
 	r.sendFramed(buffer, &frame, to.Agent)
 }
 
--- a/process/passthrough/balancer.go
+++ b/process/passthrough/balancer.go
@@ -150,7 +150,13 @@
 func (b *Balancer) handlePeerDatagrams(r *datagram.Reader, n int) {
 	b.handleBatch(r, n, func(d []byte, now time.Duration) {
 		kind := passthrough.Kind(d[0])
-		if kind != passthrough.Learned && kind != passthrough.Redirected && kind != passthrough.NotHeld {
+		if kind == passthrough.NotHeld {
+			if agent, flow, number, err := passthrough.ParseRefusal(d); err == nil {
+				b.steer.SetNotHeld(agent, flow, number)
+			}
+			return
+		}
+		if kind != passthrough.Learned && kind != passthrough.Redirected {
 			b.handleControl(d, now)
 			return
 		}
@@ -159,10 +165,8 @@
 		case err != nil:
 		case kind == passthrough.Learned:
 			b.steer.SetHolder(agent, flow)
-		case kind == passthrough.Redirected:
-			b.steer.SetCandidate(agent, flow)
 		default:
-			b.steer.SetNotHeld(agent, flow)
+			b.steer.SetCandidate(agent, flow)
 		}
 	})
 }
