soak: routes with priorities and latency targets, servers of three speeds

New schedules give the routes of orders, queries and downloads their kind, priority and target, and the servers 0.6, 1.0 and 1.6 times the work. Callers open a flow for each request on half of their turns; the report counts what they get as in time, late, refused or failed.

--- a/soak/deployment.go
+++ b/soak/deployment.go
@@ -52,6 +52,9 @@
 	spareVMs       bool
 	// relayed is true if a network relays what the processes send to each other.
 	relayed bool
+	// targets is true if routes have priorities and latency targets, servers have different
+	// speeds, and callers open a flow for each request on a share of their requests.
+	targets bool
 }
 
 // Offsets of the second address byte, relative to the network of the balancers.
@@ -78,6 +81,8 @@
 	process         *process
 	service, domain string
 	ip              netip.Addr
+	// speed is the factor on the service times of its servers, if routes have targets.
+	speed float64
 
 	mu     sync.Mutex
 	server *standin.Server
@@ -106,10 +111,13 @@
 
 	mu          sync.Mutex
 	version     int
-	routes      map[passthrough.Endpoint]string
+	routes      map[passthrough.Endpoint]standin.Route
 	addedRoutes int
 	probes      int
 	outSince    map[string]time.Time
+	// demand is held for reading while a check needs spare capacity, and for writing while
+	// the demand exceeds the capacity.
+	demand sync.RWMutex
 }
 
 var (
@@ -127,9 +135,12 @@
 func newDeployment(dir, program string, s deploymentSize) (*deployment, error) {
 	d := &deployment{
 		dir: dir, program: program, size: s, checker: standin.NewChecker(), store: standin.NewStore(),
-		routes:   map[passthrough.Endpoint]string{ordersRoute: "orders", downloadsRoute: "downloads"},
+		routes:   routesWithoutTargets(),
 		outSince: map[string]time.Time{},
 	}
+	if s.targets {
+		d.routes = routesWithTargets()
+	}
 	d.network = standin.NewNetwork(d.relaysStalled)
 	listener, err := net.Listen("tcp", s.store(storePort).String())
 	if err != nil {
@@ -262,7 +273,7 @@
 		service = "downloads"
 	}
 	domain, name := domainName(like%d.size.domains), fmt.Sprintf("agent-%d", i)
-	v := &vm{domain: domain, ip: ip, process: d.newProcess(name, "passthrough-agent", domain, ip)}
+	v := &vm{domain: domain, ip: ip, speed: speeds[like/2%len(speeds)], process: d.newProcess(name, "passthrough-agent", domain, ip)}
 	if err := d.relay(domain, ip); err != nil {
 		return err
 	}
@@ -324,10 +335,11 @@
 	v.draining = false
 	v.starts++
 	service := v.service
+	slots, serviceTime := d.serverCapacity(v)
 	server, err := standin.StartServer(standin.ServerOptions{
 		ID: fmt.Sprintf("%s-%s-%d", service, v.ip, v.starts), Service: service, Domain: v.domain,
 		Listen: addrPort(v.ip, backendPort), Outbound: addrPort(v.ip, outboundPort), Control: addrPort(v.ip, controlPort),
-		Slots: 4, Queue: 8, ServiceTime: 5 * time.Millisecond, ColdDuration: coldDuration, ClockError: v.clockError, HeartbeatInterval: heartbeatInterval, Checker: d.checker,
+		Slots: slots, Queue: 8, ServiceTime: serviceTime, ColdDuration: coldDuration, ClockError: v.clockError, HeartbeatInterval: heartbeatInterval, Checker: d.checker,
 		Routes:    func() map[passthrough.Endpoint]bool { return d.routesOf(service) },
 		DomainOut: d.domainOut,
 	})
@@ -411,8 +423,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	routes := map[passthrough.Endpoint]bool{}
-	for route, name := range d.routes {
-		routes[route] = routes[route] || name == service
+	for endpoint, route := range d.routes {
+		routes[endpoint] = routes[endpoint] || route.Service == service
 	}
 	return routes
 }
@@ -441,7 +453,7 @@
 	d.mu.Lock()
 	d.addedRoutes++
 	route := endpoint(fmt.Sprintf("198.18.1.%d:443", d.addedRoutes%250+1))
-	d.routes[route] = "orders"
+	d.routes[route] = standin.Route{Service: "orders", Kind: standin.Safe}
 	d.mu.Unlock()
 	d.writeManifest()
 	return route
--- a/soak/load.go
+++ b/soak/load.go
@@ -60,6 +60,11 @@
 // run runs one caller: long flows for orders, and flows for a single download.
 func (l *load) run(ctx context.Context, c *standin.Caller, random *rand.Rand, i int) {
 	for n := 0; ctx.Err() == nil; n++ {
+		if l.d.size.targets && random.IntN(2) == 0 {
+			l.d.sendTimed(c, fmt.Sprintf("t%d.%d", i, n), random.IntN(3) == 0, "")
+			sleep(ctx, time.Duration(random.ExpFloat64()*float64(meanRequestPause)))
+			continue
+		}
 		if random.IntN(4) == 0 {
 			l.exchange(c, downloadsRoute, fmt.Sprintf("d%d.%d", i, n), downloadBytes, false)
 			continue
--- a/soak/main.go
+++ b/soak/main.go
@@ -26,7 +26,8 @@
 	Length    time.Duration `arg:"--length" default:"20s" help:"length of one schedule"`
 	Regress   bool          `arg:"--regressions" help:"run the schedules of past failures instead"`
 	Demo      bool          `arg:"--demo" help:"run only planned changes and crashes of servers; only flows of a crashed server may break"`
-	Case      string        `arg:"--case" help:"run a fixed sequence once for each seed instead: one-way-cut"`
+	Case      string        `arg:"--case" help:"run a fixed sequence once for each seed instead: one-way-cut, overload"`
+	Steps     int           `arg:"--steps" help:"number of kinds of steps to draw from, to run a seed as before later ones were added"`
 	Program   string        `arg:"--program" default:"bin/bergamotd" help:"path of the bergamotd binary"`
 	Output    string        `arg:"--output" default:"out/soak" help:"directory for settings and logs"`
 	Callers   int           `arg:"--callers" default:"24" help:"number of callers"`
@@ -80,7 +81,11 @@
 			all = append(all, schedule{seed: a.First + uint64(i), script: scripts[a.Case]})
 			continue
 		}
-		all = append(all, schedule{seed: a.First + uint64(i), stepCount: len(allSteps), demo: a.Demo, small: a.Demo, concurrency: defaultConcurrency})
+		stepCount := len(allSteps)
+		if a.Steps > 0 {
+			stepCount = min(a.Steps, stepCount)
+		}
+		all = append(all, schedule{seed: a.First + uint64(i), stepCount: stepCount, demo: a.Demo, small: a.Demo, concurrency: defaultConcurrency})
 	}
 	return all
 }
@@ -103,9 +108,10 @@
 		size = smallSize
 	}
 	size.network = a.Network
-	// Schedules from before the step that cuts off a failure domain, and those of the demo,
-	// run as before: without relays, which need processor time.
-	size.relayed = plan.script != nil || (!plan.demo && plan.stepCount == len(allSteps))
+	// Schedules from before a step was added, and those of the demo, run as before: without
+	// relays, which need processor time, and without latency targets.
+	size.relayed = plan.script != nil || (!plan.demo && plan.stepCount > stepsBeforeCuts)
+	size.targets = size.targets || (plan.script == nil && !plan.demo && plan.stepCount > stepsBeforeTargets)
 	return size
 }
 
@@ -180,11 +186,11 @@
 	return len(r.Violations)
 }
 
-// newProbe returns a new caller for a check.
-func (d *deployment) newProbe() (*standin.Caller, error) {
+// newProbe returns a new caller in a failure domain for a check.
+func (d *deployment) newProbe(domain string) (*standin.Caller, error) {
 	d.mu.Lock()
 	d.probes++
 	at := netip.AddrPortFrom(d.size.address(probeNetwork, d.probes), packetPort)
 	d.mu.Unlock()
-	return standin.NewCaller(domainName(0), at, d.fabric, d.checker, d.holderVM)
+	return standin.NewCaller(domain, at, d.fabric, d.checker, d.holderVM)
 }
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -144,7 +144,9 @@
 	{"add a route", true, func(d *deployment, _ *rand.Rand) {
 		route, inTouch := d.addRoute(), d.checker.InTouch(d.vmAddresses()...)
 		time.Sleep(maxActivationTime)
-		c, err := d.newProbe()
+		d.demand.RLock()
+		defer d.demand.RUnlock()
+		c, err := d.newProbe(domainName(0))
 		if err != nil {
 			d.checker.ReportViolation("probe: %v", err)
 			return
@@ -326,8 +328,18 @@
 		cut := []standin.Cut{{In: true}, {Out: true}, {In: true, Out: true}}[r.IntN(3)]
 		cutDomain(d, domainName(r.IntN(d.size.domains)), cut, randomDuration(r, time.Second, 6*time.Second))
 	}},
+	{"the demand exceeds the capacity", false, func(d *deployment, r *rand.Rand) {
+		overload(d, r, 1.1+0.5*r.Float64(), randomDuration(r, 2*time.Second, 5*time.Second))
+	}},
 }
 
+// stepsBeforeCuts and stepsBeforeTargets are the numbers of steps before failure domains could be
+// cut off and before routes had latency targets.
+const (
+	stepsBeforeCuts    = 35
+	stepsBeforeTargets = 36
+)
+
 // cutDomain cuts a failure domain off from the others for a time.
 func cutDomain(d *deployment, domain string, cut standin.Cut, length time.Duration) {
 	injectFault(d, "cut of "+domain, length, func() { d.network.Cut(domain, cut) },
--- a/soak/script.go
+++ b/soak/script.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -24,6 +25,15 @@
 		flowDuration: 10 * scriptLength,
 		run:          releaseDuringCut,
 	},
+	"overload": {
+		size:         deploymentSize{domains: 3, balancers: 6, orders: 7, downloads: 3, targets: true},
+		flowDuration: meanFlowDuration,
+		run: func(ctx context.Context, d *deployment, seed uint64, logStep func(string)) {
+			sleep(ctx, timeBeforeCut)
+			logStep("the demand exceeds the capacity")
+			overload(d, rand.New(rand.NewPCG(seed, 11)), overloadFactor, overloadLength)
+		},
+	},
 }
 
 // Times of releaseDuringCut. A cut longer than the time for which a process contacts an address
@@ -37,6 +47,12 @@
 	releaseGap    = time.Second
 )
 
+const (
+	// overloadFactor is the added demand of the overload sequence as a multiple of the capacity.
+	overloadFactor = 1.1
+	overloadLength = 8 * time.Second
+)
+
 // releaseDuringCut releases both services while nothing gets into a failure domain, and then
 // adds balancers and restarts all. docs/incidents/incomplete-view.md describes a day on which
 // such a sequence reset flows of running servers.
