--- a/soak/overload.go
+++ b/soak/overload.go
@@ -166,13 +166,18 @@
 		return
 	}
 	d.checker.Count("overload: comparisons of orders with queries")
-	compare("in time", d, orders, queries, func(t tally) int { return t.inTime })
-	compare("at all", d, orders, queries, func(t tally) int { return t.inTime + t.late })
+	compareWithQueries(d, orders, queries)
 }
 
-func compare(name string, d *deployment, orders, queries tally, served func(tally) int) {
-	orderRate, queryRate := float64(served(orders))/orders.total(), float64(served(queries))/queries.total()
-	if orderRate < queryRate-comparisonSlack {
-		d.checker.ReportViolation("orders were served worse than queries under overload: %.3f and %.3f of them %s", orderRate, queryRate, name)
+// compareWithQueries checks that the shares of orders served in time and served at all are not
+// below those of queries.
+func compareWithQueries(d *deployment, orders, queries tally) {
+	compare := func(name string, served func(tally) int) {
+		orderShare, queryShare := float64(served(orders))/orders.total(), float64(served(queries))/queries.total()
+		if orderShare < queryShare-comparisonSlack {
+			d.checker.ReportViolation("orders were served worse than queries under overload: %.3f and %.3f of them %s", orderShare, queryShare, name)
+		}
 	}
+	compare("in time", func(t tally) int { return t.inTime })
+	compare("at all", func(t tally) int { return t.inTime + t.late })
 }
