passthrough: the tests of version sources and stalled watches run in a bubble of time

Seen: TestVersionSource and TestStalledWatch each failed once at a load of 45 to 96 on 7 cores. Cause: the tests took the delays of the process and their own limits from the clock of the machine. A process that gets no processor time finds several timers due at once: the limit of 1 s ended before the fetch, the announcement of the own domain came after the fetch from the other one, and a confirmation due every 50 ms was late, so that the process polled, as it should. The product promises none of this to a process that does not run. Change: the tests run under testing/synctest, so the limits hold exactly. In TestVersionSource and TestVersionFetchedFromPeer, which had the same fault, peers respond without a network, for which a bubble does not wait; the test of TestVersionServedToFleet still fetches over HTTP. The limit of a stalled watch is now 2 s, the 3 s for a version less 1 s for its distribution, instead of 2.2 s. They still fail when the own domain is not preferred, when a peer that does not respond is kept, and when confirmations age for 2 s. A process that ignores confirmations makes TestStalledWatch hang, as it polls without a pause.

--- a/process/passthrough/config_peer_test.go
+++ b/process/passthrough/config_peer_test.go
@@ -10,18 +10,19 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
 
 	"bergamotbank/connection/passthrough"
+	"bergamotbank/errkind"
 	"bergamotbank/process/roster"
 )
 
 // versionServer serves the configuration of a process and counts the requests.
 type versionServer struct {
 	*configSync
-	*httptest.Server
 	requests atomic.Int64
 }
 
@@ -32,18 +33,33 @@
 	if err := c.refresh(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	s := &versionServer{configSync: c}
-	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		s.requests.Add(1)
-		c.ServeHTTP(w, r)
-	}))
-	t.Cleanup(s.Close)
-	return s
+	return &versionServer{configSync: c}
 }
 
-// member returns the server as a member of a failure domain.
-func (s *versionServer) member(domain string) roster.Member {
-	return roster.Member{Domain: domain, Version: s.revision(), Peer: endpointOf(s.Server)}
+func (s *versionServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.requests.Add(1)
+	s.configSync.ServeHTTP(w, r)
+}
+
+// versionPeers are the processes that respond to requests for the configuration. Requests
+// use no network: time in a synctest bubble does not pass while a goroutine waits for it.
+type versionPeers map[string]*versionServer
+
+// add adds a server and returns it as a member of a failure domain.
+func (p versionPeers) add(s *versionServer, domain string) roster.Member {
+	m := roster.Member{Domain: domain, Version: s.revision(), Peer: passthrough.MakeEndpoint(uint32(len(p)+1), 1)}
+	p[m.Peer.String()] = s
+	return m
+}
+
+func (p versionPeers) RoundTrip(r *http.Request) (*http.Response, error) {
+	s, ok := p[r.URL.Host]
+	if !ok {
+		return nil, errkind.New(errkind.PeerUnavailable, "%s does not respond", r.URL.Host)
+	}
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, r)
+	return w.Result(), nil
 }
 
 // runFetch runs fetchNewer for a second.
@@ -57,17 +73,21 @@
 
 // TestVersionSource guards against versions that cross failure domains once for each
 // process: whichever process announced a version first used to serve it.
-func TestVersionSource(t *testing.T) {
+func TestVersionSource(t *testing.T) { synctest.Test(t, testVersionSource) }
+
+func testVersionSource(t *testing.T) {
 	convey.Convey("Given a version that processes of two failure domains announce, another domain first", t, func() {
 		near, far := newVersionServer(t, "v1"), newVersionServer(t, "v1")
+		peers := versionPeers{}
 		c, versions := newTestConfigSync(nil)
+		c.client.Transport = peers
 		c.state.Revision = 1
-		c.announced.add(far.member("pasco"))
+		c.announced.add(peers.add(far, "pasco"))
 
 		convey.Convey("it is fetched from the own domain", func() {
 			go func() {
 				time.Sleep(fetchDelay + otherDomainDelay/2)
-				c.announced.add(near.member("junin"))
+				c.announced.add(peers.add(near, "junin"))
 			}()
 			runFetch(t, c)
 			convey.So(c.revision(), convey.ShouldEqual, near.revision())
@@ -80,18 +100,22 @@
 			convey.So(*versions, convey.ShouldHaveLength, 1)
 		})
 		convey.Convey("it is fetched from the other domain if the process of the own domain does not respond", func() {
-			c.announced.add(near.member("junin"))
-			near.Close()
+			m := peers.add(near, "junin")
+			c.announced.add(m)
+			delete(peers, m.Peer.String())
 			runFetch(t, c)
 			convey.So(c.revision(), convey.ShouldEqual, far.revision())
 		})
 	})
 	convey.Convey("A series of versions is fetched once, as the newest", t, func() {
 		near := newVersionServer(t, "v1")
+		peers := versionPeers{}
 		c, versions := newTestConfigSync(nil)
+		c.client.Transport = peers
 		c.state.Revision = 1
+		newest := peers.add(near, "junin")
 		for i := range 5 {
-			m := near.member("junin")
+			m := newest
 			m.Version -= uint64(4 - i)
 			c.announced.add(m)
 		}
@@ -101,9 +125,11 @@
 	})
 	convey.Convey("A peer that announces a version it does not have is asked once", t, func() {
 		near := newVersionServer(t, "v1")
+		peers := versionPeers{}
 		c, _ := newTestConfigSync(nil)
+		c.client.Transport = peers
 		c.state.Revision = near.revision()
-		m := near.member("junin")
+		m := peers.add(near, "junin")
 		m.Version++
 		c.announced.add(m)
 		runFetch(t, c)
@@ -156,8 +182,10 @@
 	})
 	convey.Convey("A process decompresses it", t, func() {
 		server := newVersionServer(t, largeConfig())
+		listening := httptest.NewServer(server)
+		defer listening.Close()
 		c, _ := newTestConfigSync(nil)
-		state, err := c.fetch(t.Context(), endpointOf(server.Server))
+		state, err := c.fetch(t.Context(), endpointOf(listening))
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(state, convey.ShouldResemble, server.state)
 	})
--- a/process/passthrough/config_test.go
+++ b/process/passthrough/config_test.go
@@ -3,20 +3,15 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
-	"net/http/httptest"
-	"net/netip"
-	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 
-	"bergamotbank/connection/passthrough"
 	"bergamotbank/errkind"
-	"bergamotbank/process/roster"
 	"bergamotbank/version/routes"
 )
 
@@ -242,7 +237,12 @@
 // TestStalledWatch guards against a version that becomes active nowhere for seconds: a
 // watch on the store may deliver no events for that long, and a process that only waits
 // for events misses the version.
-func TestStalledWatch(t *testing.T) {
+func TestStalledWatch(t *testing.T) { synctest.Test(t, testStalledWatch) }
+
+func testStalledWatch(t *testing.T) {
+	// maxAge is the limit of 3 s for a version to be active everywhere, less 1 s for its
+	// distribution.
+	const maxAge = 2 * time.Second
 	convey.Convey("A version becomes active although the watch is stalled", t, func() {
 		store := newFakeStore()
 		store.write("config", "v1")
@@ -251,7 +251,7 @@
 		before := c.revision()
 		store.stalled = true
 		store.write("config", "v2")
-		ctx, stop := context.WithTimeout(t.Context(), maxConfirmationAge+pollJitter+500*time.Millisecond)
+		ctx, stop := context.WithTimeout(t.Context(), maxAge)
 		defer stop()
 		_ = c.poll(ctx)
 		convey.So(c.revision(), convey.ShouldBeGreaterThan, before)
@@ -265,9 +265,8 @@
 		ctx, stop := context.WithTimeout(t.Context(), 2*time.Second)
 		defer stop()
 		go func() {
-			for ctx.Err() == nil {
+			for ok := true; ok; ok = sleep(ctx, 50*time.Millisecond) {
 				c.confirm(0)
-				time.Sleep(50 * time.Millisecond)
 			}
 		}()
 		_ = c.poll(ctx)
@@ -284,19 +283,16 @@
 	})
 }
 
-func TestVersionFetchedFromPeer(t *testing.T) {
+func TestVersionFetchedFromPeer(t *testing.T) { synctest.Test(t, testVersionFetchedFromPeer) }
+
+func testVersionFetchedFromPeer(t *testing.T) {
 	convey.Convey("A process without access to the store gets the version of a peer", t, func() {
-		store := newFakeStore()
-		store.write("config", "v1")
-		ahead, _ := newTestConfigSync(store)
-		convey.So(ahead.refresh(t.Context()), convey.ShouldBeNil)
-		server := httptest.NewServer(http.HandlerFunc(ahead.ServeHTTP))
-		defer server.Close()
+		ahead, peers := newVersionServer(t, "v1"), versionPeers{}
 		behind, versions := newTestConfigSync(nil)
+		behind.client.Transport = peers
 		ctx, stop := context.WithTimeout(t.Context(), time.Second)
 		defer stop()
-		addr := netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))
-		behind.announced.add(roster.Member{Domain: "junin", Version: ahead.revision(), Peer: passthrough.EndpointOf(addr)})
+		behind.announced.add(peers.add(ahead, "junin"))
 		_ = behind.fetchNewer(ctx)
 		convey.So(behind.revision(), convey.ShouldEqual, ahead.revision())
 		convey.So(*versions, convey.ShouldHaveLength, 1)
