--- a/review/rig-2/caller.go
+++ b/review/rig-2/caller.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/rig-2/main.go
+++ b/review/rig-2/main.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Command rig-2 plays the scripted cases 6 to 10 of the review: a small deployment of the
 // project's own programs among stand-ins of callers, servers and the platform.
 package main
