--- a/review/rig-2/cases.go
+++ b/review/rig-2/cases.go
@@ -46,8 +46,8 @@
 // The rolling restart: the time between two processes, the time from the end of a process to its
 // next start, and the number of rounds.
 const (
-	rollGap      = 2 * time.Second
-	restartDelay = 2500 * time.Millisecond
+	rollGap      = 2800 * time.Millisecond
+	restartDelay = 3 * time.Second
 	rollRounds   = 3
 )
 
@@ -62,7 +62,7 @@
 		return err
 	}
 	defer d.close()
-	c, err := startPool(d, 45, pool{pause: 200 * time.Millisecond, jitter: 600 * time.Millisecond, limit: 5 * time.Second, renewAfter: 50 * time.Second})
+	c, err := startPool(d, 30, pool{pause: 200 * time.Millisecond, jitter: 600 * time.Millisecond, limit: 5 * time.Second, renewAfter: 50 * time.Second})
 	if err != nil {
 		return err
 	}
@@ -81,7 +81,7 @@
 		rolls.Go(func() { roll(agents) })
 		rolls.Go(func() { roll(balancers) })
 		rolls.Wait()
-		time.Sleep(5 * time.Second)
+		time.Sleep(time.Second)
 	}
 	c.finish()
 	return nil
