--- a/connection/gate/admit.go
+++ b/connection/gate/admit.go
@@ -120,7 +120,7 @@
 // target. If the balancer has a newer version than the agent, it must have selected that
 // service: its view of the agent may be out of date.
 func (g *Gate) checkRoute(d *delivery) (errkind.Kind, bool) {
-	if d.frame.Version > g.version.Revision {
+	if d.frame.Version.Newer(g.version.Revision.Wire()) {
 		return errkind.WrongService, d.frame.ServiceTag() == passthrough.ServiceTagOf(g.server.Service)
 	}
 	route := g.version.Route(d.flow.Service.AddrPort())
--- a/connection/gate/cluster_test.go
+++ b/connection/gate/cluster_test.go
@@ -74,7 +74,7 @@
 		known[service] = routes.Service{}
 	}
 	return &routes.Version{
-		Revision:   revision,
+		Revision:   routes.Revision{Index: revision},
 		Routes:     map[netip.AddrPort]*routes.Route{serviceAddr: route},
 		Services:   known,
 		OutDomains: map[string]bool{},
--- a/connection/gate/flow.go
+++ b/connection/gate/flow.go
@@ -6,6 +6,7 @@
 
 	"bergamotbank/connection/passthrough"
 	"bergamotbank/connection/steer"
+	"bergamotbank/version/routes"
 )
 
 // phase is the state of a flow at the agent.
@@ -61,7 +62,7 @@
 	callerAck      uint32
 	callerNextSeq  uint32
 	callerSentData bool
-	version        uint64
+	version        routes.WireRevision
 	service        passthrough.ServiceTag
 	// owners are the agents with which the flow was registered.
 	owners [2]passthrough.Endpoint
--- a/connection/gate/gate.go
+++ b/connection/gate/gate.go
@@ -267,7 +267,7 @@
 func (g *Gate) refuse(d *delivery, kind errkind.Kind) (passedOn bool) {
 	g.counters.Refused++
 	alternate := d.frame.Alternate
-	if (kind == errkind.WrongService || kind == errkind.DomainOut) && d.frame.Hops == 0 && d.frame.Version <= g.version.Revision {
+	if (kind == errkind.WrongService || kind == errkind.DomainOut) && d.frame.Hops == 0 && !d.frame.Version.Newer(g.version.Revision.Wire()) {
 		alternate = g.agentForRoute(d.flow)
 	}
 	g.options.Observer.Refused(d.flow, kind, d.frame, alternate)
--- a/connection/passthrough/frame.go
+++ b/connection/passthrough/frame.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"bergamotbank/errkind"
+	"bergamotbank/version/routes"
 )
 
 // Kind is the first byte of each datagram between processes.
@@ -77,7 +78,7 @@
 	// Hops is the number of agents that have forwarded the packet.
 	Hops uint8
 	// Version is the configuration version that the balancer used.
-	Version uint64
+	Version routes.WireRevision
 	// Origin is the peer address of the balancer that received the packet.
 	Origin Endpoint
 	// Alternate is the agent to try if the first one refuses an opening packet, or does not
@@ -124,7 +125,7 @@
 func (f *Frame) Put(b []byte) {
 	b[0] = byte(f.Kind)
 	b[1] = f.Hops
-	binary.LittleEndian.PutUint64(b[2:], f.Version)
+	binary.LittleEndian.PutUint64(b[2:], uint64(f.Version))
 	putEndpoint(b[10:], f.Origin)
 	putEndpoint(b[16:], f.Alternate)
 	binary.LittleEndian.PutUint32(b[22:], f.Incarnation)
@@ -139,7 +140,7 @@
 	}
 	f.Kind = Kind(b[0])
 	f.Hops = b[1]
-	f.Version = binary.LittleEndian.Uint64(b[2:])
+	f.Version = routes.WireRevision(binary.LittleEndian.Uint64(b[2:]))
 	f.Origin = endpointAt(b[10:])
 	f.Alternate = endpointAt(b[16:])
 	f.Incarnation = binary.LittleEndian.Uint32(b[22:])
--- a/connection/steer/bench_test.go
+++ b/connection/steer/bench_test.go
@@ -23,7 +23,7 @@
 // balancer returns a router with the given number of servers.
 func balancer(servers int) *steer.Router {
 	s := steer.New(steer.Options{Format: passthroughtest.Format{}, Domain: "a", Sender: discard{}})
-	version := &routes.Version{Revision: 1, Services: map[string]routes.Service{"orders": {}}}
+	version := &routes.Version{Revision: routes.Revision{Index: 1}, Services: map[string]routes.Service{"orders": {}}}
 	version.Routes = map[netip.AddrPort]*routes.Route{
 		service.AddrPort(): {Name: "r", Targets: []routes.Target{{Service: "orders", Weight: 1}}},
 	}
@@ -96,7 +96,7 @@
 				Format: passthroughtest.Format{}, Domain: "a", Sender: discard{}, RequestReport: func(passthrough.Endpoint) {},
 				Now: func() time.Duration { return time.Since(started) }, OnPlacement: func(passthrough.Flow, *steer.Server, time.Duration) {},
 			})
-			version := &routes.Version{Revision: 1, Routes: map[netip.AddrPort]*routes.Route{
+			version := &routes.Version{Revision: routes.Revision{Index: 1}, Routes: map[netip.AddrPort]*routes.Route{
 				service.AddrPort(): {LatencyTarget: target, Targets: []routes.Target{{Service: "orders", Weight: 1}}},
 			}}
 			s.SetVersion(version)
--- a/connection/steer/choose_test.go
+++ b/connection/steer/choose_test.go
@@ -27,7 +27,7 @@
 }
 
 func versionWithout(out ...string) *routes.Version {
-	v := &routes.Version{Revision: 1, Routes: map[netip.AddrPort]*routes.Route{}, OutDomains: map[string]bool{}}
+	v := &routes.Version{Revision: routes.Revision{Index: 1}, Routes: map[netip.AddrPort]*routes.Route{}, OutDomains: map[string]bool{}}
 	for _, domain := range out {
 		v.OutDomains[domain] = true
 	}
--- a/connection/steer/packet.go
+++ b/connection/steer/packet.go
@@ -178,7 +178,7 @@
 
 // sendFramed sends a packet with a frame to which it adds the version and the origin.
 func (r *Router) sendFramed(buffer []byte, frame *passthrough.Frame, to passthrough.Endpoint) {
-	frame.Version, frame.Origin = r.version.Revision, r.options.Self
+	frame.Version, frame.Origin = r.version.Revision.Wire(), r.options.Self
 	frame.Put(buffer)
 	r.options.Sender.Send(buffer, to)
 }
--- a/process/ctl/where.go
+++ b/process/ctl/where.go
@@ -107,7 +107,7 @@
 }
 
 func whereLines(w passthrough.Where) []string {
-	head := fmt.Sprintf("balancer %s in %s: version %d, revision %d", w.Balancer, w.Domain, w.Version, w.Revision)
+	head := fmt.Sprintf("balancer %s in %s: version %d, era %d, revision %d", w.Balancer, w.Domain, w.Version, w.Era, w.Revision)
 	if w.Revision == 0 {
 		head = fmt.Sprintf("balancer %s in %s: no version", w.Balancer, w.Domain)
 	}
--- a/process/ctl/where_test.go
+++ b/process/ctl/where_test.go
@@ -19,7 +19,7 @@
 	cluster := newTestCluster(t)
 	completion, compared, pending := 31.5, 33.25, 2
 	found := passthrough.Where{
-		Balancer: "balancer-1", Domain: "junin", Ready: true, Address: "198.18.0.1:443", Revision: 12, Version: 3,
+		Balancer: "balancer-1", Domain: "junin", Ready: true, Address: "198.18.0.1:443", Era: 2, Revision: 12, Version: 3,
 		Route: &passthrough.WhereRoute{Name: "r", Priority: 1, LatencyTargetMs: 250, TimeoutMs: 1000},
 		Services: []passthrough.WhereService{{
 			Service: "orders", Share: 0.75, Basis: "drawn", Choice: "agent-1", RunnerUp: "agent-2",
@@ -53,7 +53,7 @@
 		convey.So(got.stderr, convey.ShouldBeEmpty)
 		convey.So(got.code, convey.ShouldEqual, 0)
 		for _, text := range []string{
-			"balancer balancer-1 in junin: version 3, revision 12\n", "route r of 198.18.0.1:443: unsafe, priority 1, latency target 250 ms, timeout 1000 ms\n",
+			"balancer balancer-1 in junin: version 3, era 2, revision 12\n", "route r of 198.18.0.1:443: unsafe, priority 1, latency target 250 ms, timeout 1000 ms\n",
 			"domains out of service: none\n", "service orders: 75% of", "choice: agent-1, the lowest value among the drawn", "runner-up: agent-2\n",
 			"31.5 ms", "33.2 ms", "ready, unreachable",
 		} {
--- a/process/explain/explain.go
+++ b/process/explain/explain.go
@@ -38,6 +38,14 @@
 	return ""
 }
 
+// revision describes the revision in two fields. Earlier builds log no era.
+func (l *Line) revision(era, index string) string {
+	if l.field(era) == "" {
+		return l.field(index)
+	}
+	return l.field(index) + " of era " + l.field(era)
+}
+
 // flow returns the flow that the line is about, or "" if there is none.
 func (l *Line) flow() string {
 	if l.field("caller") == "" {
@@ -188,13 +196,13 @@
 			line.Process, line.milliseconds("wait"), line.field("server_state"))
 	case "flow refused":
 		return fmt.Sprintf("%s: refused the flow (%s), forwarded to %s; versions of agent and balancer %s and %s, server %s",
-			line.Process, line.field("kind"), line.field("passed_to"), line.field("revision"), line.field("balancer_revision"), line.field("server_state"))
+			line.Process, line.field("kind"), line.field("passed_to"), line.revision("era", "revision"), line.revision("balancer_era", "balancer_revision"), line.field("server_state"))
 	case "admission queue":
 		return fmt.Sprintf("%s: %s after %s ms in the admission queue, expected %s ms with %s ahead at priority %s; %s pending",
 			line.Process, line.field("outcome"), line.milliseconds("waited"), line.milliseconds("expected_wait"), line.field("ahead"),
 			line.field("priority"), line.field("pending"))
 	case "flow reset":
-		return fmt.Sprintf("%s: reset the flow (%s) at version %s", line.Process, line.field("kind"), line.field("revision"))
+		return fmt.Sprintf("%s: reset the flow (%s) at version %s", line.Process, line.field("kind"), line.revision("era", "revision"))
 	case "flow searched":
 		return fmt.Sprintf("%s: no agent had registered the flow; queried %s agents", line.Process, line.field("asked"))
 	}
--- a/process/explain/explain_test.go
+++ b/process/explain/explain_test.go
@@ -79,7 +79,8 @@
 	})
 	convey.Convey("The decision of the admission queue explains a refusal", t, func() {
 		const lines = `{"time":"2026-01-01T00:00:05Z","process":"a","msg":"admission queue","caller":"c","service_address":"s","outcome":"refused","waited":0.0215,"expected_wait":1.25,"ahead":83,"priority":2,"late":true,"waiting":83,"pending":87,"service_time":0.048}
-{"time":"2026-01-01T00:00:05Z","process":"a","msg":"flow reset","caller":"c","service_address":"s","kind":"overloaded","revision":3}
+{"time":"2026-01-01T00:00:05Z","process":"a","msg":"flow reset","caller":"c","service_address":"s","kind":"overloaded","era":2,"revision":3}
+{"time":"2026-01-01T00:00:06Z","process":"b","msg":"flow reset","caller":"c","service_address":"s","kind":"not_found","revision":4}
 `
 		var log explain.Log
 		convey.So(log.Read(strings.NewReader(lines)), convey.ShouldBeNil)
@@ -87,7 +88,8 @@
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(trace.Findings, convey.ShouldResemble, []string{
 			"a: refused after 21.5 ms in the admission queue, expected 1250.0 ms with 83 ahead at priority 2; 87 pending",
-			"a: reset the flow (overloaded) at version 3",
+			"a: reset the flow (overloaded) at version 3 of era 2",
+			"b: reset the flow (not_found) at version 4",
 		})
 	})
 	convey.Convey("A subject that no line contains is not found", t, func() {
--- a/process/passthrough/adapter.go
+++ b/process/passthrough/adapter.go
@@ -20,7 +20,7 @@
 	// Value is the stored value.
 	Value []byte
 	// Revision is the revision of the store at which the entry last changed.
-	Revision uint64
+	routes.Revision
 	// Lease is the lease with which the entry ends, 0 for none.
 	Lease uint64
 	// Deleted is true in a watch event that reports a deletion.
@@ -31,26 +31,46 @@
 // or write.
 const MaxTxnEntries = 32
 
-// Store is the platform's key-value service. Its errors have kind NotFound for a lease
-// that has expired, Conflict for a watch from a revision whose history the store has
-// discarded, StoreUnavailable or OutcomeUnknown.
+// Page is a part of the entries with a prefix, in the order of their keys.
+type Page struct {
+	Items []Item
+	// Revision is the revision of the store when it read the entries.
+	Revision routes.Revision
+	// More is true if entries with greater keys follow.
+	More bool
+}
+
+// Lease is a lease of the store, with which entries end.
+type Lease struct {
+	ID uint64
+	// Duration is the duration that the store granted.
+	Duration time.Duration
+	// Era is the era in which the store granted the lease.
+	Era uint64
+}
+
+// Store is the platform's key-value service. It may be restored from an older copy: what it
+// acknowledged since is then lost, and the era of its responses is higher. Its errors have
+// kind NotFound for a lease that has expired, Conflict for a watch from a revision whose
+// history the store does not have, StoreUnavailable or OutcomeUnknown.
 type Store interface {
-	// List returns all entries with a prefix and a revision at which they are valid. A
-	// stale read may be seconds old and costs a tenth of a consistent one.
-	List(ctx context.Context, prefix string, stale bool) (items []Item, revision uint64, err error)
-	// Watch waits, at most for the given time, until entries with a prefix change
-	// after a revision.
-	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (events []Item, revision uint64, err error)
-	// Unchanged reports whether every entry still has its revision; 0 means that it
-	// does not exist. It takes at most MaxTxnEntries entries.
-	Unchanged(ctx context.Context, entries []Item) (bool, error)
-	// Grant requests a lease and returns the duration that the store granted.
-	Grant(ctx context.Context, ttl time.Duration) (lease uint64, granted time.Duration, err error)
-	// Renew renews a lease.
-	Renew(ctx context.Context, lease uint64) error
-	// Put writes at most MaxTxnEntries entries in one transaction. The store deletes
-	// them when the lease expires.
-	Put(ctx context.Context, entries []Item, lease uint64) error
+	// List returns entries with a prefix and keys after the given one. A stale read may be
+	// seconds old and costs a tenth of a consistent one.
+	List(ctx context.Context, prefix, after string, stale bool) (Page, error)
+	// Watch waits, at most for the given time, until entries with a prefix change after an
+	// index of the store.
+	Watch(ctx context.Context, prefix string, after uint64, wait time.Duration) (events []Item, revision routes.Revision, err error)
+	// Unchanged reports whether every entry still has its index, and the era in which the
+	// store compared them; 0 means that the entry does not exist. It takes at most
+	// MaxTxnEntries entries.
+	Unchanged(ctx context.Context, entries []Item) (unchanged bool, era uint64, err error)
+	// Grant requests a lease.
+	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
+	// Renew renews a lease and returns the era in which the store did.
+	Renew(ctx context.Context, lease uint64) (era uint64, err error)
+	// Put writes at most MaxTxnEntries entries in one transaction and returns the era in
+	// which the store did. The store deletes them when the lease expires.
+	Put(ctx context.Context, entries []Item, lease uint64) (era uint64, err error)
 	// Delete removes an entry.
 	Delete(ctx context.Context, key string) error
 }
--- a/process/passthrough/announcements.go
+++ b/process/passthrough/announcements.go
@@ -7,6 +7,7 @@
 
 	"bergamotbank/connection/passthrough"
 	"bergamotbank/process/roster"
+	"bergamotbank/version/routes"
 )
 
 // maxAnnouncements limits the peers that are kept as sources of newer versions, for the
@@ -15,7 +16,7 @@
 
 // announcement is a version that is active at a peer.
 type announcement struct {
-	revision uint64
+	revision routes.Revision
 	peer     passthrough.Endpoint
 }
 
@@ -68,16 +69,16 @@
 // newest returns a peer of the own failure domain, or of the others, with the newest
 // version announced there, and false if none is newer than the active one. Among several
 // such peers it selects one at random, so that a domain's processes use different ones.
-func (a *announcements) newest(active uint64, ownDomain bool) (announcement, bool) {
+func (a *announcements) newest(active routes.Revision, ownDomain bool) (announcement, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var best announcement
 	count := 0
 	for _, candidate := range *a.list(ownDomain) {
-		if candidate.revision <= active || candidate.revision < best.revision {
+		if !candidate.revision.Newer(active) || best.revision.Newer(candidate.revision) {
 			continue
 		}
-		if candidate.revision > best.revision {
+		if candidate.revision.Newer(best.revision) {
 			count = 0
 		}
 		count++
--- a/process/passthrough/backend_test.go
+++ b/process/passthrough/backend_test.go
@@ -173,7 +173,7 @@
 	const rate = 4
 	convey.Convey("Given an agent that has started beside a running server", t, func() {
 		a := newTestAgent(t)
-		a.setVersion(&routes.Version{Revision: 1, Services: map[string]routes.Service{"orders": {ColdRate: rate}}})
+		a.setVersion(&routes.Version{Revision: routes.Revision{Index: 1}, Services: map[string]routes.Service{"orders": {ColdRate: rate}}})
 		a.backend.setInitialState(steer.Ready)
 		now := a.clock.now()
 		openFor := func(d time.Duration) uint64 {
@@ -227,7 +227,7 @@
 // openUnanswered lets an agent accept an opening packet right after a heartbeat of its server,
 // which does not answer the packet. It returns the time of the packet.
 func openUnanswered(a *Agent) time.Duration {
-	a.setVersion(&routes.Version{Revision: 1, Services: map[string]routes.Service{"orders": {}}})
+	a.setVersion(&routes.Version{Revision: routes.Revision{Index: 1}, Services: map[string]routes.Service{"orders": {}}})
 	a.heartbeatInterval = time.Hour
 	err := a.backend.Heartbeat(BackendHeartbeat{
 		ID: "server-1", Service: "orders", Domain: "junin", Address: a.settings.Passthrough.Backend, State: BackendReady, Slots: 2, Sequence: 1, StartedAt: time.Now(),
--- a/process/passthrough/backoff_test.go
+++ b/process/passthrough/backoff_test.go
@@ -35,20 +35,20 @@
 	return nil
 }
 
-func (s *outageStore) List(context.Context, string, bool) ([]Item, uint64, error) {
-	return nil, 1, s.call()
+func (s *outageStore) List(context.Context, string, string, bool) (Page, error) {
+	return Page{}, s.call()
 }
 
-func (s *outageStore) Grant(_ context.Context, ttl time.Duration) (uint64, time.Duration, error) {
+func (s *outageStore) Grant(_ context.Context, ttl time.Duration) (Lease, error) {
 	s.setLeaseEnd(time.Now().Add(ttl))
-	return 1, ttl, s.call()
+	return Lease{ID: 1, Duration: ttl}, s.call()
 }
 
-func (s *outageStore) Put(context.Context, []Item, uint64) error {
+func (s *outageStore) Put(context.Context, []Item, uint64) (uint64, error) {
 	s.mu.Lock()
 	s.puts++
 	s.mu.Unlock()
-	return s.call()
+	return 0, s.call()
 }
 
 func (s *outageStore) setLeaseEnd(end time.Time) {
@@ -71,26 +71,26 @@
 	s.responds = time.Now().Add(d)
 }
 
-func (s *outageStore) Renew(context.Context, uint64) error {
+func (s *outageStore) Renew(context.Context, uint64) (uint64, error) {
 	if err := s.call(); err != nil {
-		return err
+		return 0, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if time.Now().After(s.leaseEnds) {
-		return errkind.New(errkind.NotFound, "lease has ended")
+		return 0, errkind.New(errkind.NotFound, "lease has ended")
 	}
-	return nil
+	return 0, nil
 }
 
 // retryUntilResponding calls the store as the tasks of a process do and returns when each
 // of them got a response.
 func retryUntilResponding(ctx context.Context, store Store, b *storeBackoff, tasks int, responded func()) {
-	counting := newInstrumentedStore(store, b)
+	client := newStoreClient(store, b, zap.NewNop())
 	for range tasks {
 		go func() {
 			for ctx.Err() == nil {
-				if _, _, err := counting.List(ctx, "", false); err == nil {
+				if _, _, err := client.list(ctx, "", false); err == nil {
 					responded()
 					return
 				}
@@ -215,8 +215,8 @@
 		defer stop()
 		store := &outageStore{}
 		b := newStoreBackoff(newClock(), func() retryDelays { return retryDelays{minRetryDelay, maxRetryDelay} })
-		counting := newInstrumentedStore(store, b)
-		d := &directory{store: counting, backoff: b, logger: zap.NewNop(), key: "agent-1", entryWritten: make(chan struct{})}
+		client := newStoreClient(store, b, zap.NewNop())
+		d := &directory{store: client, backoff: b, logger: zap.NewNop(), key: "agent-1", entryWritten: make(chan struct{})}
 		done := make(chan error, 1)
 		go func() { done <- d.maintainEntry(ctx) }()
 		time.Sleep(time.Second)
--- a/process/passthrough/bench_test.go
+++ b/process/passthrough/bench_test.go
@@ -69,7 +69,7 @@
 func startPath(b *testing.B, server netip.AddrPort) (balancerAt, outbound netip.AddrPort) {
 	b.Helper()
 	a := newTestAgentFor(b, server)
-	version := &routes.Version{Revision: 1, Services: map[string]routes.Service{"orders": {}}, OutDomains: map[string]bool{}}
+	version := &routes.Version{Revision: routes.Revision{Index: 1}, Services: map[string]routes.Service{"orders": {}}, OutDomains: map[string]bool{}}
 	version.Routes = map[netip.AddrPort]*routes.Route{benchService: {Name: "r", Targets: []routes.Target{{Service: "orders", Weight: 1}}}}
 	a.setVersion(version)
 	a.gate.SetServer(gate.Server{Service: "orders", Domain: "junin", Incarnation: 1, State: steer.Ready, Slots: 1 << 20}, a.clock.now())
--- a/process/passthrough/checkpoint.go
+++ b/process/passthrough/checkpoint.go
@@ -39,7 +39,7 @@
 // the next request on its flow. One agent writes for a group of agents, since calls are
 // billed.
 type checkpointer struct {
-	store   Store
+	store   *storeClient
 	backoff *storeBackoff
 	logger  *zap.Logger
 	name    string
@@ -57,7 +57,7 @@
 	// lease is the lease of the written checkpoints, used until replaceLeaseAt. It is
 	// not renewed: a new lease replaces it and all checkpoints are written again, so
 	// that those of agents that have left expire.
-	lease          uint64
+	lease          Lease
 	replaceLeaseAt time.Duration
 	// lastWriteOK is true if the last write succeeded or there was nothing to write.
 	lastWriteOK bool
@@ -144,7 +144,7 @@
 // load reads the checkpoint of a previous run from the store and restores it.
 func (c *checkpointer) load(ctx context.Context) error {
 	key := checkpointPrefix + c.name
-	items, _, err := c.store.List(ctx, key, false)
+	items, _, err := c.store.list(ctx, key, false)
 	if err != nil {
 		return err
 	}
@@ -182,7 +182,7 @@
 	if err := c.ensureLease(ctx); err != nil {
 		return err
 	}
-	if err := c.store.Put(ctx, entries, c.lease); err != nil {
+	if err := c.store.put(ctx, entries, c.lease); err != nil {
 		clear(c.written)
 		c.replaceLeaseAt = 0
 		return err
@@ -199,11 +199,11 @@
 	if c.clock.now() < c.replaceLeaseAt {
 		return nil
 	}
-	lease, granted, err := c.store.Grant(ctx, checkpointLease)
+	lease, err := c.store.grant(ctx, checkpointLease)
 	if err != nil {
 		return err
 	}
-	c.lease, c.replaceLeaseAt = lease, c.clock.now()+granted/2
+	c.lease, c.replaceLeaseAt = lease, c.clock.now()+lease.Duration/2
 	return nil
 }
 
--- a/process/passthrough/checkpoint_test.go
+++ b/process/passthrough/checkpoint_test.go
@@ -39,9 +39,10 @@
 func newTestCheckpointer(store *fakeStore) *testCheckpointer {
 	core, logs := observer.New(zapcore.InfoLevel)
 	c := &testCheckpointer{store: store, logs: logs, flows: passthrough.Checkpoint{Incarnation: 7}}
+	backoff := newStoreBackoff(newClock(), func() retryDelays { return retryDelays{minRetryDelay, maxRetryDelay} })
 	c.checkpointer = &checkpointer{
-		store:   store,
-		backoff: newStoreBackoff(newClock(), func() retryDelays { return retryDelays{minRetryDelay, maxRetryDelay} }),
+		store:   newStoreClient(store, backoff, zap.NewNop()),
+		backoff: backoff,
 		logger:  zap.New(core),
 		name:    "agent-1",
 		group: func() ([]checkpointSource, int) {
--- a/process/passthrough/config.go
+++ b/process/passthrough/config.go
@@ -26,8 +26,8 @@
 
 // configState is the complete operator configuration at a revision.
 type configState struct {
-	Revision uint64
-	Items    []Item
+	routes.Revision
+	Items []Item
 }
 
 // configSync keeps the operator configuration of a process up to date: by a watch on the
@@ -35,6 +35,7 @@
 // has not delivered. A version is never replaced by an older one.
 type configSync struct {
 	adapter   Adapter
+	store     *storeClient
 	logger    *zap.Logger
 	onVersion func(*routes.Version)
 	domains   []string
@@ -61,6 +62,7 @@
 func newConfigSync(n *node, onVersion func(*routes.Version)) *configSync {
 	return &configSync{
 		adapter:     n.adapter,
+		store:       n.store,
 		logger:      n.logger,
 		clock:       n.clock,
 		shouldWatch: n.shouldWatch,
@@ -74,8 +76,8 @@
 	}
 }
 
-// revision returns the active revision.
-func (c *configSync) revision() uint64 {
+// revision returns the active revision, the zero value for none.
+func (c *configSync) revision() routes.Revision {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.state.Revision
@@ -84,17 +86,17 @@
 // watch keeps a watch on the store until ctx is canceled.
 func (c *configSync) watch(ctx context.Context) error {
 	unavailable := false
-	position := uint64(0)
+	position := routes.Revision{}
 	for ctx.Err() == nil {
-		if c.revision() != 0 && !c.shouldWatch() {
-			position = 0
+		if !c.revision().IsZero() && !c.shouldWatch() {
+			position = routes.Revision{}
 			sleep(ctx, watchRecheckInterval)
 			continue
 		}
 		next, err := c.listOrWatch(ctx, position)
 		if err == nil {
 			if unavailable {
-				c.logger.Info("store responds again", zap.Uint64("revision", next))
+				c.logger.Info("store responds again", revisionFields(next)...)
 				if c.isProber() {
 					c.announce()
 				}
@@ -104,8 +106,8 @@
 			continue
 		}
 		if errkind.Is(err, errkind.Conflict) {
-			c.logger.Info("store has discarded the history; reading the whole configuration", zap.Uint64("revision", position))
-			position = 0
+			c.logger.Info("store has discarded the history; reading the whole configuration", revisionFields(position)...)
+			position = routes.Revision{}
 			continue
 		}
 		if !unavailable && ctx.Err() == nil {
@@ -117,28 +119,28 @@
 	return nil
 }
 
-// listOrWatch reads the whole configuration if position is 0, else waits for changes
-// after it. It returns the next position.
-func (c *configSync) listOrWatch(ctx context.Context, position uint64) (uint64, error) {
-	if position == 0 {
+// listOrWatch reads the whole configuration if position is the zero value, else waits for
+// changes after it. It returns the next position.
+func (c *configSync) listOrWatch(ctx context.Context, position routes.Revision) (routes.Revision, error) {
+	if position.IsZero() {
 		return c.list(ctx)
 	}
-	events, at, err := c.adapter.Store.Watch(ctx, c.adapter.ConfigPrefix, position, watchWait)
+	events, at, err := c.store.watch(ctx, c.adapter.ConfigPrefix, position.Index, watchWait)
 	if err != nil {
-		return 0, err
+		return routes.Revision{}, err
 	}
 	if c.applyEvents(events) {
 		c.announce()
 	}
-	return max(at, position), nil
+	return latest(at, position), nil
 }
 
 // list reads the whole configuration and returns the revision of the store.
-func (c *configSync) list(ctx context.Context) (uint64, error) {
+func (c *configSync) list(ctx context.Context) (routes.Revision, error) {
 	started := c.clock.now()
-	items, at, err := c.adapter.Store.List(ctx, c.adapter.ConfigPrefix, false)
+	items, at, err := c.store.list(ctx, c.adapter.ConfigPrefix, false)
 	if err != nil {
-		return 0, err
+		return routes.Revision{}, err
 	}
 	c.applyList(items, at)
 	c.confirm(c.clock.now() - started)
@@ -149,15 +151,18 @@
 // as with a watch, so that all processes give a state the same revision; the revision of
 // the list also increases with unrelated entries. The revision of the list is used only
 // after a deletion, which leaves no entry with a higher revision.
-func (c *configSync) applyList(items []Item, at uint64) {
+func (c *configSync) applyList(items []Item, at routes.Revision) {
 	state := configState{Items: items}
 	for _, item := range items {
-		state.Revision = max(state.Revision, item.Revision)
+		state.Revision = latest(state.Revision, item.Revision)
 	}
-	if state.Revision <= c.revision() && !c.isActive(items) {
+	if !state.Newer(c.revision()) && !c.isActive(items) {
 		state.Revision = at
 	}
-	c.applyIfNewer(state, "store")
+	if !c.applyIfNewer(state, "store") && !c.isActive(items) {
+		c.logger.Warn("configuration in the store is not newer; keeping the active version", revisionFields(state.Revision,
+			zap.Uint64("active_era", c.revision().Era), zap.Uint64("active_revision", c.revision().Index))...)
+	}
 }
 
 // isActive reports whether the entries are those of the active version.
@@ -167,13 +172,15 @@
 	return sameItems(items, c.state.Items)
 }
 
-// applyIfNewer applies a complete state if it is newer than the active one.
-func (c *configSync) applyIfNewer(state configState, source string) {
+// applyIfNewer applies a complete state and reports whether it is newer than the active one.
+func (c *configSync) applyIfNewer(state configState, source string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if state.Revision > c.state.Revision {
-		c.activate(state, source)
+	if !state.Newer(c.state.Revision) {
+		return false
 	}
+	c.activate(state, source)
+	return true
 }
 
 // applyEvents applies watch events, which are in the order of their revisions, and
@@ -183,16 +190,16 @@
 	defer c.mu.Unlock()
 	state := configState{Revision: c.state.Revision, Items: slices.Clone(c.state.Items)}
 	for _, event := range events {
-		if event.Revision <= c.state.Revision {
+		if !event.Newer(c.state.Revision) {
 			continue
 		}
-		state.Revision = max(state.Revision, event.Revision)
+		state.Revision = latest(state.Revision, event.Revision)
 		state.Items = slices.DeleteFunc(state.Items, func(item Item) bool { return item.Key == event.Key })
 		if !event.Deleted {
 			state.Items = append(state.Items, event)
 		}
 	}
-	if state.Revision <= c.state.Revision {
+	if !state.Newer(c.state.Revision) {
 		return false
 	}
 	c.activate(state, "watch")
@@ -204,23 +211,36 @@
 func (c *configSync) activate(state configState, source string) {
 	version, err := c.adapter.Decode(state.Items)
 	if err != nil {
-		c.logger.Warn("invalid configuration rejected; keeping the active version", zap.Error(err),
-			zap.Uint64("revision", state.Revision), zap.String("source", source))
+		c.logger.Warn("invalid configuration rejected; keeping the active version", revisionFields(state.Revision,
+			zap.String("source", source), zap.Error(err))...)
 		return
 	}
 	version.Revision = state.Revision
 	slices.SortFunc(state.Items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
 	c.state = state
 	c.onVersion(version)
-	c.logger.Info("configuration version activated", zap.Uint64("revision", state.Revision), zap.Uint64("version", version.Number),
-		zap.String("source", source), zap.Int("routes", len(version.Routes)), zap.Int("domains_out", len(version.OutDomains)))
+	c.logger.Info("configuration version activated", revisionFields(state.Revision, zap.Uint64("version", version.Number),
+		zap.String("source", source), zap.Int("routes", len(version.Routes)), zap.Int("domains_out", len(version.OutDomains)))...)
+}
+
+// latest returns the newer one of two revisions.
+func latest(a, b routes.Revision) routes.Revision {
+	if b.Newer(a) {
+		return b
+	}
+	return a
+}
+
+// revisionFields returns the log fields of a revision, followed by more.
+func revisionFields(r routes.Revision, more ...zap.Field) []zap.Field {
+	return append([]zap.Field{zap.Uint64("era", r.Era), zap.Uint64("revision", r.Index)}, more...)
 }
 
 func sameItems(a, b []Item) bool {
 	if len(a) != len(b) {
 		return false
 	}
-	revisions := make(map[string]uint64, len(a))
+	revisions := make(map[string]routes.Revision, len(a))
 	for _, item := range a {
 		revisions[item.Key] = item.Revision
 	}
--- a/process/passthrough/config_peer.go
+++ b/process/passthrough/config_peer.go
@@ -14,6 +14,7 @@
 
 	"bergamotbank/connection/passthrough"
 	"bergamotbank/errkind"
+	"bergamotbank/version/routes"
 )
 
 const (
@@ -47,7 +48,7 @@
 		if !sleep(ctx, c.fetchDelay()) {
 			return nil
 		}
-		if _, ok := c.announced.newest(c.revision(), true); !ok && c.revision() != 0 {
+		if _, ok := c.announced.newest(c.revision(), true); !ok && !c.revision().IsZero() {
 			if _, ok := c.announced.newest(c.revision(), false); ok && !sleep(ctx, otherDomainDelay) {
 				return nil
 			}
@@ -58,7 +59,7 @@
 
 // fetchDelay returns the time to wait for the store before a peer is asked.
 func (c *configSync) fetchDelay() time.Duration {
-	if c.revision() == 0 {
+	if c.revision().IsZero() {
 		return firstFetchDelay
 	}
 	return fetchDelay
@@ -76,9 +77,9 @@
 			return
 		}
 		state, err := c.fetch(ctx, source.peer)
-		if err == nil && state.Revision > c.revision() {
+		if err == nil && state.Newer(c.revision()) {
 			c.applyIfNewer(state, "peer "+source.peer.String())
-			if c.revision() >= state.Revision {
+			if !state.Newer(c.revision()) {
 				// A still newer version may have been announced meanwhile.
 				c.announced.signal()
 				return
@@ -111,7 +112,7 @@
 // all other processes of a failure domain may request a new version at the same time.
 type encodedConfig struct {
 	mu       sync.Mutex
-	revision uint64
+	revision routes.Revision
 	body     []byte
 }
 
--- a/process/passthrough/config_peer_test.go
+++ b/process/passthrough/config_peer_test.go
@@ -18,6 +18,7 @@
 	"bergamotbank/connection/passthrough"
 	"bergamotbank/errkind"
 	"bergamotbank/process/roster"
+	"bergamotbank/version/routes"
 )
 
 // versionServer serves the configuration of a process and counts the requests.
@@ -81,7 +82,7 @@
 		peers := versionPeers{}
 		c, versions := newTestConfigSync(nil)
 		c.client.Transport = peers
-		c.state.Revision = 1
+		c.state.Revision = routes.Revision{Index: 1}
 		c.announced.add(peers.add(far, "pasco"))
 
 		convey.Convey("it is fetched from the own domain", func() {
@@ -112,11 +113,11 @@
 		peers := versionPeers{}
 		c, versions := newTestConfigSync(nil)
 		c.client.Transport = peers
-		c.state.Revision = 1
+		c.state.Revision = routes.Revision{Index: 1}
 		newest := peers.add(near, "junin")
 		for i := range 5 {
 			m := newest
-			m.Version -= uint64(4 - i)
+			m.Version.Index -= uint64(4 - i)
 			c.announced.add(m)
 		}
 		runFetch(t, c)
@@ -130,7 +131,7 @@
 		c.client.Transport = peers
 		c.state.Revision = near.revision()
 		m := peers.add(near, "junin")
-		m.Version++
+		m.Version.Index++
 		c.announced.add(m)
 		runFetch(t, c)
 		convey.So(near.requests.Load(), convey.ShouldEqual, 1)
@@ -138,7 +139,7 @@
 	convey.Convey("Only a bounded number of announcements is kept", t, func() {
 		a := newAnnouncements("junin")
 		for i := range 100 {
-			a.add(roster.Member{Domain: []string{"junin", "pasco"}[i%2], Version: 7, Peer: passthrough.MakeEndpoint(uint32(i), 1)})
+			a.add(roster.Member{Domain: []string{"junin", "pasco"}[i%2], Version: routes.Revision{Index: 7}, Peer: passthrough.MakeEndpoint(uint32(i), 1)})
 		}
 		convey.So(len(a.ownDomain), convey.ShouldEqual, maxAnnouncements)
 		convey.So(len(a.otherDomains), convey.ShouldEqual, maxAnnouncements)
@@ -193,7 +194,7 @@
 		server := newVersionServer(t, "v1")
 		first, err := server.encoded.of(server.state)
 		convey.So(err, convey.ShouldBeNil)
-		server.applyIfNewer(configState{Revision: server.revision() + 1, Items: []Item{{Key: "config", Value: []byte("v2")}}}, "test")
+		server.applyIfNewer(configState{Revision: routes.Revision{Index: server.revision().Index + 1}, Items: []Item{{Key: "config", Value: []byte("v2")}}}, "test")
 		second, err := server.encoded.of(server.state)
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(second, convey.ShouldNotResemble, first)
--- a/process/passthrough/config_poll.go
+++ b/process/passthrough/config_poll.go
@@ -50,7 +50,7 @@
 			}
 			continue
 		}
-		if before > 0 {
+		if !before.IsZero() {
 			// The other processes then need not read the store.
 			c.announce()
 		}
@@ -80,7 +80,7 @@
 	if len(entries) == 0 || len(entries) > MaxTxnEntries {
 		return false, nil
 	}
-	return c.adapter.Store.Unchanged(ctx, entries)
+	return c.store.unchanged(ctx, entries)
 }
 
 // expectedEntries returns the active entries and, with revision 0, those that operators
@@ -88,7 +88,7 @@
 func (c *configSync) expectedEntries() []Item {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state.Revision == 0 {
+	if c.state.IsZero() {
 		return nil
 	}
 	entries := slices.Clone(c.state.Items)
--- a/process/passthrough/config_test.go
+++ b/process/passthrough/config_test.go
@@ -20,6 +20,7 @@
 	Store
 	mu       sync.Mutex
 	items    []Item
+	era      uint64
 	revision uint64
 	lists    int
 	puts     int
@@ -46,42 +47,54 @@
 	}
 	f.items = items
 	if value != "" {
-		f.items = append(f.items, Item{Key: key, Value: []byte(value), Revision: f.revision})
+		f.items = append(f.items, Item{Key: key, Value: []byte(value), Revision: f.at(f.revision)})
 	}
 	f.revision += 5
 	close(f.wake)
 	f.wake = make(chan struct{})
 }
 
-func (f *fakeStore) List(context.Context, string, bool) ([]Item, uint64, error) {
+// at returns a revision of the current era. The caller holds mu.
+func (f *fakeStore) at(index uint64) routes.Revision {
+	return routes.Revision{Era: f.era, Index: index}
+}
+
+// List implements Store; it returns all entries in one page.
+func (f *fakeStore) List(context.Context, string, string, bool) (Page, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lists++
 	if f.down {
-		return nil, 0, errkind.New(errkind.StoreUnavailable, "down")
+		return Page{}, errkind.New(errkind.StoreUnavailable, "down")
 	}
-	return f.items, f.revision, nil
+	return Page{Items: f.items, Revision: f.at(f.revision)}, nil
 }
 
 // Put implements Store; it fails while the store is down.
-func (f *fakeStore) Put(_ context.Context, entries []Item, _ uint64) error {
+func (f *fakeStore) Put(_ context.Context, entries []Item, _ uint64) (uint64, error) {
 	if f.isDown() {
-		return errkind.New(errkind.OutcomeUnknown, "down")
+		return 0, errkind.New(errkind.OutcomeUnknown, "down")
 	}
 	f.puts++
 	for _, entry := range entries {
 		f.write(entry.Key, string(entry.Value))
 	}
-	return nil
+	return f.currentEra(), nil
+}
+
+func (f *fakeStore) currentEra() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.era
 }
 
 // Grant implements Store.
-func (f *fakeStore) Grant(_ context.Context, ttl time.Duration) (uint64, time.Duration, error) {
+func (f *fakeStore) Grant(_ context.Context, ttl time.Duration) (Lease, error) {
 	if f.isDown() {
-		return 0, 0, errkind.New(errkind.StoreUnavailable, "down")
+		return Lease{}, errkind.New(errkind.StoreUnavailable, "down")
 	}
 	f.grants++
-	return uint64(f.grants), ttl, nil
+	return Lease{ID: uint64(f.grants), Duration: ttl, Era: f.currentEra()}, nil
 }
 
 func (f *fakeStore) isDown() bool {
@@ -96,16 +109,16 @@
 	f.down = down
 }
 
-func (f *fakeStore) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) ([]Item, uint64, error) {
+func (f *fakeStore) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) ([]Item, routes.Revision, error) {
 	for {
 		f.mu.Lock()
 		var events []Item
 		for _, item := range f.items {
-			if item.Revision > after && !f.stalled {
+			if item.Index > after && !f.stalled {
 				events = append(events, item)
 			}
 		}
-		wake, at := f.wake, f.revision
+		wake, at := f.wake, f.at(f.revision)
 		f.mu.Unlock()
 		if len(events) > 0 {
 			return events, at, nil
@@ -113,12 +126,12 @@
 		select {
 		case <-wake:
 		case <-ctx.Done():
-			return nil, 0, errkind.Wrap(ctx.Err(), errkind.StoreUnavailable, "watch")
+			return nil, routes.Revision{}, errkind.Wrap(ctx.Err(), errkind.StoreUnavailable, "watch")
 		}
 	}
 }
 
-func (f *fakeStore) Unchanged(_ context.Context, entries []Item) (bool, error) {
+func (f *fakeStore) Unchanged(_ context.Context, entries []Item) (bool, uint64, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.compares++
@@ -126,14 +139,14 @@
 		revision := uint64(0)
 		for _, item := range f.items {
 			if item.Key == entry.Key {
-				revision = item.Revision
+				revision = item.Index
 			}
 		}
-		if revision != entry.Revision {
-			return false, nil
+		if revision != entry.Index {
+			return false, f.era, nil
 		}
 	}
-	return true, nil
+	return true, f.era, nil
 }
 
 // newTestConfigSync returns a configSync without a process, and the versions that it
@@ -141,9 +154,10 @@
 func newTestConfigSync(store Store) (*configSync, *[]*routes.Version) {
 	var mu sync.Mutex
 	versions := &[]*routes.Version{}
+	backoff := newStoreBackoff(newClock(), func() retryDelays { return retryDelays{minRetryDelay, maxRetryDelay} })
 	c := &configSync{
+		store: newStoreClient(store, backoff, zap.NewNop()),
 		adapter: Adapter{
-			Store: store,
 			ConfigKeys: func(domains []string) []string {
 				keys := []string{"config"}
 				for _, domain := range domains {
@@ -166,7 +180,7 @@
 		clock:       newClock(),
 		announce:    func() {},
 		isProber:    func() bool { return false },
-		backoff:     newStoreBackoff(newClock(), func() retryDelays { return retryDelays{minRetryDelay, maxRetryDelay} }),
+		backoff:     backoff,
 		shouldWatch: func() bool { return true },
 		domains:     []string{"junin"},
 		onVersion: func(v *routes.Version) {
@@ -184,10 +198,10 @@
 		store := newFakeStore()
 		store.write("config", "v1")
 		listed, _ := newTestConfigSync(store)
-		_, err := listed.listOrWatch(t.Context(), 0)
+		_, err := listed.listOrWatch(t.Context(), routes.Revision{})
 		convey.So(err, convey.ShouldBeNil)
 		watched, _ := newTestConfigSync(store)
-		_, err = watched.listOrWatch(t.Context(), 1)
+		_, err = watched.listOrWatch(t.Context(), routes.Revision{Index: 1})
 		convey.So(err, convey.ShouldBeNil)
 		convey.So(listed.revision(), convey.ShouldEqual, watched.revision())
 		before := listed.revision()
@@ -203,7 +217,7 @@
 		before := c.revision()
 		store.write("out/junin", "")
 		convey.So(c.refresh(t.Context()), convey.ShouldBeNil)
-		convey.So(c.revision(), convey.ShouldBeGreaterThan, before)
+		convey.So(c.revision().Newer(before), convey.ShouldBeTrue)
 		convey.So((*versions)[1].OutDomains["out/junin"], convey.ShouldBeFalse)
 	})
 }
@@ -216,8 +230,8 @@
 		c, versions := newTestConfigSync(store)
 		convey.So(c.refresh(t.Context()), convey.ShouldBeNil)
 		active := c.revision()
-		c.applyEvents([]Item{{Key: "config", Value: []byte("v1"), Revision: active - 5}, {Key: "config", Revision: active - 1, Deleted: true}})
-		c.applyIfNewer(configState{Revision: active - 1, Items: []Item{{Key: "config", Value: []byte("v1"), Revision: active - 1}}}, "peer")
+		c.applyEvents([]Item{{Key: "config", Value: []byte("v1"), Revision: routes.Revision{Index: active.Index - 5}}, {Key: "config", Revision: routes.Revision{Index: active.Index - 1}, Deleted: true}})
+		c.applyIfNewer(configState{Revision: routes.Revision{Index: active.Index - 1}, Items: []Item{{Key: "config", Value: []byte("v1"), Revision: routes.Revision{Index: active.Index - 1}}}}, "peer")
 		convey.So(c.revision(), convey.ShouldEqual, active)
 		convey.So(*versions, convey.ShouldHaveLength, 1)
 	})
@@ -254,7 +268,7 @@
 		ctx, stop := context.WithTimeout(t.Context(), maxAge)
 		defer stop()
 		_ = c.poll(ctx)
-		convey.So(c.revision(), convey.ShouldBeGreaterThan, before)
+		convey.So(c.revision().Newer(before), convey.ShouldBeTrue)
 	})
 	convey.Convey("A process that learns of the read of another one does not poll", t, func() {
 		store := newFakeStore()
@@ -298,7 +312,7 @@
 		convey.So(*versions, convey.ShouldHaveLength, 1)
 	})
 	convey.Convey("A state survives encoding and decoding", t, func() {
-		state := configState{Revision: 7, Items: []Item{{Key: "config", Value: []byte{0, 1, 255}, Revision: 6}}}
+		state := configState{Revision: routes.Revision{Era: 2, Index: 7}, Items: []Item{{Key: "config", Value: []byte{0, 1, 255}, Revision: routes.Revision{Era: 1, Index: 6}}}}
 		text, err := json.Marshal(state)
 		convey.So(err, convey.ShouldBeNil)
 		var read configState
--- a/process/passthrough/directory.go
+++ b/process/passthrough/directory.go
@@ -32,7 +32,7 @@
 
 // directory maintains the entry of this process in the store and reads those of others.
 type directory struct {
-	store   Store
+	store   *storeClient
 	backoff *storeBackoff
 	logger  *zap.Logger
 	key     string
@@ -42,9 +42,8 @@
 
 	// minLease is the shortest lease that the store grants.
 	minLease time.Duration
-	// lease is the lease of this process's entry, 0 for none.
-	lease         uint64
-	leaseDuration time.Duration
+	// lease is the lease of this process's entry, the zero value for none.
+	lease Lease
 	// entryWritten is closed when this process's entry has been written for the first
 	// time.
 	entryWritten chan struct{}
@@ -98,10 +97,10 @@
 			}
 			unavailable = false
 			// The lease may have expired during an outage.
-			d.backoff.sleepUntilResponding(ctx, d.leaseDuration/renewalsPerLease)
+			d.backoff.sleepUntilResponding(ctx, d.lease.Duration/renewalsPerLease)
 		case errkind.Is(err, errkind.NotFound):
-			d.logger.Info("lease of the directory entry expired; writing the entry again", zap.Uint64("lease", d.lease))
-			d.lease = 0
+			d.logger.Info("lease of the directory entry expired; writing the entry again", zap.Uint64("lease", d.lease.ID), zap.Uint64("era", d.lease.Era))
+			d.lease = Lease{}
 		default:
 			if !unavailable && ctx.Err() == nil {
 				d.logger.Warn("store does not respond; the directory entry may expire", zap.Error(err))
@@ -115,17 +114,17 @@
 
 // renewOrWrite renews the lease, or writes the entry under a new one if there is none.
 func (d *directory) renewOrWrite(ctx context.Context) error {
-	if d.lease != 0 {
-		return d.store.Renew(ctx, d.lease)
+	if d.lease.ID != 0 {
+		return d.store.renew(ctx, d.lease)
 	}
-	lease, granted, err := d.store.Grant(ctx, max(entryLease, d.minLease))
+	lease, err := d.store.grant(ctx, max(entryLease, d.minLease))
 	if err != nil {
 		return err
 	}
-	if err := d.store.Put(ctx, []Item{{Key: d.key, Value: []byte(d.peer.String())}}, lease); err != nil {
+	if err := d.store.put(ctx, []Item{{Key: d.key, Value: []byte(d.peer.String())}}, lease); err != nil {
 		return err
 	}
-	d.lease, d.leaseDuration = lease, granted
+	d.lease = lease
 	select {
 	case <-d.entryWritten:
 	default:
@@ -142,7 +141,7 @@
 		return nil
 	}
 	for ctx.Err() == nil {
-		items, _, err := d.store.List(ctx, directoryPrefix, d.synced.Load())
+		items, _, err := d.store.list(ctx, directoryPrefix, d.synced.Load())
 		if err != nil {
 			d.backoff.wait(ctx)
 			continue
@@ -194,10 +193,10 @@
 
 // removeEntry deletes this process's entry. Its lease is left to expire.
 func (d *directory) removeEntry(ctx context.Context) {
-	if d.lease == 0 {
+	if d.lease.ID == 0 {
 		return
 	}
-	if err := d.store.Delete(ctx, d.key); err != nil {
+	if err := d.store.delete(ctx, d.key); err != nil {
 		d.logger.Info("cannot delete the directory entry; it stays until its lease expires", zap.Error(err))
 	}
 }
--- a/process/passthrough/hedge_test.go
+++ b/process/passthrough/hedge_test.go
@@ -22,7 +22,7 @@
 func TestHedgeBetweenProcesses(t *testing.T) {
 	convey.Convey("A flow that the first server does not open is opened by the second one", t, func() {
 		service := netip.MustParseAddrPort("198.18.0.1:443")
-		version := &routes.Version{Revision: 1, Routes: map[netip.AddrPort]*routes.Route{
+		version := &routes.Version{Revision: routes.Revision{Index: 1}, Routes: map[netip.AddrPort]*routes.Route{
 			service: {Name: "r", Idempotent: true, Targets: []routes.Target{{Service: "orders", Weight: 1}}},
 		}}
 		agents := [2]*Agent{newTestAgent(t), newTestAgent(t)}
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -46,7 +46,7 @@
 	settings  settings.Settings
 	reload    Reload
 	adapter   Adapter
-	store     *instrumentedStore
+	store     *storeClient
 	backoff   *storeBackoff
 	logger    *zap.Logger
 	clock     clock
@@ -71,8 +71,7 @@
 func newNode(role roster.Role, s settings.Settings, logger *zap.Logger, adapter Adapter, reload Reload) (*node, error) {
 	n := &node{role: role, settings: s, reload: reload, logger: logger, clock: newClock(), runID: uint64(time.Now().UnixNano()), vmChecks: make(chan struct{}, maxVMChecks)}
 	n.backoff = newStoreBackoff(n.clock, n.storeRetryDelays)
-	n.store = newInstrumentedStore(adapter.Store, n.backoff)
-	adapter.Store = n.store
+	n.store = newStoreClient(adapter.Store, n.backoff, logger)
 	n.adapter = adapter
 	var err error
 	if n.peer, err = listenDatagrams(s.Passthrough.Peer); err != nil {
@@ -86,6 +85,7 @@
 
 // nodeMetrics are the metrics that balancer and agent have in common.
 type nodeMetrics struct {
+	Era            uint64  `json:"era"`
 	Revision       uint64  `json:"revision"`
 	ConfirmedAgeMs float64 `json:"confirmed_age_ms"`
 	Members        int     `json:"members"`
@@ -107,7 +107,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	m := nodeMetrics{
-		Revision:       n.revision(),
+		Era:            n.revision().Era,
+		Revision:       n.revision().Index,
 		ConfirmedAgeMs: float64(n.config.confirmedAge()) / float64(time.Millisecond),
 		Malformed:      n.roster.Malformed(),
 		SendFailures:   n.sender.failed,
@@ -124,10 +125,10 @@
 	return m
 }
 
-// revision returns the active revision, 0 for none. The caller holds mu.
-func (n *node) revision() uint64 {
+// revision returns the active revision, the zero value for none. The caller holds mu.
+func (n *node) revision() routes.Revision {
 	if n.version == nil {
-		return 0
+		return routes.Revision{}
 	}
 	return n.version.Revision
 }
--- a/process/passthrough/observe.go
+++ b/process/passthrough/observe.go
@@ -61,13 +61,13 @@
 // logger admits the message.
 func (o *agentObserver) log(message string, flow passthrough.Flow, fields ...zap.Field) {
 	if entry := o.agent.logger.Check(zap.InfoLevel, message); entry != nil {
-		entry.Write(flowFields(flow, append(fields, zap.Uint64("revision", o.agent.revision()))...)...)
+		entry.Write(flowFields(flow, append(fields, revisionFields(o.agent.revision())...)...)...)
 	}
 }
 
 // Opened logs an opening packet that was delivered to the server.
 func (o *agentObserver) Opened(flow passthrough.Flow, frame passthrough.Frame) {
-	o.log("flow opened", flow, zap.Uint64("balancer_revision", frame.Version), zap.Uint8("hops", frame.Hops),
+	o.log("flow opened", flow, zap.Uint16("balancer_era", frame.Version.Era()), zap.Uint64("balancer_revision", frame.Version.Index()), zap.Uint8("hops", frame.Hops),
 		zap.Duration("heartbeat_age", o.agent.clock.now()-o.agent.backend.lastHeartbeatAt))
 }
 
@@ -81,7 +81,7 @@
 	o.refusals.add(kind)
 	server := o.agent.gate.Server()
 	o.log("flow refused", flow, zap.Stringer("kind", kind), zap.Stringer("passed_to", passedTo),
-		zap.Uint64("balancer_revision", frame.Version), zap.Uint8("hops", frame.Hops), zap.Stringer("server_state", server.State),
+		zap.Uint16("balancer_era", frame.Version.Era()), zap.Uint64("balancer_revision", frame.Version.Index()), zap.Uint8("hops", frame.Hops), zap.Stringer("server_state", server.State),
 		zap.Int("open_requests", o.agent.gate.OpenRequests()), zap.Duration("heartbeat_age", o.agent.clock.now()-o.agent.backend.lastHeartbeatAt))
 }
 
@@ -148,14 +148,14 @@
 	entry.Write(flowFields(flow, zap.String("agent", server.Name), zap.String("service", server.Service), zap.String("domain", server.Domain),
 		zap.Float64("work", server.MeanOpenRequests), zap.Int("flows", server.Flows), zap.Int("pending", server.Pending),
 		zap.Duration("service_time", server.ServiceTime), zap.Duration("completion", completion), zap.Duration("report_age", b.clock.now()-server.ReportedAt),
-		zap.Uint64("revision", b.revision()))...)
+		zap.Uint64("era", b.revision().Era), zap.Uint64("revision", b.revision().Index))...)
 }
 
 // logHedge logs a second opening packet with both servers.
 func (b *Balancer) logHedge(flow passthrough.Flow, first, second *steer.Server, waited time.Duration) {
 	if entry := b.logger.Check(zap.InfoLevel, "flow hedged"); entry != nil {
 		entry.Write(flowFields(flow, zap.String("agent", first.Name), zap.String("second_agent", second.Name), zap.String("service", second.Service),
-			zap.Duration("waited", waited), zap.Int("pending", second.Pending), zap.Uint64("revision", b.revision()))...)
+			zap.Duration("waited", waited), zap.Int("pending", second.Pending), zap.Uint64("era", b.revision().Era), zap.Uint64("revision", b.revision().Index))...)
 	}
 }
 
@@ -172,6 +172,6 @@
 	if entry == nil {
 		return
 	}
-	entry.Write(flowFields(flow, zap.Stringer("kind", kind), zap.Uint64("revision", b.revision()),
+	entry.Write(flowFields(flow, zap.Stringer("kind", kind), zap.Uint64("era", b.revision().Era), zap.Uint64("revision", b.revision().Index),
 		zap.Duration("confirmed_age", b.config.confirmedAge()))...)
 }
--- a/process/passthrough/where.go
+++ b/process/passthrough/where.go
@@ -34,7 +34,9 @@
 	Ready   bool   `json:"ready"`
 	Address string `json:"address"`
 	Caller  string `json:"caller,omitempty"`
-	// Revision is the active version, 0 for none, Version the number that operators gave it.
+	// Era and Revision identify the active version, 0 for none; Version is the number that
+	// operators gave it.
+	Era        uint64         `json:"era"`
 	Revision   uint64         `json:"revision"`
 	Version    uint64         `json:"version"`
 	OutDomains []string       `json:"domains_out"`
@@ -156,7 +158,7 @@
 	p := b.steer.Preview(passthrough.EndpointOf(address), from)
 	b.mu.Unlock()
 	if p.Version != nil {
-		w.Revision, w.Version = p.Version.Revision, p.Version.Number
+		w.Era, w.Revision, w.Version = p.Version.Revision.Era, p.Version.Revision.Index, p.Version.Number
 		for _, domain := range slices.Sorted(maps.Keys(p.Version.OutDomains)) {
 			if p.Version.OutDomains[domain] {
 				w.OutDomains = append(w.OutDomains, domain)
--- a/process/passthrough/where_test.go
+++ b/process/passthrough/where_test.go
@@ -62,7 +62,7 @@
 		convey.Convey("with a version, the route, the servers and the choice are shown", func() {
 			route := &routes.Route{Name: "r", Priority: 1, LatencyTarget: 250 * time.Millisecond, Targets: []routes.Target{{Service: "orders", Weight: 1}}}
 			b.setVersion(&routes.Version{
-				Revision: 12, Number: 3, OutDomains: map[string]bool{"pasco": true, "ayacucho": true, "junin": false},
+				Revision: routes.Revision{Era: 2, Index: 12}, Number: 3, OutDomains: map[string]bool{"pasco": true, "ayacucho": true, "junin": false},
 				Routes: map[netip.AddrPort]*routes.Route{netip.MustParseAddrPort("198.18.0.1:443"): route},
 			})
 			for i, domain := range []string{"junin", "junin", "pasco"} {
@@ -75,7 +75,7 @@
 			before := b.counters()
 			_, w := get(WherePath + "?address=198.18.0.1:443&caller=100.64.0.1:1024")
 			convey.So(b.counters(), convey.ShouldResemble, before)
-			convey.So([]any{w.Revision, w.Version, w.OutDomains}, convey.ShouldResemble, []any{uint64(12), uint64(3), []string{"ayacucho", "pasco"}})
+			convey.So([]any{w.Era, w.Revision, w.Version, w.OutDomains}, convey.ShouldResemble, []any{uint64(2), uint64(12), uint64(3), []string{"ayacucho", "pasco"}})
 			convey.So(*w.Route, convey.ShouldResemble, WhereRoute{Name: "r", Priority: 1, LatencyTargetMs: 250})
 			convey.So(w.Services, convey.ShouldHaveLength, 1)
 			s := w.Services[0]
--- a/process/roster/compact.go
+++ b/process/roster/compact.go
@@ -57,7 +57,7 @@
 // compactHeartbeatOf returns the compact form of a heartbeat.
 func compactHeartbeatOf(h *heartbeat) compactHeartbeat {
 	return compactHeartbeat{
-		state: h.Report.State, receivesHeartbeats: h.receivesHeartbeats, wantsReply: h.wantsReply, run: uint32(h.Run), peer: h.Peer, version: h.Version, interval: h.interval,
+		state: h.Report.State, receivesHeartbeats: h.receivesHeartbeats, wantsReply: h.wantsReply, run: uint32(h.Run), peer: h.Peer, version: h.Version.Index, interval: h.interval,
 		confirmedAge: h.ConfirmedAge, meanOpenRequests: h.Report.MeanOpenRequests, flows: h.Report.Flows, incarnation: h.Report.Incarnation,
 		acceptsLoad: h.acceptsLoad, hasLoad: h.Report.HasLoad, pending: h.Report.Pending, serviceTime: h.Report.ServiceTime,
 	}
@@ -140,7 +140,7 @@
 		return
 	}
 	h := heartbeat{Member: p.member, interval: b.interval, receivesHeartbeats: b.receivesHeartbeats, wantsReply: b.wantsReply, acceptsLoad: b.acceptsLoad}
-	h.Version, h.ConfirmedAge = b.version, b.confirmedAge
+	h.Version.Index, h.ConfirmedAge = b.version, b.confirmedAge
 	h.Report.State, h.Report.MeanOpenRequests, h.Report.Flows, h.Report.Incarnation = b.state, b.meanOpenRequests, b.flows, b.incarnation
 	h.Report.HasLoad, h.Report.Pending, h.Report.ServiceTime = b.hasLoad, b.pending, b.serviceTime
 	r.applyHeartbeat(p, &h, now)
--- a/process/roster/compact_test.go
+++ b/process/roster/compact_test.go
@@ -8,6 +8,7 @@
 
 	"bergamotbank/connection/passthrough"
 	"bergamotbank/connection/steer"
+	"bergamotbank/version/routes"
 )
 
 func TestCompactHeartbeatRoundTrip(t *testing.T) {
@@ -56,12 +57,12 @@
 		convey.Convey("most heartbeats are compact and carry load, state, version and age", func() {
 			c.network.Drop = count
 			c.processes[1].self.Report.MeanOpenRequests, c.processes[1].self.Report.Flows = 1.5, 12
-			c.processes[1].self.Report.State, c.processes[1].self.Version = steer.Draining, 3
+			c.processes[1].self.Report.State, c.processes[1].self.Version = steer.Draining, routes.Revision{Index: 3}
 			c.advance(4 * time.Second)
 			convey.So(compact, convey.ShouldBeGreaterThan, 5*full)
 			convey.So(c.status(0, 1).Report, convey.ShouldResemble, Report{State: steer.Draining, Slots: 2, MeanOpenRequests: 1.5, Flows: 12})
-			convey.So(c.status(0, 1).Version, convey.ShouldEqual, 3)
-			convey.So(c.processes[0].newerVersions, convey.ShouldContain, uint64(3))
+			convey.So(c.status(0, 1).Version, convey.ShouldResemble, routes.Revision{Index: 3})
+			convey.So(c.processes[0].newerVersions, convey.ShouldContain, routes.Revision{Index: 3})
 		})
 		convey.Convey("a reply requested by a full or compact heartbeat is sent immediately", func() {
 			replies := 0
--- a/process/roster/heartbeat.go
+++ b/process/roster/heartbeat.go
@@ -8,6 +8,7 @@
 	"bergamotbank/connection/passthrough"
 	"bergamotbank/connection/steer"
 	"bergamotbank/errkind"
+	"bergamotbank/version/routes"
 )
 
 // Role is the role of a member.
@@ -55,7 +56,7 @@
 	// which it is made, may jump back.
 	Run uint64
 	// Version is the revision of the active configuration.
-	Version uint64
+	Version routes.Revision
 	// ConfirmedAge is the time since the store was last seen to hold no newer version,
 	// by this process or by one from which it received a heartbeat.
 	ConfirmedAge time.Duration
@@ -119,7 +120,7 @@
 	b := make([]byte, 0, fixedHeartbeatSize+len(h.Name)+len(h.Domain)+len(h.Service)+stringFields+loadSize)
 	b = append(b, byte(passthrough.Hello), heartbeatVersion, byte(h.Role), byte(h.Report.State), flags)
 	b = binary.LittleEndian.AppendUint64(b, h.Run)
-	b = binary.LittleEndian.AppendUint64(b, h.Version)
+	b = binary.LittleEndian.AppendUint64(b, h.Version.Index)
 	b = binary.LittleEndian.AppendUint64(b, uint64(h.Peer))
 	b = binary.LittleEndian.AppendUint16(b, milliseconds(h.interval))
 	b = binary.LittleEndian.AppendUint16(b, uint16(min(h.Report.Slots, math.MaxUint16)))
@@ -152,7 +153,7 @@
 	h.Role = Role(b[2])
 	h.Report.State = steer.State(b[3])
 	h.Run = binary.LittleEndian.Uint64(b[5:])
-	h.Version = binary.LittleEndian.Uint64(b[13:])
+	h.Version.Index = binary.LittleEndian.Uint64(b[13:])
 	h.Peer = passthrough.Endpoint(binary.LittleEndian.Uint64(b[21:]))
 	h.interval = time.Duration(binary.LittleEndian.Uint16(b[29:])) * time.Millisecond
 	h.Report.Slots = int(binary.LittleEndian.Uint16(b[31:]))
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -215,7 +215,7 @@
 	p.acceptsLoad = h.acceptsLoad
 	p.answered()
 	r.lastReceived = now
-	if h.Version > self.Version {
+	if h.Version.Newer(self.Version) {
 		r.options.OnNewerVersion(h.Member)
 	} else {
 		r.options.OnConfirmed(h.ConfirmedAge)
--- a/process/roster/roster_test.go
+++ b/process/roster/roster_test.go
@@ -15,6 +15,7 @@
 	"bergamotbank/connection/passthrough"
 	"bergamotbank/connection/passthrough/passthroughtest"
 	"bergamotbank/connection/steer"
+	"bergamotbank/version/routes"
 )
 
 // testProcess is a process of a testCluster.
@@ -24,7 +25,7 @@
 	changes       int
 	lastChanged   []Status
 	removed       []Member
-	newerVersions []uint64
+	newerVersions []routes.Revision
 	// silences counts the members presumed failed. While the process is heldUp, its unread
 	// datagrams wait.
 	silences int
@@ -79,7 +80,7 @@
 func newTestCluster(balancers, agents int) *testCluster {
 	c := &testCluster{network: passthroughtest.NewNetwork(), now: time.Second, random: rand.New(rand.NewPCG(testSeed(), 1)), handlers: map[passthrough.Endpoint]func([]byte){}}
 	for i := range balancers + agents {
-		p := &testProcess{self: Member{Name: fmt.Sprintf("p-%d", i), Domain: "junin", Role: Balancer, Peer: addressOf(i), Run: 1, Version: 1}}
+		p := &testProcess{self: Member{Name: fmt.Sprintf("p-%d", i), Domain: "junin", Role: Balancer, Peer: addressOf(i), Run: 1, Version: routes.Revision{Index: 1}}}
 		if i >= balancers {
 			p.self.Role, p.self.Service, p.self.Report = Agent, "orders", Report{State: steer.Ready, Slots: 2}
 		}
@@ -594,10 +595,10 @@
 		c.processes[0].roster.Add(addressOf(1), 0)
 		c.advance(time.Second)
 		convey.So(c.processes[0].newerVersions, convey.ShouldBeEmpty)
-		c.processes[1].self.Version = 9
+		c.processes[1].self.Version = routes.Revision{Index: 9}
 		c.processes[1].roster.Announce(c.now)
 		c.network.Run()
-		convey.So(c.processes[0].newerVersions, convey.ShouldResemble, []uint64{9})
+		convey.So(c.processes[0].newerVersions, convey.ShouldResemble, []routes.Revision{{Index: 9}})
 	})
 }
 
@@ -605,7 +606,7 @@
 	convey.Convey("A full heartbeat decodes to the value that was encoded", t, func() {
 		h := heartbeat{
 			Member: Member{
-				Name: "agent-1", Domain: "junin", Service: "orders", Role: Agent, Peer: addressOf(3), Run: 5, Version: 7,
+				Name: "agent-1", Domain: "junin", Service: "orders", Role: Agent, Peer: addressOf(3), Run: 5, Version: routes.Revision{Index: 7},
 				ConfirmedAge: 1500 * time.Millisecond,
 				Report:       Report{State: steer.Draining, Slots: 2, MeanOpenRequests: 1.25, Flows: 12, Incarnation: 99},
 			},
--- a/version/routes/routes.go
+++ b/version/routes/routes.go
@@ -77,8 +77,8 @@
 
 // Version is one version of the operator configuration. It is immutable.
 type Version struct {
-	// Revision increases with each version; the store assigns it.
-	Revision uint64
+	// Revision increases with each version.
+	Revision Revision
 	// Number is the version number that operators gave to the configuration.
 	Number uint64
 	// Routes maps addresses to routes.
