passthrough, roster, gate: order versions by era before the index

What callers saw: after the store had returned from an older copy, changes were not in force for seconds (dropped routes served, added ones refused), and evacuations were not followed.

Cause: the index of the store alone ordered versions: in the watch, in reads of the store, in heartbeats, in responses of peers and in the frames between balancers and agents. A restored store assigns indexes from that of the copy on, so each process ignored every change until the index had passed that of its active version.

Change: a later era is newer whatever the index. Heartbeats carry the era; compact ones its lower 16 bits, only to members that announce that they understand it, and only if it is not 0. Frames carry the lower 16 bits in the upper bits of the revision. A member of another era no longer confirms that the version is the newest.

Other causes are not ruled out by this: a watch or comparison that continues in the old era is next.

--- a/connection/gate/flows_test.go
+++ b/connection/gate/flows_test.go
@@ -301,6 +301,16 @@
 		tc.sendThrough(0, c.OpeningPacket(0))
 		convey.So(c.Opened, convey.ShouldBeTrue)
 	})
+	convey.Convey("An agent with a version of an earlier era, at a higher index, accepts the balancer's choice", t, func() {
+		tc := newTestCluster(1)
+		restored, old := versionOf(36, "orders"), versionOf(54, "catalogue")
+		restored.Revision.Era, old.Revision.Era = 2, 1
+		tc.balancers[0].SetVersion(restored)
+		tc.nodes[0].gate.SetVersion(old)
+		c := tc.caller(0)
+		tc.sendThrough(0, c.OpeningPacket(0))
+		convey.So(c.Opened, convey.ShouldBeTrue)
+	})
 }
 
 // TestBalancerWithStaleAgentView guards against a flow that a server of another service takes:
--- a/process/roster/compact.go
+++ b/process/roster/compact.go
@@ -8,6 +8,7 @@
 	"bergamotbank/connection/passthrough"
 	"bergamotbank/connection/steer"
 	"bergamotbank/errkind"
+	"bergamotbank/version/routes"
 )
 
 // compactHeartbeat is a heartbeat for a member that knows the sender's staticFields.
@@ -18,9 +19,13 @@
 	// the receiver, wantsReply if it requests an immediate heartbeat.
 	receivesHeartbeats, wantsReply bool
 	// run holds the lower 32 bits of the sender's run.
-	run              uint32
-	peer             passthrough.Endpoint
-	version          uint64
+	run     uint32
+	peer    passthrough.Endpoint
+	version uint64
+	// hasEra is true if the heartbeat contains the lower 16 bits of the era of version;
+	// otherwise the era is 0.
+	hasEra           bool
+	era              uint16
 	interval         time.Duration
 	confirmedAge     time.Duration
 	meanOpenRequests float64
@@ -29,8 +34,10 @@
 	// acceptsLoad is true if the sender understands the long form, hasLoad if this is the long
 	// form, which contains pending and serviceTime.
 	acceptsLoad, hasLoad bool
-	pending              int
-	serviceTime          time.Duration
+	// acceptsEra is true if the sender understands compact heartbeats with an era.
+	acceptsEra  bool
+	pending     int
+	serviceTime time.Duration
 }
 
 // staticFields are the fields that a compact heartbeat omits.
@@ -59,7 +66,7 @@
 	return compactHeartbeat{
 		state: h.Report.State, receivesHeartbeats: h.receivesHeartbeats, wantsReply: h.wantsReply, run: uint32(h.Run), peer: h.Peer, version: h.Version.Index, interval: h.interval,
 		confirmedAge: h.ConfirmedAge, meanOpenRequests: h.Report.MeanOpenRequests, flows: h.Report.Flows, incarnation: h.Report.Incarnation,
-		acceptsLoad: h.acceptsLoad, hasLoad: h.Report.HasLoad, pending: h.Report.Pending, serviceTime: h.Report.ServiceTime,
+		acceptsEra: h.acceptsEra, hasEra: h.Version.Era != 0, era: uint16(h.Version.Era), acceptsLoad: h.acceptsLoad, hasLoad: h.Report.HasLoad, pending: h.Report.Pending, serviceTime: h.Report.ServiceTime,
 	}
 }
 
@@ -75,7 +82,10 @@
 	if b.acceptsLoad {
 		flags |= acceptsLoadFlag
 	}
-	w := make([]byte, 0, longCompactHeartbeatSize)
+	if b.acceptsEra {
+		flags |= acceptsEraFlag
+	}
+	w := make([]byte, 0, longCompactHeartbeatSize+compactEraSize)
 	w = append(w, byte(passthrough.CompactHeartbeat), heartbeatVersion, byte(b.state), flags)
 	w = binary.LittleEndian.AppendUint32(w, b.run)
 	w = binary.LittleEndian.AppendUint64(w, b.version)
@@ -87,14 +97,24 @@
 	w = binary.LittleEndian.AppendUint32(w, b.peer.IP())
 	w = binary.LittleEndian.AppendUint16(w, b.peer.Port())
 	if b.hasLoad {
-		return appendLoad(w, b.pending, b.serviceTime)
+		w = appendLoad(w, b.pending, b.serviceTime)
+	} else {
+		w = append(w, 0)
+	}
+	if b.hasEra {
+		w = binary.LittleEndian.AppendUint16(w, b.era)
 	}
-	return append(w, 0)
+	return w
 }
 
 // parseCompactHeartbeat parses a compact heartbeat. The error has kind Malformed.
 func parseCompactHeartbeat(w []byte) (compactHeartbeat, error) {
-	if (len(w) != compactHeartbeatSize && len(w) != longCompactHeartbeatSize) || w[1] != heartbeatVersion {
+	hasEra := len(w) == compactHeartbeatSize+compactEraSize || len(w) == longCompactHeartbeatSize+compactEraSize
+	size := len(w)
+	if hasEra {
+		size -= compactEraSize
+	}
+	if (size != compactHeartbeatSize && size != longCompactHeartbeatSize) || w[1] != heartbeatVersion {
 		return compactHeartbeat{}, errkind.New(errkind.Malformed, "compact heartbeat has %d bytes or an unsupported protocol version", len(w))
 	}
 	b := compactHeartbeat{
@@ -102,7 +122,9 @@
 		receivesHeartbeats: w[3]&receivesHeartbeatsFlag != 0,
 		wantsReply:         w[3]&wantsReplyFlag != 0,
 		acceptsLoad:        w[3]&acceptsLoadFlag != 0,
-		hasLoad:            len(w) == longCompactHeartbeatSize,
+		acceptsEra:         w[3]&acceptsEraFlag != 0,
+		hasLoad:            size == longCompactHeartbeatSize,
+		hasEra:             hasEra,
 		run:                binary.LittleEndian.Uint32(w[4:]),
 		version:            binary.LittleEndian.Uint64(w[8:]),
 		interval:           time.Duration(binary.LittleEndian.Uint16(w[16:])) * time.Millisecond,
@@ -115,6 +137,9 @@
 	if b.hasLoad {
 		b.pending, b.serviceTime = parseLoad(w[compactHeartbeatSize-1:])
 	}
+	if hasEra {
+		b.era = binary.LittleEndian.Uint16(w[size:])
+	}
 	if b.peer == 0 || b.interval <= 0 {
 		return compactHeartbeat{}, errkind.New(errkind.Malformed, "compact heartbeat without address or interval")
 	}
@@ -139,8 +164,11 @@
 		p.lastHeartbeatAt, p.receivesHeartbeats = min(p.lastHeartbeatAt, now-p.reachableTimeout()), false
 		return
 	}
-	h := heartbeat{Member: p.member, interval: b.interval, receivesHeartbeats: b.receivesHeartbeats, wantsReply: b.wantsReply, acceptsLoad: b.acceptsLoad}
-	h.Version.Index, h.ConfirmedAge = b.version, b.confirmedAge
+	h := heartbeat{Member: p.member, interval: b.interval, receivesHeartbeats: b.receivesHeartbeats, wantsReply: b.wantsReply, acceptsLoad: b.acceptsLoad, acceptsEra: b.acceptsEra}
+	h.Version, h.ConfirmedAge = routes.Revision{Index: b.version}, b.confirmedAge
+	if b.hasEra {
+		h.Version.Era = routes.NearestEra(b.era, p.member.Version.Era)
+	}
 	h.Report.State, h.Report.MeanOpenRequests, h.Report.Flows, h.Report.Incarnation = b.state, b.meanOpenRequests, b.flows, b.incarnation
 	h.Report.HasLoad, h.Report.Pending, h.Report.ServiceTime = b.hasLoad, b.pending, b.serviceTime
 	r.applyHeartbeat(p, &h, now)
--- a/process/roster/heartbeat.go
+++ b/process/roster/heartbeat.go
@@ -79,6 +79,8 @@
 	wantsReply bool
 	// acceptsLoad is true if the sender understands the long form of a compact heartbeat.
 	acceptsLoad bool
+	// acceptsEra is true if the sender understands compact heartbeats with an era.
+	acceptsEra bool
 }
 
 // heartbeatVersion is the version of the wire format of heartbeats.
@@ -89,6 +91,8 @@
 	wantsIntroductionFlag  = 2
 	wantsReplyFlag         = 4
 	acceptsLoadFlag        = 8
+	// acceptsEraFlag also marks a full heartbeat that contains an era.
+	acceptsEraFlag = 16
 )
 
 // fixedHeartbeatSize is the size of a full heartbeat without its strings, in bytes.
@@ -98,6 +102,13 @@
 // byte with its length.
 const stringFields = 3
 
+// eraSize is the size of the era that ends a full heartbeat. Earlier builds send none and
+// ignore it. compactEraSize is that of its lower bits, which end a compact heartbeat.
+const (
+	eraSize        = 8
+	compactEraSize = 2
+)
+
 // openRequestsScale is the factor by which a full heartbeat multiplies the mean
 // number of open requests.
 const openRequestsScale = 1000
@@ -117,7 +128,10 @@
 	if h.acceptsLoad {
 		flags |= acceptsLoadFlag
 	}
-	b := make([]byte, 0, fixedHeartbeatSize+len(h.Name)+len(h.Domain)+len(h.Service)+stringFields+loadSize)
+	if h.acceptsEra {
+		flags |= acceptsEraFlag
+	}
+	b := make([]byte, 0, fixedHeartbeatSize+len(h.Name)+len(h.Domain)+len(h.Service)+stringFields+loadSize+eraSize)
 	b = append(b, byte(passthrough.Hello), heartbeatVersion, byte(h.Role), byte(h.Report.State), flags)
 	b = binary.LittleEndian.AppendUint64(b, h.Run)
 	b = binary.LittleEndian.AppendUint64(b, h.Version.Index)
@@ -135,6 +149,9 @@
 	if h.Report.HasLoad {
 		b = appendLoad(b, h.Report.Pending, h.Report.ServiceTime)
 	}
+	if h.acceptsEra {
+		b = binary.LittleEndian.AppendUint64(b, h.Version.Era)
+	}
 	return b
 }
 
@@ -149,7 +166,7 @@
 	if len(b) < fixedHeartbeatSize || b[1] != heartbeatVersion {
 		return heartbeat{}, errkind.New(errkind.Malformed, "heartbeat has %d bytes or an unsupported protocol version", len(b))
 	}
-	h := heartbeat{receivesHeartbeats: b[4]&receivesHeartbeatsFlag != 0, wantsIntroduction: b[4]&wantsIntroductionFlag != 0, wantsReply: b[4]&wantsReplyFlag != 0, acceptsLoad: b[4]&acceptsLoadFlag != 0}
+	h := heartbeat{receivesHeartbeats: b[4]&receivesHeartbeatsFlag != 0, wantsIntroduction: b[4]&wantsIntroductionFlag != 0, wantsReply: b[4]&wantsReplyFlag != 0, acceptsLoad: b[4]&acceptsLoadFlag != 0, acceptsEra: b[4]&acceptsEraFlag != 0}
 	h.Role = Role(b[2])
 	h.Report.State = steer.State(b[3])
 	h.Run = binary.LittleEndian.Uint64(b[5:])
@@ -169,6 +186,13 @@
 		*value = string(rest[1 : 1+rest[0]])
 		rest = rest[1+rest[0]:]
 	}
+	if h.acceptsEra {
+		if len(rest) < eraSize {
+			return heartbeat{}, errkind.New(errkind.Malformed, "heartbeat is truncated inside the era")
+		}
+		h.Version.Era = binary.LittleEndian.Uint64(rest[len(rest)-eraSize:])
+		rest = rest[:len(rest)-eraSize]
+	}
 	if len(rest) >= loadSize {
 		h.Report.HasLoad = true
 		h.Report.Pending, h.Report.ServiceTime = parseLoad(rest)
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -33,7 +33,7 @@
 	// this process.
 	OnNewerVersion func(Member)
 	// OnConfirmed is called with the time since a member's version was confirmed to
-	// be the newest, if this process has that version or a newer one.
+	// be the newest, if this process has that version or a newer one of the same era.
 	OnConfirmed func(age time.Duration)
 	// OnReport is called for each heartbeat of an agent that does not lead to a call of
 	// OnChange; it may be nil.
@@ -212,12 +212,12 @@
 	changed := restarted || h.Service != p.member.Service || h.Name != p.member.Name || h.Domain != p.member.Domain ||
 		h.Report.State != p.member.Report.State
 	p.member, p.known, p.lastHeartbeatAt, p.receivesHeartbeats, p.interval = h.Member, true, now, h.receivesHeartbeats, h.interval
-	p.acceptsLoad = h.acceptsLoad
+	p.acceptsLoad, p.acceptsEra = h.acceptsLoad, h.acceptsEra
 	p.answered()
 	r.lastReceived = now
 	if h.Version.Newer(self.Version) {
 		r.options.OnNewerVersion(h.Member)
-	} else {
+	} else if h.Version.Era == self.Version.Era {
 		r.options.OnConfirmed(h.ConfirmedAge)
 	}
 	if restarted {
--- a/process/roster/send.go
+++ b/process/roster/send.go
@@ -138,7 +138,7 @@
 // send sends a heartbeat; wantsReply requests an immediate heartbeat in return.
 func (r *Roster) send(peer passthrough.Endpoint, p *peerState, self Member, now time.Duration, wantsReply bool) {
 	report, regular := r.intervals()
-	h := heartbeat{Member: self, acceptsLoad: true, wantsReply: wantsReply, interval: regular, wantsIntroduction: r.wantsIntroduction(p, now), receivesHeartbeats: p.known && now-p.lastHeartbeatAt < p.reachableTimeout()}
+	h := heartbeat{Member: self, acceptsLoad: true, acceptsEra: true, wantsReply: wantsReply, interval: regular, wantsIntroduction: r.wantsIntroduction(p, now), receivesHeartbeats: p.known && now-p.lastHeartbeatAt < p.reachableTimeout()}
 	if carriesReport(self, p) {
 		h.interval = report
 	} else {
@@ -149,7 +149,7 @@
 	p.sent++
 	if p.receivesHeartbeats && !h.wantsIntroduction && now >= r.fullUntil && p.sent%fullHeartbeatEvery != 0 {
 		b := compactHeartbeatOf(&h)
-		b.hasLoad = b.hasLoad && p.acceptsLoad
+		b.hasLoad, b.hasEra = b.hasLoad && p.acceptsLoad, b.hasEra && p.acceptsEra
 		r.options.Sender.Send(b.encode(), peer)
 		return
 	}
--- a/process/roster/status.go
+++ b/process/roster/status.go
@@ -81,8 +81,11 @@
 	// acceptsLoad is true if the last heartbeat announced that the peer understands the long
 	// form of compact heartbeats.
 	acceptsLoad bool
-	interval    time.Duration
-	attempts    int
+	// acceptsEra is true if the last heartbeat announced that the peer understands compact
+	// heartbeats with an era.
+	acceptsEra bool
+	interval   time.Duration
+	attempts   int
 	// listedAt is the time of the last read of the directory that lists the address, 0 for
 	// none.
 	listedAt time.Duration
--- a/version/routes/revision.go
+++ b/version/routes/revision.go
@@ -11,6 +11,9 @@
 
 // Newer reports whether the store assigned r after other.
 func (r Revision) Newer(other Revision) bool {
+	if r.Era != other.Era {
+		return r.Era > other.Era
+	}
 	return r.Index > other.Index
 }
 
@@ -39,5 +42,16 @@
 
 // Newer reports whether the store assigned w after other.
 func (w WireRevision) Newer(other WireRevision) bool {
+	if w.Era() != other.Era() {
+		return eraDistance(w.Era(), other.Era()) > 0
+	}
 	return w.Index() > other.Index()
 }
+
+// eraDistance returns the number of eras from b to a, negative if a is the earlier one.
+func eraDistance(a, b uint16) int16 { return int16(a - b) }
+
+// NearestEra returns the era with the given lower 16 bits that is nearest to a known one.
+func NearestEra(low uint16, known uint64) uint64 {
+	return known + uint64(int64(eraDistance(low, uint16(known))))
+}
