passthrough: never continue by a revision of an earlier era of the store

A change would stay ignored until the next one.

Cause: a restored store assigns an index a second time. A comparison of indexes then takes another change for the active one, a watch of the earlier era skips what the store assigned below its index, and a list of several pages mixes two eras.

Change: a comparison counts only in the era of the active version; a watch ends when a later era is known, from the store or a member, and the whole configuration is read; a list whose pages are of two eras starts over; a response of an earlier era than the latest known one is discarded; events apply only to a state of their own era.

Evidence: TestReusedRevision and TestListAcrossEras failed before.

--- a/process/passthrough/config.go
+++ b/process/passthrough/config.go
@@ -125,14 +125,15 @@
 	if position.IsZero() {
 		return c.list(ctx)
 	}
-	events, at, err := c.store.watch(ctx, c.adapter.ConfigPrefix, position.Index, watchWait)
+	events, at, err := c.store.watch(ctx, c.adapter.ConfigPrefix, position, watchWait)
 	if err != nil {
 		return routes.Revision{}, err
 	}
-	if c.applyEvents(events) {
+	applied, err := c.applyEvents(events, at.Era)
+	if applied {
 		c.announce()
 	}
-	return latest(at, position), nil
+	return latest(at, position), err
 }
 
 // list reads the whole configuration and returns the revision of the store.
@@ -143,7 +144,9 @@
 		return routes.Revision{}, err
 	}
 	c.applyList(items, at)
-	c.confirm(c.clock.now() - started)
+	if at.Era == c.revision().Era {
+		c.confirm(c.clock.now() - started)
+	}
 	return at, nil
 }
 
@@ -184,10 +187,14 @@
 }
 
 // applyEvents applies watch events, which are in the order of their revisions, and
-// reports whether any was new.
-func (c *configSync) applyEvents(events []Item) bool {
+// reports whether any was new. The error has kind Conflict if the active version is of
+// another era than the events, which then do not complete it.
+func (c *configSync) applyEvents(events []Item, era uint64) (bool, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if len(events) > 0 && era != c.state.Era {
+		return false, errRestored
+	}
 	state := configState{Revision: c.state.Revision, Items: slices.Clone(c.state.Items)}
 	for _, event := range events {
 		if !event.Newer(c.state.Revision) {
@@ -200,10 +207,10 @@
 		}
 	}
 	if !state.Newer(c.state.Revision) {
-		return false
+		return false, nil
 	}
 	c.activate(state, "watch")
-	return true
+	return true, nil
 }
 
 // activate makes a state the active one. If it is invalid, the last valid version stays
--- a/process/passthrough/config_poll.go
+++ b/process/passthrough/config_poll.go
@@ -76,20 +76,20 @@
 // unchanged reports whether the store still holds the active configuration. It returns
 // false if there are no entries or too many to compare.
 func (c *configSync) unchanged(ctx context.Context) (bool, error) {
-	entries := c.expectedEntries()
+	entries, era := c.expectedEntries()
 	if len(entries) == 0 || len(entries) > MaxTxnEntries {
 		return false, nil
 	}
-	return c.store.unchanged(ctx, entries)
+	return c.store.unchanged(ctx, entries, era)
 }
 
-// expectedEntries returns the active entries and, with revision 0, those that operators
-// may add.
-func (c *configSync) expectedEntries() []Item {
+// expectedEntries returns the active entries and, with index 0, those that operators may add,
+// and the era of the active revision.
+func (c *configSync) expectedEntries() ([]Item, uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.state.IsZero() {
-		return nil
+		return nil, 0
 	}
 	entries := slices.Clone(c.state.Items)
 	for _, key := range c.adapter.ConfigKeys(c.domains) {
@@ -97,5 +97,5 @@
 			entries = append(entries, Item{Key: key})
 		}
 	}
-	return entries
+	return entries, c.state.Era
 }
--- a/process/passthrough/config_test.go
+++ b/process/passthrough/config_test.go
@@ -112,6 +112,10 @@
 func (f *fakeStore) Watch(ctx context.Context, _ string, after uint64, _ time.Duration) ([]Item, routes.Revision, error) {
 	for {
 		f.mu.Lock()
+		if after > f.revision {
+			f.mu.Unlock()
+			return nil, routes.Revision{}, errkind.New(errkind.Conflict, "no such revision")
+		}
 		var events []Item
 		for _, item := range f.items {
 			if item.Index > after && !f.stalled {
@@ -230,7 +234,8 @@
 		c, versions := newTestConfigSync(store)
 		convey.So(c.refresh(t.Context()), convey.ShouldBeNil)
 		active := c.revision()
-		c.applyEvents([]Item{{Key: "config", Value: []byte("v1"), Revision: routes.Revision{Index: active.Index - 5}}, {Key: "config", Revision: routes.Revision{Index: active.Index - 1}, Deleted: true}})
+		_, err := c.applyEvents([]Item{{Key: "config", Value: []byte("v1"), Revision: routes.Revision{Index: active.Index - 5}}, {Key: "config", Revision: routes.Revision{Index: active.Index - 1}, Deleted: true}}, active.Era)
+		convey.So(err, convey.ShouldBeNil)
 		c.applyIfNewer(configState{Revision: routes.Revision{Index: active.Index - 1}, Items: []Item{{Key: "config", Value: []byte("v1"), Revision: routes.Revision{Index: active.Index - 1}}}}, "peer")
 		convey.So(c.revision(), convey.ShouldEqual, active)
 		convey.So(*versions, convey.ShouldHaveLength, 1)
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -217,6 +217,7 @@
 
 // noteNewerVersion handles a heartbeat of a member with a newer version.
 func (n *node) noteNewerVersion(m roster.Member) {
+	n.store.eras.observe(m.Version.Era)
 	n.backoff.confirmed(m.ConfirmedAge)
 	n.config.announced.add(m)
 }
--- a/process/passthrough/restore_test.go
+++ b/process/passthrough/restore_test.go
@@ -1,10 +1,17 @@
 package passthrough
 
 import (
+	"context"
 	"slices"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+
+	"bergamotbank/errkind"
+	"bergamotbank/version/routes"
 )
 
 // copyOf returns a copy of the store, to which restore returns it later.
@@ -48,3 +55,89 @@
 		convey.So(string(c.state.Items[0].Value), convey.ShouldEqual, "v3")
 	})
 }
+
+// TestReusedRevision guards against a change that is missed since the store has assigned its
+// index before, to a change of the same entry in an earlier era.
+func TestReusedRevision(t *testing.T) { synctest.Test(t, testReusedRevision) }
+
+func testReusedRevision(t *testing.T) {
+	// restored returns a store with v2, and a function that restores it and writes v3 at the
+	// index that v2 had.
+	restored := func() (*fakeStore, func()) {
+		store := newFakeStore()
+		store.write("config", "v1")
+		items, revision := store.copyOf()
+		store.write("config", "v2")
+		return store, func() {
+			store.restore(items, revision)
+			store.write("config", "v3")
+		}
+	}
+	active := func(c *configSync) string { return string(c.state.Items[0].Value) }
+	convey.Convey("A comparison of indexes does not take it for the active one", t, func() {
+		store, restore := restored()
+		c, _ := newTestConfigSync(store)
+		convey.So(c.refresh(t.Context()), convey.ShouldBeNil)
+		restore()
+		convey.So(c.refresh(t.Context()), convey.ShouldBeNil)
+		convey.So(active(c), convey.ShouldEqual, "v3")
+	})
+	for name, stalled := range map[string]bool{"is answered": false, "stalls while a member announces the era": true} {
+		convey.Convey("A watch of the earlier era that "+name+" is followed by a read", t, func() {
+			store, restore := restored()
+			c, _ := newTestConfigSync(store)
+			ctx, stop := context.WithCancel(t.Context())
+			done := make(chan error, 1)
+			go func() { done <- c.watch(ctx) }()
+			synctest.Wait()
+			store.mu.Lock()
+			store.stalled = stalled
+			store.mu.Unlock()
+			restore()
+			c.store.eras.observe(1)
+			time.Sleep(time.Second)
+			stop()
+			convey.So(<-done, convey.ShouldBeNil)
+			convey.So(active(c), convey.ShouldEqual, "v3")
+		})
+	}
+}
+
+// pagedStore lists one entry a page, the pages of a list in the given eras.
+type pagedStore struct {
+	Store
+	eras []uint64
+}
+
+func (p *pagedStore) List(_ context.Context, _, after string, _ bool) (Page, error) {
+	era := p.eras[0]
+	p.eras = p.eras[1:]
+	return Page{Items: []Item{{Key: after + "k"}}, Revision: routes.Revision{Era: era, Index: 9}, More: after == ""}, nil
+}
+
+// TestListAcrossEras guards against entries of two eras in one list, and against a response
+// that arrives after one of a later era.
+func TestListAcrossEras(t *testing.T) {
+	for name, c := range map[string]struct {
+		eras     []uint64
+		expected error
+	}{
+		"pages of two eras are read again":                     {eras: []uint64{1, 2, 2, 2}},
+		"pages of three eras are read until they are of one":   {eras: []uint64{1, 2, 3, 3, 3}},
+		"a response of an earlier era than the last one fails": {eras: []uint64{1}, expected: errkind.New(errkind.StoreUnavailable, "")},
+	} {
+		convey.Convey("Given a store that was restored, "+name, t, func() {
+			store := newStoreClient(&pagedStore{eras: c.eras}, newStoreBackoff(newClock(), func() retryDelays { return retryDelays{} }), zap.NewNop())
+			if c.expected != nil {
+				store.eras.observe(2)
+			}
+			items, revision, err := store.list(t.Context(), "", false)
+			convey.So(err == nil, convey.ShouldEqual, c.expected == nil)
+			convey.So(errkind.Of(err), convey.ShouldEqual, errkind.Of(c.expected))
+			if err == nil {
+				convey.So(items, convey.ShouldHaveLength, 2)
+				convey.So(revision.Era, convey.ShouldEqual, c.eras[len(c.eras)-1])
+			}
+		})
+	}
+}
--- a/process/passthrough/store_client.go
+++ b/process/passthrough/store_client.go
@@ -70,8 +70,9 @@
 }
 
 // list reads all entries with a prefix. The revision is that of the first page, so that a
-// watch after it repeats the changes made between two pages. A stale read may be seconds old
-// and costs a tenth of a consistent one.
+// watch after it repeats the changes made between two pages. It starts over if the store was
+// restored between two pages. A stale read may be seconds old and costs a tenth of a
+// consistent one.
 func (s *storeClient) list(ctx context.Context, prefix string, stale bool) ([]Item, routes.Revision, error) {
 	var items []Item
 	var revision routes.Revision
@@ -83,6 +84,13 @@
 			return nil, routes.Revision{}, err
 		}
 		s.eras.observe(page.Revision.Era)
+		if era, _ := s.eras.current(); page.Revision.Era < era {
+			return nil, routes.Revision{}, errkind.New(errkind.StoreUnavailable, "list %s: response of era %d, which ended with era %d", prefix, page.Revision.Era, era)
+		}
+		if after != "" && page.Revision.Era != revision.Era {
+			items, after = nil, ""
+			continue
+		}
 		if after == "" {
 			revision = page.Revision
 		}
@@ -94,27 +102,50 @@
 	}
 }
 
-// watch waits, at most for the given time, until entries with a prefix change after an index
-// of the store.
-func (s *storeClient) watch(ctx context.Context, prefix string, after uint64, wait time.Duration) ([]Item, routes.Revision, error) {
-	events, revision, err := s.store.Watch(ctx, prefix, after, wait)
-	s.count("watch", err)
+// watch waits, at most for the given time, until entries with a prefix change after a
+// revision of the store. The error has kind Conflict if the store does not have the history
+// after it, also since it is in another era: it assigns the same indexes to other changes.
+func (s *storeClient) watch(ctx context.Context, prefix string, after routes.Revision, wait time.Duration) ([]Item, routes.Revision, error) {
+	era, restored := s.eras.current()
+	if era > after.Era {
+		return nil, routes.Revision{}, errRestored
+	}
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-restored:
+			cancel()
+		case <-callCtx.Done():
+		}
+	}()
+	events, revision, err := s.store.Watch(callCtx, prefix, after.Index, wait)
 	if err == nil {
 		s.eras.observe(revision.Era)
+		if revision.Era != after.Era {
+			err = errRestored
+		}
+	} else if era, _ := s.eras.current(); era != after.Era && ctx.Err() == nil {
+		err = errRestored
 	}
+	s.count("watch", err)
 	return events, revision, err
 }
 
-// unchanged reports whether every entry still has its index; 0 means that it does not exist.
-// It takes at most MaxTxnEntries entries.
-func (s *storeClient) unchanged(ctx context.Context, entries []Item) (bool, error) {
+// errRestored is the error of a watch that cannot continue in the current era of the store.
+var errRestored = errkind.New(errkind.Conflict, "the store was restored from an older copy")
+
+// unchanged reports whether every entry still has its index in an era; 0 means that it does
+// not exist. It takes at most MaxTxnEntries entries.
+func (s *storeClient) unchanged(ctx context.Context, entries []Item, era uint64) (bool, error) {
 	started := time.Now()
-	unchanged, era, err := s.store.Unchanged(ctx, entries)
+	unchanged, current, err := s.store.Unchanged(ctx, entries)
 	s.measure("compare", started, err)
-	if err == nil {
-		s.eras.observe(era)
+	if err != nil {
+		return false, err
 	}
-	return unchanged, err
+	s.eras.observe(current)
+	return unchanged && current == era, nil
 }
 
 // grant requests a lease.
