passthrough: keep changes that a restored store has lost until they are written again

Cause: a state of the store replaced the active one as a whole, also when it was the older copy.

Change: what the active version has and a later era lacks stays in effect. The numbered entry stays until the store has its number or a higher one; operators' numbers never go back. Heartbeats carry a digest of the held entries and peers exchange them, so a process that starts in between and reads only the older copy gets them too.

Evidence: TestLostChanges, 9 losses by 4 continuations (a second restoration, written again, not written again, a process that starts meanwhile).

--- a/process/passthrough/adapter.go
+++ b/process/passthrough/adapter.go
@@ -126,6 +126,9 @@
 	Store Store
 	// ConfigPrefix is the key prefix of the operator configuration in the store.
 	ConfigPrefix string
+	// ConfigKey is the key of the entry whose versions operators number. The numbers increase
+	// for good, also if the store was restored from an older copy.
+	ConfigKey string
 	// ConfigKeys returns the keys that operators may write for the given failure
 	// domains.
 	ConfigKeys func(domains []string) []string
--- a/process/passthrough/announcements.go
+++ b/process/passthrough/announcements.go
@@ -17,7 +17,9 @@
 // announcement is a version that is active at a peer.
 type announcement struct {
 	revision routes.Revision
-	peer     passthrough.Endpoint
+	// held is the digest of the entries that the store has lost in the version.
+	held uint16
+	peer passthrough.Endpoint
 }
 
 // announcements are the versions newer than the active one that heartbeats have announced.
@@ -28,6 +30,9 @@
 
 	mu                      sync.Mutex
 	ownDomain, otherDomains []announcement
+	// merged are the digests of held entries that were fetched in an era.
+	merged    []uint16
+	mergedEra uint64
 }
 
 func newAnnouncements(domain string) *announcements {
@@ -39,7 +44,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	list := a.list(m.Domain == a.domain)
-	added := announcement{m.Version, m.Peer}
+	added := announcement{m.Version, m.Held, m.Peer}
 	switch at := slices.IndexFunc(*list, func(other announcement) bool { return other.peer == m.Peer }); {
 	case at >= 0:
 		(*list)[at] = added
@@ -67,15 +72,16 @@
 }
 
 // newest returns a peer of the own failure domain, or of the others, with the newest
-// version announced there, and false if none is newer than the active one. Among several
-// such peers it selects one at random, so that a domain's processes use different ones.
+// version announced there, and false if none is newer than the active one or has held entries
+// that were not fetched yet. Among several such peers it selects one at random, so that a
+// domain's processes use different ones.
 func (a *announcements) newest(active routes.Revision, ownDomain bool) (announcement, bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var best announcement
 	count := 0
 	for _, candidate := range *a.list(ownDomain) {
-		if !candidate.revision.Newer(active) || best.revision.Newer(candidate.revision) {
+		if !(candidate.revision.Newer(active) || a.hasUnknownHeld(candidate, active)) || best.revision.Newer(candidate.revision) {
 			continue
 		}
 		if candidate.revision.Newer(best.revision) {
@@ -89,6 +95,22 @@
 	return best, count > 0
 }
 
+// hasUnknownHeld reports whether a version of the active era has held entries that were not
+// fetched yet. The caller holds mu.
+func (a *announcements) hasUnknownHeld(candidate announcement, active routes.Revision) bool {
+	return candidate.revision.Era == active.Era && candidate.held != 0 && (a.mergedEra != active.Era || !slices.Contains(a.merged, candidate.held))
+}
+
+// setMerged records that the held entries with a digest are known.
+func (a *announcements) setMerged(era uint64, held uint16) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if era != a.mergedEra {
+		a.merged, a.mergedEra = nil, era
+	}
+	a.merged = append(a.merged, held)
+}
+
 // remove removes a peer that did not respond or does not have the version.
 func (a *announcements) remove(peer passthrough.Endpoint) {
 	a.mu.Lock()
--- a/process/passthrough/config.go
+++ b/process/passthrough/config.go
@@ -27,12 +27,16 @@
 // configState is the complete operator configuration at a revision.
 type configState struct {
 	routes.Revision
+	// Items are the entries of the store in the era of the revision.
 	Items []Item
+	// Held are entries of earlier eras that the store has lost.
+	Held []heldEntry `json:",omitempty"`
 }
 
 // configSync keeps the operator configuration of a process up to date: by a watch on the
 // store, by polling, and from a peer if a heartbeat announces a version that the watch
-// has not delivered. A version is never replaced by an older one.
+// has not delivered. A version is never replaced by an older one: if the store was restored
+// from an older copy, what it has lost stays in effect until operators write it again.
 type configSync struct {
 	adapter   Adapter
 	store     *storeClient
@@ -54,6 +58,12 @@
 	confirmed atomic.Int64
 	mu        sync.Mutex
 	state     configState
+	// number is the version number of the active version.
+	number uint64
+	// removed are the entries that were removed, by key the last one.
+	removed []Item
+	// released are the keys of the held entries that expired in the era of the state.
+	released []string
 	// announced are newer versions of peers, encoded is the response to their requests.
 	announced *announcements
 	encoded   encodedConfig
@@ -159,13 +169,10 @@
 	for _, item := range items {
 		state.Revision = latest(state.Revision, item.Revision)
 	}
-	if !state.Newer(c.revision()) && !c.isActive(items) {
+	if active := c.revision(); !state.Newer(active) && (at.Era != active.Era || !c.isActive(items)) {
 		state.Revision = at
 	}
-	if !c.applyIfNewer(state, "store") && !c.isActive(items) {
-		c.logger.Warn("configuration in the store is not newer; keeping the active version", revisionFields(state.Revision,
-			zap.Uint64("active_era", c.revision().Era), zap.Uint64("active_revision", c.revision().Index))...)
-	}
+	c.applyIfNewer(state, "store")
 }
 
 // isActive reports whether the entries are those of the active version.
@@ -175,15 +182,36 @@
 	return sameItems(items, c.state.Items)
 }
 
-// applyIfNewer applies a complete state and reports whether it is newer than the active one.
-func (c *configSync) applyIfNewer(state configState, source string) bool {
+// applyIfNewer applies what is newer in a complete state than in the active one: the entries
+// of the store by their revision, and entries of earlier eras that the store has lost.
+func (c *configSync) applyIfNewer(read configState, source string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !state.Newer(c.state.Revision) {
-		return false
+	next := read
+	switch {
+	case read.Era < c.state.Era:
+		return
+	case read.Era > c.state.Era:
+		next.Held = mergeHeld(c.lostEntries(), c.received(read))
+	default:
+		if !read.Newer(c.state.Revision) {
+			next = c.state
+		}
+		next.Held = mergeHeld(c.state.Held, c.received(read))
+	}
+	c.settle(next, source)
+}
+
+// settle activates a state without the held entries that have been written again, if it
+// differs from the active one. The caller holds mu.
+func (c *configSync) settle(next configState, source string) {
+	if err := c.settleHeld(&next); err != nil {
+		c.logRejected(next, source, err)
+		return
+	}
+	if next.Newer(c.state.Revision) || next.heldDigest() != c.state.heldDigest() {
+		c.activate(next, source)
 	}
-	c.activate(state, source)
-	return true
 }
 
 // applyEvents applies watch events, which are in the order of their revisions, and
@@ -195,7 +223,7 @@
 	if len(events) > 0 && era != c.state.Era {
 		return false, errRestored
 	}
-	state := configState{Revision: c.state.Revision, Items: slices.Clone(c.state.Items)}
+	state := configState{Revision: c.state.Revision, Items: slices.Clone(c.state.Items), Held: slices.Clone(c.state.Held)}
 	for _, event := range events {
 		if !event.Newer(c.state.Revision) {
 			continue
@@ -204,30 +232,46 @@
 		state.Items = slices.DeleteFunc(state.Items, func(item Item) bool { return item.Key == event.Key })
 		if !event.Deleted {
 			state.Items = append(state.Items, event)
+			continue
 		}
+		c.release(&state, event.Key)
 	}
 	if !state.Newer(c.state.Revision) {
 		return false, nil
 	}
-	c.activate(state, "watch")
+	c.settle(state, "watch")
 	return true, nil
 }
 
 // activate makes a state the active one. If it is invalid, the last valid version stays
 // active.
 func (c *configSync) activate(state configState, source string) {
-	version, err := c.adapter.Decode(state.Items)
+	items := state.effective()
+	version, err := c.adapter.Decode(items)
 	if err != nil {
-		c.logger.Warn("invalid configuration rejected; keeping the active version", revisionFields(state.Revision,
-			zap.String("source", source), zap.Error(err))...)
+		c.logRejected(state, source, err)
 		return
 	}
-	version.Revision = state.Revision
+	version.Revision, version.Held = state.Revision, state.heldDigest()
 	slices.SortFunc(state.Items, func(a, b Item) int { return strings.Compare(a.Key, b.Key) })
-	c.state = state
+	c.noteRemovals(c.state.effective(), items)
+	c.logHeld(state)
+	if state.Era != c.state.Era {
+		c.released = nil
+	}
+	c.state, c.number = state, version.Number
+	if version.Held != 0 {
+		c.announced.setMerged(state.Era, version.Held)
+	}
+	c.scheduleExpiry()
 	c.onVersion(version)
 	c.logger.Info("configuration version activated", revisionFields(state.Revision, zap.Uint64("version", version.Number),
-		zap.String("source", source), zap.Int("routes", len(version.Routes)), zap.Int("domains_out", len(version.OutDomains)))...)
+		zap.String("source", source), zap.Int("routes", len(version.Routes)), zap.Int("domains_out", len(version.OutDomains)), zap.Int("held", len(state.Held)))...)
+}
+
+func (c *configSync) logRejected(state configState, source string, err error) {
+	c.logger.Warn("invalid configuration rejected; keeping the active version", revisionFields(state.Revision,
+		zap.String("source", source), zap.Error(err))...)
 }
 
 // latest returns the newer one of two revisions.
--- a/process/passthrough/config_peer.go
+++ b/process/passthrough/config_peer.go
@@ -77,8 +77,9 @@
 			return
 		}
 		state, err := c.fetch(ctx, source.peer)
-		if err == nil && state.Newer(c.revision()) {
+		if err == nil && (state.Newer(c.revision()) || len(state.Held) > 0) {
 			c.applyIfNewer(state, "peer "+source.peer.String())
+			c.announced.setMerged(source.revision.Era, source.held)
 			if !state.Newer(c.revision()) {
 				// A still newer version may have been announced meanwhile.
 				c.announced.signal()
@@ -109,7 +110,8 @@
 }
 
 // encodedConfig is the compressed response with the state of a revision. It is kept, since
-// all other processes of a failure domain may request a new version at the same time.
+// all other processes of a failure domain may request a new version at the same time, unless
+// it contains held entries, whose remaining time changes.
 type encodedConfig struct {
 	mu       sync.Mutex
 	revision routes.Revision
@@ -120,7 +122,7 @@
 func (e *encodedConfig) of(state configState) ([]byte, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.body != nil && e.revision == state.Revision {
+	if e.body != nil && e.revision == state.Revision && len(state.Held) == 0 {
 		return e.body, nil
 	}
 	var body bytes.Buffer
@@ -134,6 +136,9 @@
 	if err := compressor.Close(); err != nil {
 		return nil, errkind.Wrap(err, errkind.Internal, "compress the configuration")
 	}
+	if len(state.Held) > 0 {
+		return body.Bytes(), nil
+	}
 	e.revision, e.body = state.Revision, body.Bytes()
 	return e.body, nil
 }
@@ -142,7 +147,7 @@
 // client does not accept compression.
 func (c *configSync) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c.mu.Lock()
-	state := c.state
+	state := c.state.forPeer(c.clock.now())
 	c.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	var err error
--- a/process/passthrough/config_test.go
+++ b/process/passthrough/config_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -162,6 +163,7 @@
 	c := &configSync{
 		store: newStoreClient(store, backoff, zap.NewNop()),
 		adapter: Adapter{
+			ConfigKey: "config",
 			ConfigKeys: func(domains []string) []string {
 				keys := []string{"config"}
 				for _, domain := range domains {
@@ -175,7 +177,11 @@
 					if string(item.Value) == "broken" {
 						return nil, errkind.New(errkind.InvalidConfig, "broken")
 					}
-					v.OutDomains[item.Key] = true
+					if item.Key != "config" {
+						v.OutDomains[item.Key] = true
+					} else if _, err := fmt.Sscanf(string(item.Value), "v%d", &v.Number); err != nil {
+						v.Number = 1
+					}
 				}
 				return v, nil
 			},
--- a/process/passthrough/node.go
+++ b/process/passthrough/node.go
@@ -87,6 +87,7 @@
 type nodeMetrics struct {
 	Era            uint64  `json:"era"`
 	Revision       uint64  `json:"revision"`
+	HeldEntries    int     `json:"held_entries"`
 	ConfirmedAgeMs float64 `json:"confirmed_age_ms"`
 	Members        int     `json:"members"`
 	Reachable      int     `json:"members_reachable"`
@@ -109,6 +110,7 @@
 	m := nodeMetrics{
 		Era:            n.revision().Era,
 		Revision:       n.revision().Index,
+		HeldEntries:    n.config.heldEntries(),
 		ConfirmedAgeMs: float64(n.config.confirmedAge()) / float64(time.Millisecond),
 		Malformed:      n.roster.Malformed(),
 		SendFailures:   n.sender.failed,
@@ -165,7 +167,7 @@
 func (n *node) member() roster.Member {
 	m := roster.Member{Name: n.settings.Name, Domain: n.settings.Domain, Role: n.role, Peer: n.self(), Run: n.runID}
 	if n.version != nil {
-		m.Version = n.version.Revision
+		m.Version, m.Held = n.version.Revision, n.version.Held
 		m.ConfirmedAge = n.config.confirmedAge()
 	}
 	return m
--- a/process/passthrough/restore_test.go
+++ b/process/passthrough/restore_test.go
@@ -141,3 +141,99 @@
 		})
 	}
 }
+
+// outDomains returns the entries that take failure domains out in the active version.
+func outDomains(versions *[]*routes.Version) map[string]bool {
+	return (*versions)[len(*versions)-1].OutDomains
+}
+
+// TestLostChanges guards against confirmed changes that are undone, and failure domains that
+// change their state, since a restored store lacks what operators wrote after the copy.
+func TestLostChanges(t *testing.T) { synctest.Test(t, testLostChanges) }
+
+func testLostChanges(t *testing.T) {
+	in, out := map[string]bool{}, map[string]bool{"out/junin": true}
+	// write changes the entries "config" or "out/junin"; "-" removes the latter.
+	write := func(store *fakeStore, values ...string) {
+		for _, value := range values {
+			switch value {
+			case "out":
+				store.write("out/junin", "{}")
+			case "-":
+				store.write("out/junin", "")
+			default:
+				store.write("config", value)
+			}
+		}
+	}
+	type state struct {
+		number uint64
+		out    map[string]bool
+		held   int
+	}
+	for name, c := range map[string]struct {
+		// copied is written before the copy, lost after it. Then the store is restored, and
+		// written is written before it is read again.
+		copied, lost, written []string
+		// restored is the state after that, rewritten the one after the lost changes were
+		// written again, expired the one without that and after lostEntryTimeout.
+		restored, rewritten, expired state
+	}{
+		"a version":                    {[]string{"v1"}, []string{"v2"}, nil, state{2, in, 1}, state{2, in, 0}, state{2, in, 1}},
+		"an older version of two":      {[]string{"v1"}, []string{"v2", "v3"}, []string{"v2"}, state{3, in, 1}, state{3, in, 0}, state{3, in, 1}},
+		"a version and writes a later": {[]string{"v1"}, []string{"v2"}, []string{"v3"}, state{3, in, 0}, state{2, in, 0}, state{3, in, 0}},
+		"the start of an evacuation":   {[]string{"v1"}, []string{"out"}, nil, state{1, out, 1}, state{1, out, 0}, state{1, in, 0}},
+		"a version and a start":        {[]string{"v1"}, []string{"v2", "out"}, nil, state{2, out, 2}, state{2, out, 0}, state{2, out, 2}},
+		"the end of an evacuation":     {[]string{"v1", "out"}, []string{"-"}, nil, state{1, in, 1}, state{1, in, 0}, state{1, out, 0}},
+		"a start that has ended again": {[]string{"v1"}, []string{"out", "-"}, nil, state{1, in, 0}, state{1, in, 0}, state{1, in, 0}},
+		"an end, and a start follows":  {[]string{"v1", "out"}, []string{"-"}, []string{"out"}, state{1, out, 0}, state{1, in, 0}, state{1, out, 0}},
+		"everything":                   {nil, []string{"v1", "out"}, nil, state{1, out, 2}, state{1, out, 0}, state{1, out, 2}},
+	} {
+		convey.Convey("A store loses "+name, t, func() {
+			store := newFakeStore()
+			write(store, c.copied...)
+			items, revision := store.copyOf()
+			sync, versions := newTestConfigSync(store)
+			_ = sync.refresh(t.Context()) // Without a configuration it is invalid.
+			for _, lost := range c.lost {
+				write(store, lost)
+				_ = sync.refresh(t.Context())
+			}
+			current := func() state { return state{sync.number, outDomains(versions), len(sync.state.Held)} }
+			restore := func() {
+				store.restore(items, revision)
+				write(store, c.written...)
+				convey.So(sync.refresh(t.Context()), convey.ShouldBeNil)
+			}
+			restore()
+			convey.So(current(), convey.ShouldResemble, c.restored)
+			convey.So(sync.revision().Era, convey.ShouldEqual, 1)
+
+			convey.Convey("and again in a second restoration", func() {
+				restore()
+				convey.So(current(), convey.ShouldResemble, c.restored)
+				convey.So(sync.revision().Era, convey.ShouldEqual, 2)
+			})
+			convey.Convey("and operators write it again", func() {
+				write(store, c.lost...)
+				convey.So(sync.refresh(t.Context()), convey.ShouldBeNil)
+				convey.So(current(), convey.ShouldResemble, c.rewritten)
+			})
+			convey.Convey("and operators do not write it again", func() {
+				time.Sleep(lostEntryTimeout + time.Second)
+				convey.So(current(), convey.ShouldResemble, c.expired)
+			})
+			convey.Convey("and a process starts before operators write it again", func() {
+				started, versions := newTestConfigSync(store)
+				convey.So(started.refresh(t.Context()), convey.ShouldBeNil)
+				peers := versionPeers{}
+				started.client.Transport = peers
+				m := peers.add(&versionServer{configSync: sync}, "junin")
+				m.Held = sync.state.heldDigest()
+				started.announced.add(m)
+				runFetch(t, started)
+				convey.So(state{started.number, outDomains(versions), len(started.state.Held)}, convey.ShouldResemble, c.restored)
+			})
+		})
+	}
+}
--- a/process/roster/compact.go
+++ b/process/roster/compact.go
@@ -22,10 +22,10 @@
 	run     uint32
 	peer    passthrough.Endpoint
 	version uint64
-	// hasEra is true if the heartbeat contains the lower 16 bits of the era of version;
-	// otherwise the era is 0.
+	// hasEra is true if the heartbeat contains the lower 16 bits of the era of version and
+	// held; otherwise both are 0.
 	hasEra           bool
-	era              uint16
+	era, held        uint16
 	interval         time.Duration
 	confirmedAge     time.Duration
 	meanOpenRequests float64
@@ -66,7 +66,7 @@
 	return compactHeartbeat{
 		state: h.Report.State, receivesHeartbeats: h.receivesHeartbeats, wantsReply: h.wantsReply, run: uint32(h.Run), peer: h.Peer, version: h.Version.Index, interval: h.interval,
 		confirmedAge: h.ConfirmedAge, meanOpenRequests: h.Report.MeanOpenRequests, flows: h.Report.Flows, incarnation: h.Report.Incarnation,
-		acceptsEra: h.acceptsEra, hasEra: h.Version.Era != 0, era: uint16(h.Version.Era), acceptsLoad: h.acceptsLoad, hasLoad: h.Report.HasLoad, pending: h.Report.Pending, serviceTime: h.Report.ServiceTime,
+		acceptsEra: h.acceptsEra, hasEra: h.Version.Era != 0, era: uint16(h.Version.Era), held: h.Held, acceptsLoad: h.acceptsLoad, hasLoad: h.Report.HasLoad, pending: h.Report.Pending, serviceTime: h.Report.ServiceTime,
 	}
 }
 
@@ -103,6 +103,7 @@
 	}
 	if b.hasEra {
 		w = binary.LittleEndian.AppendUint16(w, b.era)
+		w = binary.LittleEndian.AppendUint16(w, b.held)
 	}
 	return w
 }
@@ -138,7 +139,7 @@
 		b.pending, b.serviceTime = parseLoad(w[compactHeartbeatSize-1:])
 	}
 	if hasEra {
-		b.era = binary.LittleEndian.Uint16(w[size:])
+		b.era, b.held = binary.LittleEndian.Uint16(w[size:]), binary.LittleEndian.Uint16(w[size+2:])
 	}
 	if b.peer == 0 || b.interval <= 0 {
 		return compactHeartbeat{}, errkind.New(errkind.Malformed, "compact heartbeat without address or interval")
@@ -165,7 +166,7 @@
 		return
 	}
 	h := heartbeat{Member: p.member, interval: b.interval, receivesHeartbeats: b.receivesHeartbeats, wantsReply: b.wantsReply, acceptsLoad: b.acceptsLoad, acceptsEra: b.acceptsEra}
-	h.Version, h.ConfirmedAge = routes.Revision{Index: b.version}, b.confirmedAge
+	h.Version, h.Held, h.ConfirmedAge = routes.Revision{Index: b.version}, b.held, b.confirmedAge
 	if b.hasEra {
 		h.Version.Era = routes.NearestEra(b.era, p.member.Version.Era)
 	}
--- a/process/roster/heartbeat.go
+++ b/process/roster/heartbeat.go
@@ -57,6 +57,9 @@
 	Run uint64
 	// Version is the revision of the active configuration.
 	Version routes.Revision
+	// Held is a digest of the entries of earlier eras that the store has lost and that are
+	// part of the active configuration, 0 for none.
+	Held uint16
 	// ConfirmedAge is the time since the store was last seen to hold no newer version,
 	// by this process or by one from which it received a heartbeat.
 	ConfirmedAge time.Duration
@@ -102,11 +105,12 @@
 // byte with its length.
 const stringFields = 3
 
-// eraSize is the size of the era that ends a full heartbeat. Earlier builds send none and
-// ignore it. compactEraSize is that of its lower bits, which end a compact heartbeat.
+// eraSize is the size of the era and the digest of held entries that end a full heartbeat.
+// Earlier builds send neither and ignore them. compactEraSize is that of the lower bits of the
+// era and the digest, which end a compact heartbeat.
 const (
-	eraSize        = 8
-	compactEraSize = 2
+	eraSize        = 10
+	compactEraSize = 4
 )
 
 // openRequestsScale is the factor by which a full heartbeat multiplies the mean
@@ -151,6 +155,7 @@
 	}
 	if h.acceptsEra {
 		b = binary.LittleEndian.AppendUint64(b, h.Version.Era)
+		b = binary.LittleEndian.AppendUint16(b, h.Held)
 	}
 	return b
 }
@@ -190,7 +195,8 @@
 		if len(rest) < eraSize {
 			return heartbeat{}, errkind.New(errkind.Malformed, "heartbeat is truncated inside the era")
 		}
-		h.Version.Era = binary.LittleEndian.Uint64(rest[len(rest)-eraSize:])
+		era := rest[len(rest)-eraSize:]
+		h.Version.Era, h.Held = binary.LittleEndian.Uint64(era), binary.LittleEndian.Uint16(era[8:])
 		rest = rest[:len(rest)-eraSize]
 	}
 	if len(rest) >= loadSize {
--- a/process/roster/roster.go
+++ b/process/roster/roster.go
@@ -30,7 +30,7 @@
 	// Sender sends datagrams to members.
 	Sender passthrough.Sender
 	// OnNewerVersion is called when a member has a newer configuration version than
-	// this process.
+	// this process, or holds other entries that the store has lost.
 	OnNewerVersion func(Member)
 	// OnConfirmed is called with the time since a member's version was confirmed to
 	// be the newest, if this process has that version or a newer one of the same era.
@@ -215,9 +215,11 @@
 	p.acceptsLoad, p.acceptsEra = h.acceptsLoad, h.acceptsEra
 	p.answered()
 	r.lastReceived = now
-	if h.Version.Newer(self.Version) {
+	newer, sameEra := h.Version.Newer(self.Version), h.Version.Era == self.Version.Era
+	if newer || (sameEra && h.Held != 0 && h.Held != self.Held) {
 		r.options.OnNewerVersion(h.Member)
-	} else if h.Version.Era == self.Version.Era {
+	}
+	if !newer && sameEra {
 		r.options.OnConfirmed(h.ConfirmedAge)
 	}
 	if restarted {
--- a/version/routes/routes.go
+++ b/version/routes/routes.go
@@ -79,6 +79,9 @@
 type Version struct {
 	// Revision increases with each version.
 	Revision Revision
+	// Held is a digest of the entries of earlier eras that the store has lost and that are
+	// part of the version, 0 for none.
+	Held uint16
 	// Number is the version number that operators gave to the configuration.
 	Number uint64
 	// Routes maps addresses to routes.
