passthrough: write entries and checkpoints again when the store was restored

Directory entries written after the copy were missing until the next renewal, up to 10 s, or for good where the copy had the lease and not the entry; checkpoints until flows changed. A deployment that lost its power then could not find its members or flows.

Cause: a process learned from a renewal alone that its lease is gone, and a renewal shows nothing of the entry. An identifier of a lease may also have been granted to another process since.

Change: a lease counts only in the era in which the store granted it. Entries are written under a new lease within 2 s after the process learns of a later era, from the store or a member, spread over a second; checkpoints at the next write. Until then reads of the directory are not applied, and a process that starts reads it again after 2 s. Watchers announce a version that they read after a restoration.

Evidence: with the checks taken out, TestEntriesAfterStoreRestored finds no entry back after 2 s and TestLateLease fails; go test -race of the package holds.

--- a/process/passthrough/backoff.go
+++ b/process/passthrough/backoff.go
@@ -101,12 +101,22 @@
 	sleepUntil(ctx, until, wake)
 }
 
-// sleepUntilResponding waits for d, or until the store responds again after a failure.
-func (b *storeBackoff) sleepUntilResponding(ctx context.Context, d time.Duration) {
+// sleepUntilResponding waits for d, until the store responds again after a failure, or until
+// restored is closed, and reports whether it was.
+func (b *storeBackoff) sleepUntilResponding(ctx context.Context, d time.Duration, restored <-chan struct{}) bool {
 	b.mu.Lock()
 	wake := b.wake
 	b.mu.Unlock()
-	sleepUntil(ctx, d, wake)
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-wake:
+	case <-ctx.Done():
+	case <-restored:
+		return true
+	}
+	return false
 }
 
 // schedule returns the time until the retry of a task, which is between half and all of
--- a/process/passthrough/checkpoint.go
+++ b/process/passthrough/checkpoint.go
@@ -165,6 +165,9 @@
 // write stores the collected checkpoints that the last written ones do not cover.
 func (c *checkpointer) write(ctx context.Context, collected map[string]passthrough.Checkpoint) error {
 	c.dropUncollected(collected)
+	if c.store.isLost(c.lease) {
+		c.replaceLeaseAt = 0
+	}
 	if c.clock.now() >= c.replaceLeaseAt {
 		clear(c.written)
 	}
@@ -193,8 +196,8 @@
 	return nil
 }
 
-// ensureLease requests a new lease if half of the last one has elapsed or a write under
-// it has failed.
+// ensureLease requests a new lease if half of the last one has elapsed, a write under it has
+// failed or the store has lost it.
 func (c *checkpointer) ensureLease(ctx context.Context) error {
 	if c.clock.now() < c.replaceLeaseAt {
 		return nil
--- a/process/passthrough/config.go
+++ b/process/passthrough/config.go
@@ -133,7 +133,12 @@
 // changes after it. It returns the next position.
 func (c *configSync) listOrWatch(ctx context.Context, position routes.Revision) (routes.Revision, error) {
 	if position.IsZero() {
-		return c.list(ctx)
+		before := c.revision()
+		at, err := c.list(ctx)
+		if !before.IsZero() && c.revision().Newer(before) {
+			c.announce()
+		}
+		return at, err
 	}
 	events, at, err := c.store.watch(ctx, c.adapter.ConfigPrefix, position, watchWait)
 	if err != nil {
--- a/process/passthrough/config_test.go
+++ b/process/passthrough/config_test.go
@@ -36,7 +36,9 @@
 
 // write changes an entry, or deletes it if value is empty. The revision of the store also
 // increases by unrelated changes.
-func (f *fakeStore) write(key, value string) {
+func (f *fakeStore) write(key, value string) { f.writeWithLease(key, value, 0) }
+
+func (f *fakeStore) writeWithLease(key, value string, lease uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.revision += 5
@@ -48,7 +50,7 @@
 	}
 	f.items = items
 	if value != "" {
-		f.items = append(f.items, Item{Key: key, Value: []byte(value), Revision: f.at(f.revision)})
+		f.items = append(f.items, Item{Key: key, Value: []byte(value), Revision: f.at(f.revision), Lease: lease})
 	}
 	f.revision += 5
 	close(f.wake)
@@ -72,13 +74,15 @@
 }
 
 // Put implements Store; it fails while the store is down.
-func (f *fakeStore) Put(_ context.Context, entries []Item, _ uint64) (uint64, error) {
+func (f *fakeStore) Put(_ context.Context, entries []Item, lease uint64) (uint64, error) {
 	if f.isDown() {
 		return 0, errkind.New(errkind.OutcomeUnknown, "down")
 	}
+	f.mu.Lock()
 	f.puts++
+	f.mu.Unlock()
 	for _, entry := range entries {
-		f.write(entry.Key, string(entry.Value))
+		f.writeWithLease(entry.Key, string(entry.Value), lease)
 	}
 	return f.currentEra(), nil
 }
@@ -94,10 +98,15 @@
 	if f.isDown() {
 		return Lease{}, errkind.New(errkind.StoreUnavailable, "down")
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.grants++
-	return Lease{ID: uint64(f.grants), Duration: ttl, Era: f.currentEra()}, nil
+	return Lease{ID: uint64(f.grants), Duration: ttl, Era: f.era}, nil
 }
 
+// Renew implements Store; leases do not end.
+func (f *fakeStore) Renew(context.Context, uint64) (uint64, error) { return f.currentEra(), nil }
+
 func (f *fakeStore) isDown() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/process/passthrough/directory.go
+++ b/process/passthrough/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"strings"
 	"sync/atomic"
@@ -28,6 +29,10 @@
 	// listInterval is the time between reads of the directory, by which processes
 	// discover each other when no other member has introduced them.
 	listInterval = 15 * time.Second
+	// entryRestoreTime is the time within which processes write their entries again after the
+	// store was restored from an older copy. entryRestoreSpread spreads the writes.
+	entryRestoreTime   = 2 * time.Second
+	entryRestoreSpread = time.Second
 )
 
 // directory maintains the entry of this process in the store and reads those of others.
@@ -96,10 +101,13 @@
 				d.logger.Info("directory entry restored")
 			}
 			unavailable = false
-			// The lease may have expired during an outage.
-			d.backoff.sleepUntilResponding(ctx, d.lease.Duration/renewalsPerLease)
+			era, restored := d.store.eras.current()
+			// The lease may have expired during an outage, or have been lost.
+			if d.lease.Era == era && d.backoff.sleepUntilResponding(ctx, d.lease.Duration/renewalsPerLease, restored) {
+				sleep(ctx, rand.N(entryRestoreSpread))
+			}
 		case errkind.Is(err, errkind.NotFound):
-			d.logger.Info("lease of the directory entry expired; writing the entry again", zap.Uint64("lease", d.lease.ID), zap.Uint64("era", d.lease.Era))
+			d.logger.Info("lease of the directory entry has ended; writing the entry again", zap.Uint64("lease", d.lease.ID), zap.Uint64("era", d.lease.Era))
 			d.lease = Lease{}
 		default:
 			if !unavailable && ctx.Err() == nil {
@@ -112,9 +120,10 @@
 	return nil
 }
 
-// renewOrWrite renews the lease, or writes the entry under a new one if there is none.
+// renewOrWrite renews the lease, or writes the entry under a new one if there is none or it is
+// lost.
 func (d *directory) renewOrWrite(ctx context.Context) error {
-	if d.lease.ID != 0 {
+	if d.lease.ID != 0 && !d.store.isLost(d.lease) {
 		return d.store.renew(ctx, d.lease)
 	}
 	lease, err := d.store.grant(ctx, max(entryLease, d.minLease))
@@ -140,15 +149,26 @@
 	case <-ctx.Done():
 		return nil
 	}
+	// The store may have been restored just before, so that entries are missing at first.
+	interval, stale := entryRestoreTime, false
 	for ctx.Err() == nil {
-		items, _, err := d.store.list(ctx, directoryPrefix, d.synced.Load())
+		era, restored := d.store.eras.current()
+		items, revision, err := d.store.list(ctx, directoryPrefix, stale)
 		if err != nil {
 			d.backoff.wait(ctx)
 			continue
 		}
-		d.apply(d.entries(items))
-		d.synced.Store(true)
-		sleep(ctx, listInterval)
+		if !d.synced.Load() || revision.Era == era {
+			d.apply(d.entries(items))
+			d.synced.Store(true)
+			stale = true
+			sleepUntil(ctx, interval, restored)
+			interval = listInterval
+		}
+		if latest, _ := d.store.eras.current(); latest != era {
+			stale = false
+			sleep(ctx, entryRestoreTime)
+		}
 	}
 	return nil
 }
--- a/process/passthrough/restore_test.go
+++ b/process/passthrough/restore_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,7 +12,9 @@
 	"github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 
+	"bergamotbank/connection/passthrough"
 	"bergamotbank/errkind"
+	"bergamotbank/process/roster"
 	"bergamotbank/version/routes"
 )
 
@@ -142,9 +146,18 @@
 	}
 }
 
-// outDomains returns the entries that take failure domains out in the active version.
-func outDomains(versions *[]*routes.Version) map[string]bool {
-	return (*versions)[len(*versions)-1].OutDomains
+// lostState is the number of the active version, the entries that take failure domains out in
+// it and the number of those of its entries that the store has lost.
+type lostState struct {
+	number uint64
+	out    map[string]bool
+	held   int
+}
+
+func stateOf(c *configSync, versions *[]*routes.Version) lostState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return lostState{c.number, (*versions)[len(*versions)-1].OutDomains, len(c.state.Held)}
 }
 
 // TestLostChanges guards against confirmed changes that are undone, and failure domains that
@@ -166,57 +179,52 @@
 			}
 		}
 	}
-	type state struct {
-		number uint64
-		out    map[string]bool
-		held   int
-	}
 	for name, c := range map[string]struct {
 		// copied is written before the copy, lost after it. Then the store is restored, and
 		// written is written before it is read again.
 		copied, lost, written []string
 		// restored is the state after that, rewritten the one after the lost changes were
 		// written again, expired the one without that and after lostEntryTimeout.
-		restored, rewritten, expired state
+		restored, rewritten, expired lostState
 	}{
-		"a version":                    {[]string{"v1"}, []string{"v2"}, nil, state{2, in, 1}, state{2, in, 0}, state{2, in, 1}},
-		"an older version of two":      {[]string{"v1"}, []string{"v2", "v3"}, []string{"v2"}, state{3, in, 1}, state{3, in, 0}, state{3, in, 1}},
-		"a version and writes a later": {[]string{"v1"}, []string{"v2"}, []string{"v3"}, state{3, in, 0}, state{2, in, 0}, state{3, in, 0}},
-		"the start of an evacuation":   {[]string{"v1"}, []string{"out"}, nil, state{1, out, 1}, state{1, out, 0}, state{1, in, 0}},
-		"a version and a start":        {[]string{"v1"}, []string{"v2", "out"}, nil, state{2, out, 2}, state{2, out, 0}, state{2, out, 2}},
-		"the end of an evacuation":     {[]string{"v1", "out"}, []string{"-"}, nil, state{1, in, 1}, state{1, in, 0}, state{1, out, 0}},
-		"a start that has ended again": {[]string{"v1"}, []string{"out", "-"}, nil, state{1, in, 0}, state{1, in, 0}, state{1, in, 0}},
-		"an end, and a start follows":  {[]string{"v1", "out"}, []string{"-"}, []string{"out"}, state{1, out, 0}, state{1, in, 0}, state{1, out, 0}},
-		"everything":                   {nil, []string{"v1", "out"}, nil, state{1, out, 2}, state{1, out, 0}, state{1, out, 2}},
+		"a version":                    {[]string{"v1"}, []string{"v2"}, nil, lostState{2, in, 1}, lostState{2, in, 0}, lostState{2, in, 1}},
+		"an older version of two":      {[]string{"v1"}, []string{"v2", "v3"}, []string{"v2"}, lostState{3, in, 1}, lostState{3, in, 0}, lostState{3, in, 1}},
+		"a version and writes a later": {[]string{"v1"}, []string{"v2"}, []string{"v3"}, lostState{3, in, 0}, lostState{2, in, 0}, lostState{3, in, 0}},
+		"the start of an evacuation":   {[]string{"v1"}, []string{"out"}, nil, lostState{1, out, 1}, lostState{1, out, 0}, lostState{1, in, 0}},
+		"a version and a start":        {[]string{"v1"}, []string{"v2", "out"}, nil, lostState{2, out, 2}, lostState{2, out, 0}, lostState{2, out, 2}},
+		"the end of an evacuation":     {[]string{"v1", "out"}, []string{"-"}, nil, lostState{1, in, 1}, lostState{1, in, 0}, lostState{1, out, 0}},
+		"a start that has ended again": {[]string{"v1"}, []string{"out", "-"}, nil, lostState{1, in, 0}, lostState{1, in, 0}, lostState{1, in, 0}},
+		"an end, and a start follows":  {[]string{"v1", "out"}, []string{"-"}, []string{"out"}, lostState{1, out, 0}, lostState{1, in, 0}, lostState{1, out, 0}},
+		"everything":                   {nil, []string{"v1", "out"}, nil, lostState{1, out, 2}, lostState{1, out, 0}, lostState{1, out, 2}},
 	} {
 		convey.Convey("A store loses "+name, t, func() {
 			store := newFakeStore()
 			write(store, c.copied...)
 			items, revision := store.copyOf()
-			sync, versions := newTestConfigSync(store)
-			_ = sync.refresh(t.Context()) // Without a configuration it is invalid.
+			seen, versions := newTestConfigSync(store)
+			_ = seen.refresh(t.Context()) // Without a configuration it is invalid.
 			for _, lost := range c.lost {
 				write(store, lost)
-				_ = sync.refresh(t.Context())
+				_ = seen.refresh(t.Context())
 			}
-			current := func() state { return state{sync.number, outDomains(versions), len(sync.state.Held)} }
+			current := func() lostState { return stateOf(seen, versions) }
 			restore := func() {
 				store.restore(items, revision)
 				write(store, c.written...)
-				convey.So(sync.refresh(t.Context()), convey.ShouldBeNil)
+				convey.So(seen.refresh(t.Context()), convey.ShouldBeNil)
 			}
 			restore()
 			convey.So(current(), convey.ShouldResemble, c.restored)
-			convey.So(sync.revision().Era, convey.ShouldEqual, 1)
+			convey.So(seen.revision().Era, convey.ShouldEqual, 1)
 
 			convey.Convey("and again in a second restoration", func() {
 				restore()
 				convey.So(current(), convey.ShouldResemble, c.restored)
-				convey.So(sync.revision().Era, convey.ShouldEqual, 2)
+				convey.So(seen.revision().Era, convey.ShouldEqual, 2)
 			})
 			convey.Convey("and operators write it again", func() {
 				write(store, c.lost...)
-				convey.So(sync.refresh(t.Context()), convey.ShouldBeNil)
+				convey.So(seen.refresh(t.Context()), convey.ShouldBeNil)
 				convey.So(current(), convey.ShouldResemble, c.rewritten)
 			})
 			convey.Convey("and operators do not write it again", func() {
@@ -228,12 +236,93 @@
 				convey.So(started.refresh(t.Context()), convey.ShouldBeNil)
 				peers := versionPeers{}
 				started.client.Transport = peers
-				m := peers.add(&versionServer{configSync: sync}, "junin")
-				m.Held = sync.state.heldDigest()
+				m := peers.add(&versionServer{configSync: seen}, "junin")
+				m.Held = seen.state.heldDigest()
 				started.announced.add(m)
 				runFetch(t, started)
-				convey.So(state{started.number, outDomains(versions), len(started.state.Held)}, convey.ShouldResemble, c.restored)
+				convey.So(stateOf(started, versions), convey.ShouldResemble, c.restored)
 			})
 		})
 	}
 }
+
+// TestEntriesAfterStoreRestored guards against directory entries and checkpoints that are
+// missing for as long as a lease lasts, and against reads of the directory that miss members
+// meanwhile.
+func TestEntriesAfterStoreRestored(t *testing.T) { synctest.Test(t, testEntriesAfterStoreRestored) }
+
+func testEntriesAfterStoreRestored(t *testing.T) {
+	ctx, stop := context.WithCancel(t.Context())
+	store := newFakeStore()
+	items, revision := store.copyOf()
+	backoff := newStoreBackoff(newClock(), func() retryDelays { return retryDelays{minRetryDelay, maxRetryDelay} })
+	var directories []*directory
+	var done []chan error
+	var mu sync.Mutex
+	fewest := 2
+	for i, key := range []string{"a", "b"} {
+		d := &directory{
+			store: newStoreClient(store, backoff, zap.NewNop()), backoff: backoff, logger: zap.NewNop(), key: directoryPrefix + agentsPrefix + key,
+			peer: passthrough.EndpointOf(netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 7100)), entryWritten: make(chan struct{}),
+		}
+		d.apply = func(entries []roster.Entry) {
+			mu.Lock()
+			defer mu.Unlock()
+			fewest = min(fewest, len(entries))
+		}
+		directories = append(directories, d)
+		for _, task := range []func(context.Context) error{d.maintainEntry, d.poll} {
+			done = append(done, make(chan error, 1))
+			go func(done chan error) { done <- task(ctx) }(done[len(done)-1])
+		}
+	}
+	flows := newTestCheckpointer(store)
+	flows.flows.Flows = []passthrough.CheckpointFlow{flowOf(1)}
+	time.Sleep(entryRestoreTime + time.Second)
+	saved := flows.save(ctx)
+	mu.Lock()
+	fewest = 2
+	mu.Unlock()
+	store.mu.Lock()
+	grants := store.grants
+	store.mu.Unlock()
+	store.restore(items, revision)
+	// Members announce the era before this process calls the store.
+	directories[0].store.eras.observe(1)
+	directories[1].store.eras.observe(1)
+	flows.checkpointer.store.eras.observe(1)
+	savedAgain := flows.save(ctx)
+	time.Sleep(entryRestoreTime)
+	restored, _ := store.copyOf()
+	time.Sleep(listInterval)
+	stop()
+	for _, ended := range done {
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	}
+	convey.Convey("Entries and checkpoints are back within two seconds under new leases, and no read of the directory lacks a member", t, func() {
+		convey.So(saved, convey.ShouldBeNil)
+		convey.So(savedAgain, convey.ShouldBeNil)
+		convey.So(restored, convey.ShouldHaveLength, 3)
+		convey.So(store.grants-grants, convey.ShouldEqual, 3)
+		convey.So(fewest, convey.ShouldEqual, 1)
+	})
+}
+
+// TestLateLease guards against an entry under a lease that the store has lost, or has granted
+// to another process since.
+func TestLateLease(t *testing.T) {
+	convey.Convey("Responses of an earlier era to calls about a lease do not count", t, func() {
+		store := newFakeStore()
+		client := newStoreClient(store, newStoreBackoff(newClock(), func() retryDelays { return retryDelays{} }), zap.NewNop())
+		lease, err := client.grant(t.Context(), time.Second)
+		convey.So(err, convey.ShouldBeNil)
+		client.eras.observe(1)
+		_, err = client.grant(t.Context(), time.Second)
+		convey.So(errkind.Is(err, errkind.NotFound), convey.ShouldBeTrue)
+		convey.So(errkind.Is(client.put(t.Context(), nil, lease), errkind.NotFound), convey.ShouldBeTrue)
+		store.restore(nil, 10)
+		convey.So(errkind.Is(client.put(t.Context(), nil, lease), errkind.NotFound), convey.ShouldBeTrue)
+	})
+}
--- a/process/passthrough/store_client.go
+++ b/process/passthrough/store_client.go
@@ -148,37 +148,54 @@
 	return unchanged && current == era, nil
 }
 
+// isLost reports whether the store was restored since it granted a lease. The store may have
+// lost the lease or what was written with it, and may grant its identifier to another process.
+func (s *storeClient) isLost(lease Lease) bool {
+	era, _ := s.eras.current()
+	return lease.Era != era
+}
+
 // grant requests a lease.
 func (s *storeClient) grant(ctx context.Context, ttl time.Duration) (Lease, error) {
 	started := time.Now()
 	lease, err := s.store.Grant(ctx, ttl)
 	s.measure("grant", started, err)
-	if err == nil {
-		s.eras.observe(lease.Era)
+	if err != nil {
+		return Lease{}, err
 	}
-	return lease, err
+	return lease, s.checkLease(lease, lease.Era)
 }
 
-// renew renews a lease.
+// renew renews a lease. The error has kind NotFound if the lease has ended or is lost.
 func (s *storeClient) renew(ctx context.Context, lease Lease) error {
 	started := time.Now()
 	era, err := s.store.Renew(ctx, lease.ID)
 	s.measure("renew", started, err)
-	if err == nil {
-		s.eras.observe(era)
+	if err != nil {
+		return err
 	}
-	return err
+	return s.checkLease(lease, era)
 }
 
-// put writes at most MaxTxnEntries entries in one transaction and attaches them to a lease.
+// put writes at most MaxTxnEntries entries in one transaction and attaches them to a lease. The
+// error has kind NotFound if the lease has ended or is lost.
 func (s *storeClient) put(ctx context.Context, entries []Item, lease Lease) error {
 	started := time.Now()
 	era, err := s.store.Put(ctx, entries, lease.ID)
 	s.measure("put", started, err)
-	if err == nil {
-		s.eras.observe(era)
+	if err != nil {
+		return err
 	}
-	return err
+	return s.checkLease(lease, era)
+}
+
+// checkLease returns an error of kind NotFound if a lease is lost, as of a response of an era.
+func (s *storeClient) checkLease(lease Lease, era uint64) error {
+	s.eras.observe(era)
+	if s.isLost(lease) {
+		return errkind.New(errkind.NotFound, "lease %d of era %d was lost when the store was restored", lease.ID, lease.Era)
+	}
+	return nil
 }
 
 // delete removes an entry.
