standin, soak: the store returns from an older copy

The test double of the store keeps copies, returns to one in the next era, and writes the operators' entries again when told, at indexes that it has assigned before.

--- a/soak/main.go
+++ b/soak/main.go
@@ -26,7 +26,7 @@
 	Length    time.Duration `arg:"--length" default:"20s" help:"length of one schedule"`
 	Regress   bool          `arg:"--regressions" help:"run the schedules of past failures instead"`
 	Demo      bool          `arg:"--demo" help:"run only planned changes and crashes of servers; only flows of a crashed server may break"`
-	Case      string        `arg:"--case" help:"run a fixed sequence once for each seed instead: one-way-cut, overload"`
+	Case      string        `arg:"--case" help:"run a fixed sequence once for each seed instead: one-way-cut, overload, restored-store"`
 	Steps     int           `arg:"--steps" help:"number of kinds of steps to draw from, to run a seed as before later ones were added"`
 	Program   string        `arg:"--program" default:"bin/bergamotd" help:"path of the bergamotd binary"`
 	Output    string        `arg:"--output" default:"out/soak" help:"directory for settings and logs"`
--- a/soak/schedule.go
+++ b/soak/schedule.go
@@ -141,23 +141,7 @@
 			d.checker.ReportViolation("server of %s: %v", v.process.name, err)
 		}
 	}},
-	{"add a route", true, func(d *deployment, _ *rand.Rand) {
-		route, inTouch := d.addRoute(), d.checker.InTouch(d.vmAddresses()...)
-		time.Sleep(maxActivationTime)
-		d.demand.RLock()
-		defer d.demand.RUnlock()
-		c, err := d.newProbe(domainName(0))
-		if err != nil {
-			d.checker.ReportViolation("probe: %v", err)
-			return
-		}
-		defer c.Close()
-		f := c.Open(route)
-		taken := d.fabric.BalancersOf(passthrough.Flow{Caller: c.LastPort(), Service: route})
-		if f == nil && inTouch && d.checker.InTouch(append(taken, d.vmAddresses()...)...) {
-			d.checker.ReportViolation("a route is not active %s after it was written", maxActivationTime)
-		}
-	}},
+	{"add a route", true, func(d *deployment, _ *rand.Rand) { checkAddedRoute(d, domainName(0)) }},
 	{"take a failure domain out of service and return it to service", true, func(d *deployment, r *rand.Rand) {
 		domain := domainName(r.IntN(d.size.domains))
 		d.setDomainOut(domain, true)
@@ -331,6 +315,26 @@
 	{"the demand exceeds the capacity", false, func(d *deployment, r *rand.Rand) {
 		overload(d, r, 1.1+0.5*r.Float64(), randomDuration(r, 2*time.Second, 5*time.Second))
 	}},
+	{"the store returns from an older copy", false, restoreStore},
+}
+
+// checkAddedRoute adds a route and checks that callers of a failure domain can use it in time.
+func checkAddedRoute(d *deployment, domain string) {
+	route, inTouch := d.addRoute(), d.checker.InTouch(d.vmAddresses()...)
+	time.Sleep(maxActivationTime)
+	d.demand.RLock()
+	defer d.demand.RUnlock()
+	c, err := d.newProbe(domain)
+	if err != nil {
+		d.checker.ReportViolation("probe: %v", err)
+		return
+	}
+	defer c.Close()
+	f := c.Open(route)
+	taken := d.fabric.BalancersOf(passthrough.Flow{Caller: c.LastPort(), Service: route})
+	if f == nil && inTouch && d.checker.InTouch(append(taken, d.vmAddresses()...)...) {
+		d.checker.ReportViolation("a route is not active %s after it was written", maxActivationTime)
+	}
 }
 
 // stepsBeforeCuts and stepsBeforeTargets are the numbers of steps before failure domains could be
--- a/soak/script.go
+++ b/soak/script.go
@@ -34,6 +34,11 @@
 			overload(d, rand.New(rand.NewPCG(seed, 11)), overloadFactor, overloadLength)
 		},
 	},
+	"restored-store": {
+		size:         deploymentSize{domains: 3, balancers: 6, orders: 7, downloads: 3},
+		flowDuration: meanFlowDuration,
+		run:          restoreRepeatedly,
+	},
 }
 
 // Times of releaseDuringCut. A cut longer than the time for which a process contacts an address
