store: read a watched entry again after a new connection

Cause: a watch continued from its last index after any break of its connection, and the transport repeats such a call on a new connection without an error. If the service was restored from an older copy meanwhile and has assigned that index to another change of the entry, the watch waited for the next change.

Change: after a call that used a new connection, the entry is read whatever the index.

Evidence: found by looking for revisions that go into a call. Ruled out: forgetting the index after a failed call alone, since no call fails.

--- a/version/store/client.go
+++ b/version/store/client.go
@@ -156,6 +156,8 @@
 	status int
 	index  uint64
 	body   []byte
+	// reconnected is true if the call used a new connection.
+	reconnected bool
 }
 
 // request is one call.
@@ -201,7 +203,7 @@
 	if err != nil {
 		return response{}, true, err
 	}
-	return response{status: httpResponse.StatusCode, index: indexOf(httpResponse.Header), body: body}, true, nil
+	return response{status: httpResponse.StatusCode, index: indexOf(httpResponse.Header), body: body, reconnected: trace.reconnected.Load()}, true, nil
 }
 
 // recordReachability records an event when the service becomes unreachable or
--- a/version/store/storetest/fake.go
+++ b/version/store/storetest/fake.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"sort"
@@ -117,6 +118,22 @@
 	s.put(entry{Key: key, Value: value})
 }
 
+// Snapshot copies the entries and returns a function that restores the copy. The indexes
+// assigned since are assigned again.
+func (s *Server) Snapshot() (restore func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entries, index := maps.Clone(s.entries), s.index
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.entries, s.index = maps.Clone(entries), index
+	}
+}
+
+// CloseConnections closes all connections of clients, as a restart does.
+func (s *Server) CloseConnections() { s.http.CloseClientConnections() }
+
 // Value returns the value of a key, or nil if the key does not exist.
 func (s *Server) Value(key string) []byte {
 	s.mu.Lock()
--- a/version/store/watch.go
+++ b/version/store/watch.go
@@ -13,7 +13,9 @@
 // until ctx is done; it returns the error of ctx. Intermediate states may be
 // skipped, but the latest one is always delivered, since each call continues from
 // the index of the previous one. A call that stalls beyond its wait and grace is
-// abandoned with its connection, and the next call uses a new connection. onError,
+// abandoned with its connection, and the next call uses a new connection. The entry is
+// read after each call on a new connection, whatever the index: the service may have been
+// restored from an older copy, and assigns the same indexes to other changes. onError,
 // if not nil, is called with the error of each failed call.
 func (c *Client) Watch(ctx context.Context, key string, handle func(Entry), onError func(error)) error {
 	w := watch{client: c, key: key, handle: handle, onError: onError}
@@ -25,18 +27,22 @@
 
 // watch is the state of one call of Watch.
 type watch struct {
-	client   *Client
-	key      string
-	handle   func(Entry)
-	onError  func(error)
-	index    uint64
+	client  *Client
+	key     string
+	handle  func(Entry)
+	onError func(error)
+	index   uint64
+	// unread is true if the entry is to be read whatever the index.
+	unread   bool
 	failures int
 }
 
 func (w *watch) step(ctx context.Context) {
-	index, err := w.poll(ctx)
-	if err == nil && (index != w.index || index == 0) {
+	index, reconnected, err := w.poll(ctx)
+	w.unread = w.unread || reconnected
+	if err == nil && (index != w.index || index == 0 || w.unread) {
 		err = w.deliver(ctx)
+		w.unread = err != nil
 	}
 	if ctx.Err() != nil {
 		return
@@ -75,9 +81,10 @@
 	sleep(ctx, backoff(w.failures))
 }
 
-// poll makes one blocking query and returns the index of the response. It requests
-// only the key names, since most calls end without a change.
-func (w *watch) poll(ctx context.Context) (uint64, error) {
+// poll makes one blocking query and returns the index of the response and whether the
+// query used a new connection. It requests only the key names, since most calls end
+// without a change.
+func (w *watch) poll(ctx context.Context) (index uint64, reconnected bool, err error) {
 	options := w.client.options
 	r := request{method: http.MethodGet, path: kvPath + w.key, query: "keys", timeout: options.Timeout}
 	if w.index > 0 {
@@ -88,9 +95,9 @@
 	resp, _, err := w.client.send(ctx, r)
 	if err != nil {
 		w.recordStall(ctx, time.Since(start), r.timeout)
-		return 0, err
+		return 0, false, err
 	}
-	return resp.index, statusError(r, resp)
+	return resp.index, resp.reconnected, statusError(r, resp)
 }
 
 func (w *watch) recordStall(ctx context.Context, elapsed, timeout time.Duration) {
--- a/version/store/wire.go
+++ b/version/store/wire.go
@@ -34,9 +34,10 @@
 	return e.ModifyIndex != 0
 }
 
-// sendTrace records whether a call may have reached the service.
+// sendTrace records whether a call may have reached the service, and whether it used a new
+// connection, also one on which the transport has repeated it.
 type sendTrace struct {
-	connected atomic.Bool
+	connected, reconnected atomic.Bool
 }
 
 func newSendTrace() *sendTrace {
@@ -45,7 +46,12 @@
 
 func (t *sendTrace) context(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { t.connected.Store(true) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			t.connected.Store(true)
+			if !info.Reused {
+				t.reconnected.Store(true)
+			}
+		},
 	})
 }
 
