publish: write sections again that a restored store has lost

Cause: the sections of a version are written before its root. If the store is restored from an older copy in between, the sections are lost and the write of the root succeeds, since the copy has the root that it replaces. The accepted version then cannot be read.

Change: after the root was written, sections that the store no longer has are written again. If that cannot be verified, the result and bergamotctl say so.

Evidence: TestSectionsLostByStore failed before with 'section services/47 is missing'.

--- a/process/ctl/apply.go
+++ b/process/ctl/apply.go
@@ -106,6 +106,9 @@
 	lines := []string{fmt.Sprintf("%s: version %d, operation %s, %d changes, offered to %d balancers",
 		o.Outcome, o.Version, o.Operation, len(o.Changes), o.Offered)}
 	lines = append(lines, changeLines(o.Changes)...)
+	if o.Unverified != "" {
+		lines = append(lines, "the store may lack sections of the version; apply it again when the store responds: "+o.Unverified)
+	}
 	if o.Active {
 		lines = append(lines, fmt.Sprintf("active on all processes after %d ms", o.WaitMillis))
 	}
--- a/version/publish/publish.go
+++ b/version/publish/publish.go
@@ -63,6 +63,9 @@
 	// Published is the complete version that was made, or nil if this call made
 	// none.
 	Published *Version `json:"-"`
+	// Unverified is the reason for which the store may lack sections of the version that
+	// was made; empty if it has them all.
+	Unverified string `json:"unverified,omitempty"`
 	// NewTexts holds the texts that the previous version lacks.
 	NewTexts Texts `json:"-"`
 }
@@ -100,6 +103,7 @@
 	for range maxAttempts {
 		retry, err := p.attempt(ctx, req, &result)
 		if !retry {
+			p.verifySections(ctx, &result)
 			return result, err
 		}
 	}
@@ -236,6 +240,29 @@
 	return nil
 }
 
+// verifySections writes the new sections of a published version again that the store
+// no longer has. If it was restored from an older copy after they were written, the
+// root still took effect, since the copy has the root that it replaced.
+func (p *Publisher) verifySections(ctx context.Context, result *Result) {
+	if result.Published == nil {
+		return
+	}
+	for _, s := range result.Published.Root.Sections {
+		text, isNew := result.NewTexts[s.Hash]
+		if !isNew {
+			continue
+		}
+		entry, err := p.client.Get(ctx, s.Key())
+		if err == nil && !entry.Exists() {
+			err = p.writeSection(ctx, s.Key(), text)
+		}
+		if err != nil {
+			result.Unverified = err.Error()
+			return
+		}
+	}
+}
+
 // writeSection writes a section and repeats the write if it gets no response. Only
 // this attempt uses the key, so a conflict means that an earlier write took effect.
 func (p *Publisher) writeSection(ctx context.Context, key string, text []byte) error {
--- a/version/publish/publish_test.go
+++ b/version/publish/publish_test.go
@@ -82,6 +82,25 @@
 	})
 }
 
+// TestSectionsLostByStore guards against an accepted version that no process can read: the store
+// was restored from an older copy between the writes of its sections and of its root.
+func TestSectionsLostByStore(t *testing.T) {
+	convey.Convey("Sections that a restored store has lost are written again", t, func() {
+		server := newServer(t)
+		p := newPublisher(t, server)
+		_, err := p.Publish(t.Context(), Request{Config: testConfig(t, 3, 80)})
+		convey.So(err, convey.ShouldBeNil)
+		p.beforeRootWrite = server.Snapshot()
+		result, err := p.Publish(t.Context(), Request{Config: testConfig(t, 3, 81)})
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(result.Unverified, convey.ShouldBeEmpty)
+		snapshot, err := Load(t.Context(), p.client)
+		convey.So(err, convey.ShouldBeNil)
+		convey.So(snapshot.Version, convey.ShouldEqual, 2)
+		convey.So(config.Diff(snapshot.Config, testConfig(t, 3, 81)), convey.ShouldBeEmpty)
+	})
+}
+
 func TestLostResponse(t *testing.T) {
 	convey.Convey("If the response is lost after the write took effect, the operation is found in the root", t, func() {
 		server := newServer(t)
