passthrough: do not read an invalid configuration of a later era without a pause

Cause: a list of a later era did not count as a confirmation, and one with an invalid configuration leaves the active version in the earlier era; the loop that reads the store then never paused.

Evidence: TestInvalidConfigInRestoredStore timed out before.

--- a/process/passthrough/config.go
+++ b/process/passthrough/config.go
@@ -159,9 +159,7 @@
 		return routes.Revision{}, err
 	}
 	c.applyList(items, at)
-	if at.Era == c.revision().Era {
-		c.confirm(c.clock.now() - started)
-	}
+	c.confirm(c.clock.now() - started)
 	return at, nil
 }
 
--- a/process/passthrough/restore_test.go
+++ b/process/passthrough/restore_test.go
@@ -326,3 +326,26 @@
 		convey.So(errkind.Is(client.put(t.Context(), nil, lease), errkind.NotFound), convey.ShouldBeTrue)
 	})
 }
+
+// TestInvalidConfigInRestoredStore guards against a process that reads a restored store without
+// a pause, since the configuration there is invalid.
+func TestInvalidConfigInRestoredStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.write("config", "v1")
+		c, _ := newTestConfigSync(store)
+		read := c.refresh(t.Context())
+		store.write("config", "broken")
+		items, revision := store.copyOf()
+		store.restore(items, revision)
+		ctx, stop := context.WithTimeout(t.Context(), 10*time.Second)
+		defer stop()
+		go func() { _ = c.watch(ctx) }()
+		_ = c.poll(ctx)
+		convey.Convey("The active version stays, and the store is read about once a second", t, func() {
+			convey.So(read, convey.ShouldBeNil)
+			convey.So(c.revision().Era, convey.ShouldEqual, 0)
+			convey.So(store.lists, convey.ShouldBeBetween, 1, 15)
+		})
+	})
+}
