passthrough: processes agree on held entries with the same revision

Cause: of the start and the removal of an entry at the same revision, the one that a process had first stayed, and both had the same digest, so two processes could differ until the entries expired.

Change: the removal replaces the start, and the digest tells them apart. One function waits for the store and a restoration.

Evidence: TestMergeHeld failed before for the removal.

--- a/process/passthrough/announcements.go
+++ b/process/passthrough/announcements.go
@@ -72,8 +72,8 @@
 }
 
 // newest returns a peer of the own failure domain, or of the others, with the newest
-// version announced there, and false if none is newer than the active one or has held entries
-// that were not fetched yet. Among several such peers it selects one at random, so that a
+// version announced there, and false if none is newer than the active one or contains entries
+// that the store has lost and that were not fetched yet. Among several such peers it selects one at random, so that a
 // domain's processes use different ones.
 func (a *announcements) newest(active routes.Revision, ownDomain bool) (announcement, bool) {
 	a.mu.Lock()
@@ -81,7 +81,8 @@
 	var best announcement
 	count := 0
 	for _, candidate := range *a.list(ownDomain) {
-		if !(candidate.revision.Newer(active) || a.hasUnknownHeld(candidate, active)) || best.revision.Newer(candidate.revision) {
+		wanted := candidate.revision.Newer(active) || a.hasUnknownHeld(candidate, active)
+		if !wanted || best.revision.Newer(candidate.revision) {
 			continue
 		}
 		if candidate.revision.Newer(best.revision) {
--- a/process/passthrough/backoff.go
+++ b/process/passthrough/backoff.go
@@ -98,25 +98,16 @@
 // tasks add up: together they make one call in each delay.
 func (b *storeBackoff) wait(ctx context.Context) {
 	until, wake := b.schedule(b.delays())
-	sleepUntil(ctx, until, wake)
+	sleepUntil(ctx, until, wake, nil)
 }
 
 // sleepUntilResponding waits for d, until the store responds again after a failure, or until
-// restored is closed, and reports whether it was.
-func (b *storeBackoff) sleepUntilResponding(ctx context.Context, d time.Duration, restored <-chan struct{}) bool {
+// restored is closed.
+func (b *storeBackoff) sleepUntilResponding(ctx context.Context, d time.Duration, restored <-chan struct{}) {
 	b.mu.Lock()
 	wake := b.wake
 	b.mu.Unlock()
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-wake:
-	case <-ctx.Done():
-	case <-restored:
-		return true
-	}
-	return false
+	sleepUntil(ctx, d, wake, restored)
 }
 
 // schedule returns the time until the retry of a task, which is between half and all of
@@ -130,13 +121,14 @@
 	return b.nextCall - now, b.wake
 }
 
-// sleepUntil waits for d, until wake is closed or ctx is canceled.
-func sleepUntil(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+// sleepUntil waits for d, until wake or restored is closed, or until ctx is canceled.
+func sleepUntil(ctx context.Context, d time.Duration, wake, restored <-chan struct{}) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
 	case <-wake:
+	case <-restored:
 	case <-ctx.Done():
 	}
 }
--- a/process/passthrough/config_held.go
+++ b/process/passthrough/config_held.go
@@ -1,7 +1,7 @@
 package passthrough
 
 import (
-	"encoding/binary"
+	"fmt"
 	"slices"
 	"strings"
 	"time"
@@ -50,8 +50,8 @@
 	}
 	var digest uint16
 	for _, held := range s.Held {
-		b := binary.LittleEndian.AppendUint64([]byte(held.Key), held.Era)
-		digest ^= uint16(xxhash.Sum64(binary.LittleEndian.AppendUint64(b, held.Index)))
+		b := fmt.Appendf(nil, "%s %d %d %t", held.Key, held.Era, held.Index, held.Deleted)
+		digest ^= uint16(xxhash.Sum64(b))
 	}
 	return max(digest, 1)
 }
@@ -87,8 +87,19 @@
 	return at >= 0
 }
 
-// mergeHeld combines the held entries of two processes in the same era. Of two with the same
-// key, the one with the higher number or the later revision stays.
+// isLater reports whether a held entry replaces another one with the same key: it has a higher
+// number or a later revision, or is the removal of the other one.
+func (h *heldEntry) isLater(other heldEntry) bool {
+	switch {
+	case h.Number != other.Number:
+		return h.Number > other.Number
+	case h.Revision != other.Revision:
+		return h.Newer(other.Revision)
+	}
+	return h.Deleted && !other.Deleted
+}
+
+// mergeHeld combines the held entries of two processes in the same era.
 func mergeHeld(a, b []heldEntry) []heldEntry {
 	merged := slices.Clone(a)
 	for _, held := range b {
@@ -96,7 +107,7 @@
 		switch {
 		case at < 0:
 			merged = append(merged, held)
-		case held.Number > merged[at].Number, held.Number == merged[at].Number && held.Newer(merged[at].Revision):
+		case held.isLater(merged[at]):
 			merged[at] = held
 		}
 	}
--- a/process/passthrough/directory.go
+++ b/process/passthrough/directory.go
@@ -102,8 +102,11 @@
 			}
 			unavailable = false
 			era, restored := d.store.eras.current()
-			// The lease may have expired during an outage, or have been lost.
-			if d.lease.Era == era && d.backoff.sleepUntilResponding(ctx, d.lease.Duration/renewalsPerLease, restored) {
+			if d.lease.Era == era {
+				// The lease may expire during an outage.
+				d.backoff.sleepUntilResponding(ctx, d.lease.Duration/renewalsPerLease, restored)
+			}
+			if d.store.isLost(d.lease) {
 				sleep(ctx, rand.N(entryRestoreSpread))
 			}
 		case errkind.Is(err, errkind.NotFound):
@@ -162,7 +165,7 @@
 			d.apply(d.entries(items))
 			d.synced.Store(true)
 			stale = true
-			sleepUntil(ctx, interval, restored)
+			sleepUntil(ctx, interval, nil, restored)
 			interval = listInterval
 		}
 		if latest, _ := d.store.eras.current(); latest != era {
--- a/process/passthrough/restore_test.go
+++ b/process/passthrough/restore_test.go
@@ -349,3 +349,22 @@
 		})
 	})
 }
+
+// TestMergeHeld guards against processes that keep different entries which the store has lost.
+func TestMergeHeld(t *testing.T) {
+	convey.Convey("Two processes keep the same entries, whichever asks the other", t, func() {
+		entry := func(index, number uint64, deleted bool) heldEntry {
+			return heldEntry{Item: Item{Key: "k", Revision: routes.Revision{Era: 1, Index: index}, Deleted: deleted}, Number: number}
+		}
+		for _, pair := range [][2]heldEntry{
+			{entry(5, 0, false), entry(6, 0, false)},
+			{entry(5, 0, false), entry(5, 0, true)},
+			{entry(9, 3, false), entry(8, 4, false)},
+		} {
+			earlier, later := []heldEntry{pair[0]}, []heldEntry{pair[1]}
+			convey.So(mergeHeld(earlier, later), convey.ShouldResemble, later)
+			convey.So(mergeHeld(later, earlier), convey.ShouldResemble, later)
+			convey.So((&configState{Held: earlier}).heldDigest(), convey.ShouldNotEqual, (&configState{Held: later}).heldDigest())
+		}
+	})
+}
